--- /dev/null
+++ b/src/cli/operate.rs
@@ -0,0 +1,337 @@
+//! The commands themselves.
+
+use std::{
+    io::Write,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+use super::{
+    Apply, Call, Check, Drain, Explain, Failure, Show, Status, addresses,
+    files,
+};
+use crate::{
+    caller::{Caller, PlainCall},
+    config,
+    control::client::Client,
+    entry::dispatch::{self, Dispatcher, Failed},
+    util::random_id,
+    wire::{
+        ApplyConfig, Change, ConfigReply, Depart, Empty, IssueOrder, Query,
+        StatusReply, apply_outcome, change, claim_outcome, outcome, query,
+        query_reply,
+    },
+};
+
+/// How long control may take.
+const LIMIT: Duration = Duration::from_secs(10);
+/// How long `--wait` waits for all entries.
+const WAIT_LIMIT: Duration = Duration::from_secs(30);
+
+fn control(flag: &Option<String>) -> Result<Client, Failure> {
+    let members = addresses(flag, "--control", "AZUREMOUNT_CONTROL")?;
+    Ok(Client::open(&members))
+}
+
+fn failed(error: impl ToString) -> Failure {
+    Failure::Failed(error.to_string())
+}
+
+pub fn check(arguments: &Check) -> Result<(), Failure> {
+    let (base, overlays) = files::read(&arguments.folder)?;
+    let configs = config::check(&base, &overlays).map_err(|problems| {
+        let lines: Vec<String> =
+            problems.iter().map(ToString::to_string).collect();
+        Failure::Wrong(lines.join("\n"))
+    })?;
+    for config in configs {
+        println!(
+            "{}: {} services, {} teams",
+            config.site,
+            config.services.len(),
+            config.teams.len()
+        );
+    }
+    Ok(())
+}
+
+pub async fn apply(arguments: &Apply) -> Result<(), Failure> {
+    let (base, overlays) = files::read(&arguments.folder)?;
+    let control = control(&arguments.control)?;
+    let change = Change::new(change::Kind::Apply(ApplyConfig {
+        change_id: arguments.change_id.clone(),
+        from_revision: arguments.from_revision,
+        base: Some(base),
+        overlays,
+    }));
+    // The change id makes a repeat harmless.
+    let outcome =
+        control.propose(change, LIMIT, true).await.map_err(failed)?;
+    let Some(outcome::Kind::Apply(applied)) = outcome.kind else {
+        return Err(failed("control gave no answer"));
+    };
+    use apply_outcome::Result as Applied;
+    match Applied::try_from(applied.result) {
+        Ok(Applied::Accepted) => {
+            println!("accepted as revision {}", applied.revision);
+        }
+        Ok(Applied::Stale) => {
+            return Err(failed(format!(
+                "not applied: made from revision {}, but {} is in force",
+                arguments.from_revision, applied.revision
+            )));
+        }
+        Ok(Applied::IdReused) => {
+            return Err(failed(format!(
+                "not applied: change id {:?} was used for another change",
+                arguments.change_id
+            )));
+        }
+        Ok(Applied::Invalid) => {
+            return Err(Failure::Wrong(applied.errors.join("\n")));
+        }
+        Err(_) => return Err(failed("control gave an unknown answer")),
+    }
+    if arguments.wait {
+        wait_in_force(&control, applied.revision).await?;
+        println!("in force at every serving entry");
+    }
+    Ok(())
+}
+
+async fn wait_in_force(
+    control: &Client,
+    revision: u64,
+) -> Result<(), Failure> {
+    let give_up = Instant::now() + WAIT_LIMIT;
+    loop {
+        let status = read_status(control).await?;
+        // An entry that does not serve yet may be about to, with an older
+        // revision in hand; it is waited for as well.
+        let behind: Vec<&str> = status
+            .entries
+            .iter()
+            .filter(|entry| entry.in_force < revision)
+            .map(|entry| entry.id.as_str())
+            .collect();
+        if behind.is_empty() && !status.entries.is_empty() {
+            return Ok(());
+        }
+        if Instant::now() >= give_up {
+            let text = format!("not yet in force at {}", behind.join(", "));
+            return Err(failed(text));
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+pub async fn show(arguments: &Show) -> Result<(), Failure> {
+    let control = control(&arguments.control)?;
+    let reply = read_config(&control).await?;
+    let Some(base) = &reply.base else {
+        return Err(failed("there is no configuration yet"));
+    };
+    let overlay = config::overlay_for(&reply.overlays, &arguments.site)
+        .ok_or_else(|| {
+            failed(format!("no site {:?} in force", arguments.site))
+        })?;
+    let text = config::effective(base, overlay)
+        .map_err(|problems| failed(format!("{problems:?}")))?;
+    println!("# revision {}", reply.revision);
+    print!("{text}");
+    Ok(())
+}
+
+pub async fn status(arguments: &Status) -> Result<(), Failure> {
+    let control = control(&arguments.control)?;
+    let status = read_status(&control).await?;
+    println!(
+        "revision {}, term {}, leader {}, committed {}",
+        status.revision, status.term, status.leader, status.committed
+    );
+    println!(
+        "control can lose {} more members and go on",
+        status.survivable_losses
+    );
+    for member in &status.members {
+        let role = if member.voter { "voter" } else { "learner" };
+        println!("member {} {} {role}", member.id, member.address);
+    }
+    for entry in &status.entries {
+        let serving = if entry.serving { "serving" } else { "not serving" };
+        println!(
+            "entry {} {} {} {serving}, revision {}",
+            entry.id, entry.address, entry.data_centre, entry.in_force
+        );
+    }
+    for record in &status.endpoints {
+        let Some(endpoint) = &record.endpoint else { continue };
+        let state = match (record.departed, record.leaving) {
+            (false, _) => "live",
+            (true, true) => "left",
+            (true, false) => "silent",
+        };
+        println!(
+            "endpoint {} {} {} {} {state}",
+            endpoint.id,
+            endpoint.service,
+            endpoint.data_centre,
+            endpoint.address
+        );
+    }
+    println!("{} claims kept", status.claims);
+    Ok(())
+}
+
+pub async fn drain(arguments: &Drain) -> Result<(), Failure> {
+    let control = control(&arguments.control)?;
+    let status = read_status(&control).await?;
+    let endpoint = status
+        .endpoints
+        .iter()
+        .filter(|record| !record.departed)
+        .filter_map(|record| record.endpoint.as_ref())
+        .find(|endpoint| endpoint.id == arguments.endpoint)
+        .ok_or_else(|| {
+            failed(format!("no live endpoint {:?}", arguments.endpoint))
+        })?;
+    let order = Change::new(change::Kind::Order(IssueOrder {
+        endpoint: endpoint.id.clone(),
+        action: "drain".to_owned(),
+        argument: arguments.within_ms.to_string(),
+        reason: arguments.reason.clone(),
+    }));
+    control.propose(order, LIMIT, true).await.map_err(failed)?;
+    let depart = Change::new(change::Kind::Depart(Depart {
+        id: endpoint.id.clone(),
+        incarnation: endpoint.incarnation,
+        leaving: true,
+        within_ms: arguments.within_ms,
+    }));
+    control.propose(depart, LIMIT, true).await.map_err(failed)?;
+    println!("{} gets no more work", endpoint.id);
+    Ok(())
+}
+
+pub async fn explain(arguments: &Explain) -> Result<(), Failure> {
+    let entries =
+        addresses(&arguments.entry, "--entry", "AZUREMOUNT_ENTRIES")?;
+    let dispatcher = Dispatcher::open();
+    let mut known = false;
+    for address in entries {
+        let call = dispatch::Call {
+            address,
+            method: Method::GET,
+            path: format!("/v1/explain/{}", arguments.request),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+        };
+        let answer =
+            dispatcher.repeatable(call, Duration::from_secs(2), true).await;
+        let Ok(answer) = answer else { continue };
+        if !answer.status.is_success() {
+            continue;
+        }
+        let value: Value =
+            serde_json::from_slice(&answer.body).map_err(failed)?;
+        known = true;
+        println!("at {address}:");
+        println!(
+            "  {} for {}, {} ({} pieces), run by {}",
+            text(&value["service"]),
+            text(&value["team"]),
+            text(&value["outcome"]),
+            value["pieces"],
+            text(&value["owner"]),
+        );
+        for note in value["decisions"].as_array().into_iter().flatten() {
+            println!("  - {}", text(note));
+        }
+    }
+    if arguments.control.is_some() {
+        known |= explain_claim(arguments).await?;
+    }
+    if known { Ok(()) } else { Err(failed("no entry knows the request")) }
+}
+
+async fn explain_claim(arguments: &Explain) -> Result<bool, Failure> {
+    let control = control(&arguments.control)?;
+    let key = arguments.request.clone();
+    let query = Query { kind: Some(query::Kind::Claim(key)) };
+    let reply = control.read(query, LIMIT).await.map_err(failed)?;
+    let Some(query_reply::Kind::Claim(claim)) = reply.kind else {
+        return Ok(false);
+    };
+    use claim_outcome::State;
+    match State::try_from(claim.state) {
+        Ok(State::Held) => println!("claimed by {}, no answer", claim.owner),
+        Ok(State::Settled) => {
+            let status = claim.answer.map_or(0, |answer| answer.status);
+            println!("claimed by {}, settled with {status}", claim.owner);
+        }
+        _ => return Ok(false),
+    }
+    Ok(true)
+}
+
+pub async fn call(arguments: &Call) -> Result<(), Failure> {
+    let entries =
+        addresses(&arguments.entry, "--entry", "AZUREMOUNT_ENTRIES")?;
+    let mut caller = Caller::open(&entries, &arguments.team);
+    let made_up = format!("call-{:016x}", random_id());
+    let key = arguments.key.as_deref().unwrap_or(&made_up);
+    let limit = Duration::from_secs(arguments.seconds);
+    let say = |failed: Failed| {
+        let verdict = failed.verdict.as_str();
+        Failure::Failed(format!("{verdict}: {} (key {key})", failed.text))
+    };
+    if let Some((service, path)) = arguments.service.split_once('/') {
+        let call = PlainCall {
+            service,
+            path: &format!("/{path}"),
+            key: Some(key),
+            body: Bytes::from(arguments.text.clone()),
+        };
+        let answer = caller.call(call, limit).await.map_err(say)?;
+        println!("{}", String::from_utf8_lossy(&answer.body));
+        return Ok(());
+    }
+    let body = json!({
+        "model": arguments.service,
+        "max_tokens": arguments.max_tokens,
+        "messages": [{ "role": "user", "content": arguments.text }],
+    });
+    let print = |piece: &str| {
+        print!("{piece}");
+        let _ = std::io::stdout().flush();
+    };
+    caller.chat(&body, key, limit, print).await.map_err(say)?;
+    println!();
+    Ok(())
+}
+
+fn text(value: &Value) -> &str {
+    value.as_str().unwrap_or("?")
+}
+
+async fn read_status(control: &Client) -> Result<StatusReply, Failure> {
+    let query = Query { kind: Some(query::Kind::Status(Empty {})) };
+    let reply = control.read(query, LIMIT).await.map_err(failed)?;
+    match reply.kind {
+        Some(query_reply::Kind::Status(status)) => Ok(status),
+        _ => Err(failed("control gave no status")),
+    }
+}
+
+async fn read_config(control: &Client) -> Result<ConfigReply, Failure> {
+    let query = Query { kind: Some(query::Kind::Config(Empty {})) };
+    let reply = control.read(query, LIMIT).await.map_err(failed)?;
+    match reply.kind {
+        Some(query_reply::Kind::Config(config)) => Ok(config),
+        _ => Err(failed("control gave no configuration")),
+    }
+}
--- /dev/null
+++ b/src/control/ledger.rs
@@ -0,0 +1,439 @@
+//! The state that the replicated log builds: configuration, claims, fleet.
+//!
+//! A [`Ledger`] is a plain function of the changes applied to it, in order:
+//! every member that applied the same changes holds the same state. It reads
+//! no clock; retention goes by the time that the leader wrote into each
+//! change.
+//!
+//! # Claims
+//!
+//! A request that must not run twice is claimed before its first byte leaves
+//! for an endpoint. A key goes through these states:
+//!
+//! ```text
+//! free → claimed by an entry → settled with an answer
+//!   ↑___________|  released: it was never sent
+//! ```
+//!
+//! A claim is granted once. The same owner asking again is told that it holds
+//! the key, not that it may send: an owner whose first answer was lost can't
+//! tell whether it sent already, and the ledger can't either. So a grant
+//! names a *dispatch*: owners put a fresh dispatch id into `owner`.
+//!
+//! # Change ids
+//!
+//! Each configuration change carries an id that its operator made. The ids of
+//! all accepted changes are kept for good: a change that is sent again after
+//! its answer was lost gets that first answer, however long ago it was.
+
+use prost::Message;
+use sha2::{Digest, Sha256};
+
+use crate::{
+    config,
+    util::{common, position, upsert},
+    wire::{
+        Answer, AppliedRecord, ApplyConfig, ApplyOutcome, Change, Claim,
+        ClaimOutcome, ClaimRecord, Depart, Endpoint, EndpointOutcome,
+        EndpointRecord, IssueOrder, LedgerState, LogEntry, OrderOutcome,
+        OrderRecord, Outcome, Settle, SourceFile, apply_outcome, change,
+        claim_outcome, endpoint_outcome, outcome,
+    },
+};
+
+/// How long a claim and its answer are kept.
+pub const CLAIM_RETENTION_MS: u64 = 24 * 60 * 60 * 1000;
+/// How long the mark of a departed endpoint is kept.
+pub const DEPARTED_RETENTION_MS: u64 = 60 * 60 * 1000;
+/// The longest answer that is kept whole, in bytes.
+pub const ANSWER_LIMIT: usize = 64 * 1024;
+
+common! {
+    /// A configuration in the operators' own words, with its revision.
+    pub struct Source {
+        /// Counts accepted changes from 1; 0 before the first.
+        pub revision: u64,
+        /// The base file.
+        pub base: SourceFile,
+        /// One file for each site, sorted by name.
+        pub overlays: Vec<SourceFile>,
+    }
+}
+
+/// Everything that the log has decided so far.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    source: Option<Source>,
+    applied: Vec<AppliedRecord>,
+    claims: Vec<ClaimRecord>,
+    endpoints: Vec<EndpointRecord>,
+    fleet_version: u64,
+    orders: Vec<OrderRecord>,
+    order_sequence: u64,
+    pruned_at: u64,
+}
+
+impl Ledger {
+    /// Restores what [`Ledger::encode`] gave; `None` when it isn't that.
+    pub fn decode(bytes: &[u8]) -> Option<Ledger> {
+        let state = LedgerState::decode(bytes).ok()?;
+        let source = state.base.map(|base| Source {
+            revision: state.revision,
+            base,
+            overlays: state.overlays,
+        });
+        Some(Ledger {
+            source,
+            applied: state.applied,
+            claims: state.claims,
+            endpoints: state.endpoints,
+            fleet_version: state.fleet_version,
+            orders: state.orders,
+            order_sequence: state.order_sequence,
+            pruned_at: state.pruned_at,
+        })
+    }
+
+    /// The whole state, for a snapshot.
+    pub fn encode(&self) -> Vec<u8> {
+        let source = self.source.clone();
+        let (base, overlays) = match source {
+            Some(source) => (Some(source.base), source.overlays),
+            None => (None, Vec::new()),
+        };
+        LedgerState {
+            revision: self.revision(),
+            base,
+            overlays,
+            applied: self.applied.clone(),
+            claims: self.claims.clone(),
+            endpoints: self.endpoints.clone(),
+            fleet_version: self.fleet_version,
+            orders: self.orders.clone(),
+            order_sequence: self.order_sequence,
+            pruned_at: self.pruned_at,
+        }
+        .encode_to_vec()
+    }
+
+    /// The revision in the log, 0 before the first configuration.
+    pub fn revision(&self) -> u64 {
+        self.source.as_ref().map_or(0, |source| source.revision)
+    }
+
+    /// The configuration as its operators wrote it.
+    pub fn source(&self) -> Option<&Source> {
+        self.source.as_ref()
+    }
+
+    /// Grows with each endpoint that joins or departs.
+    pub fn fleet_version(&self) -> u64 {
+        self.fleet_version
+    }
+
+    /// All endpoints, departed ones for a while too, sorted by id.
+    pub fn endpoints(&self) -> &[EndpointRecord] {
+        &self.endpoints
+    }
+
+    /// Endpoints that may be given work, sorted by id.
+    pub fn live_endpoints(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints
+            .iter()
+            .filter(|record| !record.departed)
+            .filter_map(|record| record.endpoint.as_ref())
+    }
+
+    /// The newest order to each endpoint, sorted by endpoint.
+    pub fn orders(&self) -> &[OrderRecord] {
+        &self.orders
+    }
+
+    /// How many claims are kept.
+    pub fn claims(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// What is known of a claimed request.
+    pub fn claim(&self, key: &str) -> ClaimOutcome {
+        match self.find_claim(key) {
+            Ok(at) => describe_claim(&self.claims[at]),
+            Err(_) => ClaimOutcome {
+                state: claim_outcome::State::Unknown as i32,
+                ..ClaimOutcome::default()
+            },
+        }
+    }
+
+    /// Applies one entry; the same entries give the same outcomes anywhere.
+    pub fn apply(&mut self, entry: &LogEntry) -> Outcome {
+        let kind = match Change::decode(entry.payload.as_slice()) {
+            Ok(change) => {
+                self.prune(change.at_ms);
+                change
+                    .kind
+                    .map(|kind| self.apply_kind(entry, change.at_ms, kind))
+            }
+            Err(_) => None,
+        };
+        let kind = kind.unwrap_or(outcome::Kind::Done(true));
+        Outcome { index: entry.index, kind: Some(kind) }
+    }
+
+    fn apply_kind(
+        &mut self,
+        entry: &LogEntry,
+        at_ms: u64,
+        kind: change::Kind,
+    ) -> outcome::Kind {
+        match kind {
+            change::Kind::Apply(apply) => {
+                outcome::Kind::Apply(self.apply_config(apply))
+            }
+            change::Kind::Claim(claim) => {
+                outcome::Kind::Claim(self.take_claim(at_ms, claim))
+            }
+            change::Kind::Settle(settle) => {
+                outcome::Kind::Claim(self.settle(settle))
+            }
+            change::Kind::Announce(announce) => outcome::Kind::Endpoint(
+                self.announce(at_ms, announce.endpoint.unwrap_or_default()),
+            ),
+            change::Kind::Depart(depart) => {
+                outcome::Kind::Endpoint(self.depart(at_ms, depart))
+            }
+            change::Kind::Order(order) => {
+                outcome::Kind::Order(self.order(entry.term, order))
+            }
+            change::Kind::Membership(_) => outcome::Kind::Done(true),
+        }
+    }
+
+    // ---- Configuration ----------------------------------------------------
+
+    fn apply_config(&mut self, apply: ApplyConfig) -> ApplyOutcome {
+        use apply_outcome::Result;
+        let answer = |result: Result, revision, errors| ApplyOutcome {
+            result: result as i32,
+            revision,
+            errors,
+        };
+        let digest = content_digest(&apply);
+        let change_id = apply.change_id.clone();
+        let known = position(&self.applied, change_id.as_str(), |record| {
+            record.change_id.as_str()
+        });
+        let at = match known {
+            // The id decides before the revision: the answer to the first
+            // sending may be lost, and its revision is stale by now.
+            Ok(at) if self.applied[at].digest == digest => {
+                let revision = self.applied[at].revision;
+                return answer(Result::Accepted, revision, Vec::new());
+            }
+            Ok(at) => {
+                let revision = self.applied[at].revision;
+                return answer(Result::IdReused, revision, Vec::new());
+            }
+            Err(at) => at,
+        };
+        let revision = self.revision();
+        if apply.from_revision != revision {
+            return answer(Result::Stale, revision, Vec::new());
+        }
+        let base = apply.base.unwrap_or_default();
+        let mut overlays = apply.overlays;
+        overlays.sort_by(|one, other| one.name.cmp(&other.name));
+        if let Err(errors) = config::check(&base, &overlays) {
+            let errors = errors.iter().map(ToString::to_string).collect();
+            return answer(Result::Invalid, revision, errors);
+        }
+        let revision = revision + 1;
+        let record = AppliedRecord { change_id, digest, revision };
+        self.applied.insert(at, record);
+        self.source = Some(Source { revision, base, overlays });
+        answer(Result::Accepted, revision, Vec::new())
+    }
+
+    // ---- Claims -------------------------------------------------------------
+
+    fn take_claim(&mut self, at_ms: u64, claim: Claim) -> ClaimOutcome {
+        match self.find_claim(&claim.key) {
+            Ok(at) if self.claims[at].digest != claim.digest => ClaimOutcome {
+                state: claim_outcome::State::Mismatch as i32,
+                ..ClaimOutcome::default()
+            },
+            Ok(at) => describe_claim(&self.claims[at]),
+            Err(at) => {
+                let owner = claim.owner.clone();
+                let record = ClaimRecord {
+                    key: claim.key,
+                    digest: claim.digest,
+                    owner: claim.owner,
+                    team: claim.team,
+                    at_ms,
+                    answer: None,
+                };
+                self.claims.insert(at, record);
+                ClaimOutcome {
+                    state: claim_outcome::State::Granted as i32,
+                    owner,
+                    answer: None,
+                }
+            }
+        }
+    }
+
+    fn settle(&mut self, settle: Settle) -> ClaimOutcome {
+        let at = match self.find_claim(&settle.key) {
+            Ok(at) if self.claims[at].owner == settle.owner => at,
+            _ => return self.claim(&settle.key),
+        };
+        let record = &mut self.claims[at];
+        if settle.released {
+            // A release that comes after an answer is an owner's late
+            // resending; the answer stands.
+            if record.answer.is_none() {
+                self.claims.remove(at);
+            }
+            return self.claim(&settle.key);
+        }
+        let known = record.answer.as_ref().map_or(0, |old| old.verdict);
+        let new = settle.answer.map(bounded_answer);
+        // What is known only grows: "ran" replaces "may have run", which an
+        // owner records when an endpoint went silent, and never the reverse.
+        if record.answer.is_none()
+            || new.as_ref().is_some_and(|new| new.verdict > known)
+        {
+            record.answer = new;
+        }
+        self.claim(&settle.key)
+    }
+
+    fn find_claim(&self, key: &str) -> Result<usize, usize> {
+        position(&self.claims, key, |record| record.key.as_str())
+    }
+
+    // ---- Fleet ----------------------------------------------------------------
+
+    fn announce(&mut self, at_ms: u64, endpoint: Endpoint) -> EndpointOutcome {
+        let known = self.find_endpoint(&endpoint.id);
+        if let Ok(at) = known {
+            let record = &self.endpoints[at];
+            let old = record
+                .endpoint
+                .as_ref()
+                .map_or(0, |endpoint| endpoint.incarnation);
+            // A late heartbeat of an endpoint that said it leaves must not
+            // bring it back: it would be given work that it then drops.
+            if old == endpoint.incarnation && record.leaving {
+                return endpoint_outcome(endpoint_outcome::Result::Departed);
+            }
+            if !record.departed && record.endpoint.as_ref() == Some(&endpoint)
+            {
+                return endpoint_outcome(endpoint_outcome::Result::Ok);
+            }
+        }
+        self.fleet_version += 1;
+        let record = EndpointRecord {
+            endpoint: Some(endpoint),
+            departed: false,
+            leaving: false,
+            at_ms,
+            within_ms: 0,
+        };
+        upsert(&mut self.endpoints, record, endpoint_id);
+        endpoint_outcome(endpoint_outcome::Result::Ok)
+    }
+
+    fn depart(&mut self, at_ms: u64, depart: Depart) -> EndpointOutcome {
+        let Ok(at) = self.find_endpoint(&depart.id) else {
+            return endpoint_outcome(endpoint_outcome::Result::Unknown);
+        };
+        let record = &mut self.endpoints[at];
+        let same = record
+            .endpoint
+            .as_ref()
+            .is_some_and(|known| known.incarnation == depart.incarnation);
+        if !same {
+            return endpoint_outcome(endpoint_outcome::Result::Unknown);
+        }
+        if !record.departed {
+            self.fleet_version += 1;
+        }
+        record.departed = true;
+        record.leaving |= depart.leaving;
+        record.within_ms = depart.within_ms;
+        record.at_ms = at_ms;
+        endpoint_outcome(endpoint_outcome::Result::Ok)
+    }
+
+    fn order(&mut self, term: u64, order: IssueOrder) -> OrderOutcome {
+        self.order_sequence += 1;
+        let sequence = self.order_sequence;
+        let record = OrderRecord { sequence, term, order: Some(order) };
+        upsert(&mut self.orders, record, |record| {
+            record.order.as_ref().map_or("", |order| &order.endpoint)
+        });
+        OrderOutcome { sequence }
+    }
+
+    fn find_endpoint(&self, id: &str) -> Result<usize, usize> {
+        position(&self.endpoints, id, endpoint_id)
+    }
+
+    // ---- Retention ------------------------------------------------------------
+
+    /// Drops what is past its time, at most once a minute of log time.
+    fn prune(&mut self, now: u64) {
+        if now < self.pruned_at + 60_000 {
+            return;
+        }
+        self.pruned_at = now;
+        self.claims.retain(|record| now < record.at_ms + CLAIM_RETENTION_MS);
+        self.endpoints.retain(|record| {
+            !record.departed || now < record.at_ms + DEPARTED_RETENTION_MS
+        });
+    }
+}
+
+fn endpoint_id(record: &EndpointRecord) -> &str {
+    record.endpoint.as_ref().map_or("", |endpoint| &endpoint.id)
+}
+
+fn endpoint_outcome(result: endpoint_outcome::Result) -> EndpointOutcome {
+    EndpointOutcome { result: result as i32 }
+}
+
+fn describe_claim(record: &ClaimRecord) -> ClaimOutcome {
+    let state = match record.answer {
+        Some(_) => claim_outcome::State::Settled,
+        None => claim_outcome::State::Held,
+    };
+    ClaimOutcome {
+        state: state as i32,
+        owner: record.owner.clone(),
+        answer: record.answer.clone(),
+    }
+}
+
+fn bounded_answer(mut answer: Answer) -> Answer {
+    if answer.body.len() > ANSWER_LIMIT {
+        answer.body.clear();
+        answer.truncated = true;
+    }
+    answer
+}
+
+/// A digest of what a change would put in force, whatever its file order.
+fn content_digest(apply: &ApplyConfig) -> Vec<u8> {
+    let mut overlays: Vec<&SourceFile> = apply.overlays.iter().collect();
+    overlays.sort_by(|one, other| one.name.cmp(&other.name));
+    let mut hasher = Sha256::new();
+    for file in apply.base.iter().chain(overlays) {
+        hasher.update((file.name.len() as u64).to_le_bytes());
+        hasher.update(&file.name);
+        hasher.update((file.text.len() as u64).to_le_bytes());
+        hasher.update(&file.text);
+    }
+    hasher.finalize().to_vec()
+}
--- /dev/null
+++ b/src/control/member.rs
@@ -0,0 +1,572 @@
+//! One control member: the thread that drives log, disk and ledger.
+//!
+//! Commands come in through a channel. Each round takes all that are waiting,
+//! steps the [`raft::Node`](super::raft::Node), makes the result last with a
+//! single sync (group commit), sends messages, applies what is committed, and
+//! only then answers. The thread owns everything, so nothing is locked.
+//!
+//! # Pitfalls
+//!
+//! A failed write or sync ends the thread with an error, and the process with
+//! it. Going on would mean to acknowledge what may not be on the disk: after
+//! a failed sync the kernel may have thrown the pages away, and the next sync
+//! succeeds without them.
+
+use std::collections::VecDeque;
+
+use prost::Message;
+use tokio::sync::{mpsc, oneshot};
+use tracing::{info, warn};
+
+use super::{
+    disk::{self, Disk},
+    ledger::{Ledger, Source},
+    raft::{Identity, Node, Output, Refusal},
+    roster::{ENDPOINT_LEASE_MS, ENTRY_LEASE_MS, Roster},
+};
+use crate::{
+    config,
+    util::wall_ms,
+    wire::{
+        Change, ConfigReply, Depart, Envelope, LogEntry, Member, Outcome,
+        Query, QueryReply, SourceFile, StatusReply, SyncReply, SyncRequest,
+        change, query, query_reply,
+    },
+};
+
+/// How many commands one round takes at most.
+const COMMANDS_PER_ROUND: usize = 1024;
+/// How long a sync with nothing new is held back, in ms.
+const SYNC_HOLD_MS: u64 = 500;
+/// A leader answers syncs while a majority confirmed it this recently.
+///
+/// With [`ENTRY_LEASE_MS`] it bounds how long an entry can run on an old
+/// configuration that a cut-off leader gave it.
+const QUORUM_LEASE_MS: u64 = 1000;
+
+/// How a proposal or a read failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// Nothing was appended; the leader may be at this address.
+    NotLeader(Option<String>),
+    /// It was appended, but this member no longer leads: it may yet happen.
+    Unknown,
+}
+
+type Answer<T> = oneshot::Sender<Result<T, Failure>>;
+
+/// What the thread can be asked to do.
+#[derive(Debug)]
+pub enum Command {
+    /// Time has passed.
+    Tick(u64),
+    /// Messages from other members.
+    Deliver(Vec<Envelope>),
+    /// Put a change through the log.
+    Propose(Box<Change>, Answer<Outcome>),
+    /// Read through the quorum.
+    Read(Query, Answer<QueryReply>),
+    /// An entry's heartbeat.
+    Sync(Box<SyncRequest>, Answer<SyncReply>),
+    /// Who this is, and whether it knows of a cluster.
+    Probe(oneshot::Sender<(Identity, bool)>),
+    /// Make the first member list; only after all were probed.
+    Bootstrap(Vec<Member>),
+    /// End the thread.
+    Stop,
+}
+
+struct Held {
+    until: u64,
+    request: SyncRequest,
+    answer: Answer<SyncReply>,
+}
+
+struct PendingRead {
+    token: u64,
+    what: Pending,
+}
+
+enum Pending {
+    Query(Query, Answer<QueryReply>),
+    Sync(Box<SyncRequest>, Answer<SyncReply>),
+}
+
+/// Everything that the thread owns.
+pub struct Thread {
+    node: Node,
+    disk: Disk,
+    ledger: Ledger,
+    snapshot_entries: usize,
+    send: Box<dyn Fn(Vec<Envelope>) + Send>,
+    now: u64,
+    applied: u64,
+    roster: Option<Roster>,
+    waiting: VecDeque<(u64, u64, Answer<Outcome>)>,
+    reads: Vec<PendingRead>,
+    next_token: u64,
+    held: Vec<Held>,
+    departing: Vec<Depart>,
+    departing_at: u64,
+    membership_at: u64,
+}
+
+impl Thread {
+    /// Puts the parts together; the ledger starts from the snapshot.
+    pub fn open(
+        node: Node,
+        disk: Disk,
+        snapshot: Option<&[u8]>,
+        snapshot_entries: usize,
+        send: Box<dyn Fn(Vec<Envelope>) + Send>,
+    ) -> Thread {
+        let ledger = snapshot.and_then(Ledger::decode).unwrap_or_default();
+        let applied = node.commit_index();
+        Thread {
+            node,
+            disk,
+            ledger,
+            snapshot_entries,
+            send,
+            now: 0,
+            applied,
+            roster: None,
+            waiting: VecDeque::new(),
+            reads: Vec::new(),
+            next_token: 1,
+            held: Vec::new(),
+            departing: Vec::new(),
+            departing_at: 0,
+            membership_at: 0,
+        }
+    }
+
+    /// Runs until told to stop, or until the disk fails.
+    pub fn run(
+        mut self,
+        mut commands: mpsc::Receiver<Command>,
+    ) -> Result<(), disk::Error> {
+        let mut round = Vec::with_capacity(COMMANDS_PER_ROUND);
+        loop {
+            let Some(first) = commands.blocking_recv() else {
+                return Ok(());
+            };
+            round.push(first);
+            while round.len() < COMMANDS_PER_ROUND
+                && let Ok(more) = commands.try_recv()
+            {
+                round.push(more);
+            }
+            for command in round.drain(..) {
+                if matches!(command, Command::Stop) {
+                    return Ok(());
+                }
+                self.take(command);
+            }
+            self.settle_round()?;
+        }
+    }
+
+    fn take(&mut self, command: Command) {
+        match command {
+            Command::Tick(now) => self.tick(now),
+            Command::Deliver(messages) => {
+                for message in messages {
+                    self.node.receive(self.now, message);
+                }
+            }
+            Command::Propose(change, answer) => {
+                self.propose(*change, answer);
+            }
+            Command::Read(query, answer) => {
+                self.read(Pending::Query(query, answer));
+            }
+            Command::Sync(request, answer) => self.sync(*request, answer),
+            Command::Probe(answer) => {
+                let empty = self.node.is_empty();
+                let _ = answer.send((self.node.identity(), empty));
+            }
+            Command::Bootstrap(members) => {
+                info!(target: "control", "Starts a new cluster.");
+                self.node.bootstrap(members);
+            }
+            Command::Stop => {}
+        }
+    }
+
+    fn propose(&mut self, mut change: Change, answer: Answer<Outcome>) {
+        change.at_ms = wall_ms();
+        if let Some(change::Kind::Announce(announce)) = &change.kind
+            && let (Some(roster), Some(endpoint)) =
+                (&mut self.roster, &announce.endpoint)
+        {
+            roster.renew(self.now, endpoint);
+        }
+        let term = self.node.term();
+        match self.node.propose(self.now, change.encode_to_vec()) {
+            Ok(index) => self.waiting.push_back((index, term, answer)),
+            Err(refusal) => {
+                let _ = answer.send(Err(self.failure(refusal)));
+            }
+        }
+    }
+
+    fn read(&mut self, what: Pending) {
+        let token = self.next_token;
+        self.next_token += 1;
+        match self.node.read(self.now, token) {
+            Ok(()) => self.reads.push(PendingRead { token, what }),
+            Err(refusal) => {
+                let failure = self.failure(refusal);
+                refuse_read(what, failure);
+            }
+        }
+    }
+
+    fn failure(&self, refusal: Refusal) -> Failure {
+        match refusal {
+            Refusal::NotLeader { leader } => {
+                let address = leader
+                    .filter(|id| *id != self.node.identity().id)
+                    .and_then(|id| {
+                        let mut members = self.node.members().iter();
+                        members.find(|member| member.id == id)
+                    })
+                    .map(|member| member.address.clone());
+                Failure::NotLeader(address)
+            }
+            Refusal::ChangePending => Failure::NotLeader(None),
+        }
+    }
+
+    // ---- Syncs ------------------------------------------------------------
+
+    fn sync(&mut self, request: SyncRequest, answer: Answer<SyncReply>) {
+        if !self.node.holds_quorum(self.now, QUORUM_LEASE_MS) {
+            let refusal = Refusal::NotLeader { leader: self.node.leader() };
+            let _ = answer.send(Err(self.failure(refusal)));
+            return;
+        }
+        if let Some(roster) = &mut self.roster {
+            roster.sync(self.now, &request);
+        }
+        if request.fresh {
+            self.read(Pending::Sync(Box::new(request), answer));
+            return;
+        }
+        if self.has_news(&request) {
+            let _ = answer.send(Ok(self.sync_reply(&request)));
+            return;
+        }
+        let until = self.now + SYNC_HOLD_MS;
+        self.held.push(Held { until, request, answer });
+    }
+
+    fn has_news(&self, request: &SyncRequest) -> bool {
+        let in_force =
+            request.entry.as_ref().map_or(0, |entry| entry.in_force);
+        let entries =
+            self.roster.as_ref().map_or(0, |roster| roster.version());
+        in_force != self.ledger.revision()
+            || request.term != self.node.term()
+            || request.fleet_version != self.ledger.fleet_version()
+            || request.entries_version != entries
+    }
+
+    /// Answers the syncs that have waited long enough or have news.
+    fn release_syncs(&mut self) {
+        let sound = self.node.holds_quorum(self.now, QUORUM_LEASE_MS);
+        for held in std::mem::take(&mut self.held) {
+            if !sound {
+                let leader = self.node.leader();
+                let failure = self.failure(Refusal::NotLeader { leader });
+                let _ = held.answer.send(Err(failure));
+            } else if self.now >= held.until || self.has_news(&held.request) {
+                let reply = self.sync_reply(&held.request);
+                let _ = held.answer.send(Ok(reply));
+            } else {
+                self.held.push(held);
+            }
+        }
+    }
+
+    fn sync_reply(&self, request: &SyncRequest) -> SyncReply {
+        let mut reply = SyncReply {
+            term: self.node.term(),
+            revision: self.ledger.revision(),
+            fleet_version: self.ledger.fleet_version(),
+            orders: self.ledger.orders().to_vec(),
+            ..SyncReply::default()
+        };
+        let entry = request.entry.clone().unwrap_or_default();
+        if let Some(source) = self.ledger.source()
+            && entry.in_force < source.revision
+        {
+            reply.base = Some(source.base.clone());
+            reply.overlay =
+                config::overlay_for(&source.overlays, &entry.data_centre)
+                    .cloned();
+        }
+        if request.fleet_version != reply.fleet_version {
+            reply.endpoints = self.ledger.live_endpoints().cloned().collect();
+            reply.departed = self
+                .ledger
+                .endpoints()
+                .iter()
+                .filter(|record| record.departed)
+                .cloned()
+                .collect();
+        }
+        if let Some(roster) = &self.roster {
+            reply.settling = roster.settling(self.now);
+            reply.entries_version = roster.version();
+            reply.loads = roster.loads(self.now);
+            if request.entries_version != reply.entries_version {
+                reply.entries = roster.entries();
+            }
+        }
+        reply
+    }
+
+    // ---- Time -------------------------------------------------------------
+
+    fn tick(&mut self, now: u64) {
+        self.now = now;
+        self.node.tick(now);
+        if !self.node.is_leader() {
+            return;
+        }
+        if now >= self.membership_at
+            && let Some(members) = self.node.due_membership(now)
+        {
+            self.membership_at = now + 200;
+            info!(target: "control", "Changes members: {members:?}.");
+            let _ = self.node.propose_members(now, members);
+        }
+        self.expire(now);
+    }
+
+    /// Puts lapsed leases through the log, each at most once a second.
+    fn expire(&mut self, now: u64) {
+        let Some(roster) = &mut self.roster else { return };
+        roster.expire(now);
+        if now >= self.departing_at + 1000 {
+            self.departing.clear();
+            self.departing_at = now;
+        }
+        let lapsed = roster.lapsed(now, self.ledger.live_endpoints());
+        for depart in lapsed {
+            if self.departing.contains(&depart) {
+                continue;
+            }
+            info!(
+                target: "control",
+                "Endpoint {} was silent for {ENDPOINT_LEASE_MS} ms.",
+                depart.id
+            );
+            self.departing.push(depart.clone());
+            let mut change = Change::new(change::Kind::Depart(depart));
+            change.at_ms = wall_ms();
+            let _ = self.node.propose(now, change.encode_to_vec());
+        }
+    }
+
+    // ---- The end of a round -------------------------------------------------
+
+    fn settle_round(&mut self) -> Result<(), disk::Error> {
+        loop {
+            let output = self.node.output();
+            self.persist(&output)?;
+            if !output.messages.is_empty() {
+                (self.send)(output.messages);
+            }
+            self.node.persisted(self.node.last_index());
+            let applied = self.apply_committed();
+            self.answer_reads(output.reads, output.refused_reads);
+            if !applied {
+                break;
+            }
+        }
+        self.follow_role();
+        self.drop_lost_proposals();
+        self.release_syncs();
+        self.snapshot()
+    }
+
+    fn persist(&mut self, output: &Output) -> Result<(), disk::Error> {
+        if let Some(snapshot) = &output.install {
+            let hard = self.node.hard();
+            self.disk.install(snapshot, hard, &output.entries)?;
+            let state = Ledger::decode(&snapshot.state);
+            self.ledger = state.unwrap_or_default();
+            self.applied = snapshot.index;
+            info!(
+                target: "control",
+                "Took a snapshot up to {}.", snapshot.index
+            );
+            return Ok(());
+        }
+        if output.hard.is_some() || !output.entries.is_empty() {
+            self.disk.append(output.hard, output.entries.clone())?;
+        }
+        Ok(())
+    }
+
+    fn apply_committed(&mut self) -> bool {
+        let committed = self.node.committed();
+        for entry in &committed {
+            let outcome = self.ledger.apply(entry);
+            self.applied = entry.index;
+            self.answer_proposal(entry, outcome);
+        }
+        if !committed.is_empty()
+            && let Some(roster) = &mut self.roster
+        {
+            let ledger = &self.ledger;
+            roster.retain_endpoints(|id, incarnation| {
+                ledger
+                    .live_endpoints()
+                    .any(|live| live.identity() == (id, incarnation))
+            });
+        }
+        !committed.is_empty()
+    }
+
+    fn answer_proposal(&mut self, entry: &LogEntry, outcome: Outcome) {
+        while let Some((index, term, _)) = self.waiting.front() {
+            if *index > entry.index {
+                return;
+            }
+            let same = *index == entry.index && *term == entry.term;
+            let Some((_, _, answer)) = self.waiting.pop_front() else {
+                return;
+            };
+            let result =
+                if same { Ok(outcome.clone()) } else { Err(Failure::Unknown) };
+            let _ = answer.send(result);
+        }
+    }
+
+    fn answer_reads(&mut self, ready: Vec<u64>, refused: Vec<u64>) {
+        for read in std::mem::take(&mut self.reads) {
+            if ready.contains(&read.token) {
+                match read.what {
+                    Pending::Query(query, answer) => {
+                        let _ = answer.send(Ok(self.query(&query)));
+                    }
+                    Pending::Sync(request, answer) => {
+                        let reply = self.sync_reply(&request);
+                        let _ = answer.send(Ok(reply));
+                    }
+                }
+            } else if refused.contains(&read.token) {
+                refuse_read(read.what, Failure::NotLeader(None));
+            } else {
+                self.reads.push(read);
+            }
+        }
+    }
+
+    /// Starts and drops what only a leader has.
+    fn follow_role(&mut self) {
+        match (self.node.is_leader(), &self.roster) {
+            (true, None) => {
+                info!(target: "control", "Leads term {}.", self.node.term());
+                let seed = self.node.term();
+                self.roster = Some(Roster::open(self.now, seed));
+            }
+            (false, Some(_)) => {
+                warn!(target: "control", "No longer leads.");
+                self.roster = None;
+            }
+            _ => {}
+        }
+    }
+
+    fn drop_lost_proposals(&mut self) {
+        if self.node.is_leader() {
+            return;
+        }
+        // They may yet be committed by the next leader: their callers must
+        // be told "unknown", never "not run".
+        for (_, _, answer) in self.waiting.drain(..) {
+            let _ = answer.send(Err(Failure::Unknown));
+        }
+    }
+
+    fn snapshot(&mut self) -> Result<(), disk::Error> {
+        if self.node.log_len() < self.snapshot_entries {
+            return Ok(());
+        }
+        let hard = self.node.hard();
+        let state = self.ledger.encode();
+        let Some((snapshot, entries)) = self.node.compact(self.applied, state)
+        else {
+            return Ok(());
+        };
+        self.disk.install(&snapshot, hard, entries)
+    }
+
+    // ---- Queries --------------------------------------------------------------
+
+    fn query(&self, query: &Query) -> QueryReply {
+        let kind = match &query.kind {
+            Some(query::Kind::Claim(key)) => {
+                Some(query_reply::Kind::Claim(self.ledger.claim(key)))
+            }
+            Some(query::Kind::Config(_)) => {
+                Some(query_reply::Kind::Config(self.config_reply()))
+            }
+            Some(query::Kind::Status(_)) => {
+                Some(query_reply::Kind::Status(self.status()))
+            }
+            None => None,
+        };
+        QueryReply { kind }
+    }
+
+    fn config_reply(&self) -> ConfigReply {
+        let (base, overlays): (Option<SourceFile>, Vec<SourceFile>) =
+            match self.ledger.source() {
+                Some(Source { base, overlays, .. }) => {
+                    (Some(base.clone()), overlays.clone())
+                }
+                None => (None, Vec::new()),
+            };
+        ConfigReply { revision: self.ledger.revision(), base, overlays }
+    }
+
+    fn status(&self) -> StatusReply {
+        let entries = match &self.roster {
+            Some(roster) => roster.entries(),
+            None => Vec::new(),
+        };
+        StatusReply {
+            leader: self.node.leader().unwrap_or(0),
+            term: self.node.term(),
+            committed: self.node.commit_index(),
+            revision: self.ledger.revision(),
+            members: self.node.members().to_vec(),
+            entries,
+            endpoints: self.ledger.endpoints().to_vec(),
+            survivable_losses: self.node.survivable_losses(self.now) as u32,
+            claims: self.ledger.claims() as u64,
+            log_entries: self.node.log_len() as u64,
+        }
+    }
+}
+
+fn refuse_read(what: Pending, failure: Failure) {
+    match what {
+        Pending::Query(_, answer) => {
+            let _ = answer.send(Err(failure));
+        }
+        Pending::Sync(_, answer) => {
+            let _ = answer.send(Err(failure));
+        }
+    }
+}
+
+// Entries must outlive a leader's claim to the quorum, not the reverse: an
+// entry's lease is the longer one, so that a change of leader is no outage.
+const _: () = assert!(QUORUM_LEASE_MS < ENTRY_LEASE_MS);
--- /dev/null
+++ b/src/decide/route.rs
@@ -0,0 +1,582 @@
+//! Which replica a request goes to.
+//!
+//! A [`Pool`] holds the replicas of one service. [`Pool::pick`] gives each a
+//! cost in milliseconds: the wait that it predicts, plus the time to
+//! recompute the part of the prompt that is not in the replica's cache, plus
+//! what the VM's price and the risk of its reclaim are worth. The cheapest
+//! wins; among those that are as good as equal, one is drawn at random.
+//!
+//! # Load that is out of date
+//!
+//! Reports come late. A pool corrects each with what it knows itself: the
+//! requests that it has begun and ended since. And it assumes that the other
+//! entries, which act on the same report by the same rules, have begun as
+//! many: without that, all entries send to the one replica that looked idle
+//! in the last report.
+//!
+//! # Replicas that went slow or silent
+//!
+//! A replica is charged for the age of its oldest request that has shown no
+//! progress. One that has stalled so grows dearer by the millisecond, without
+//! a threshold to tune, and is cheap again with its first piece of answer.
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+use super::prefix::{BLOCK_TOKENS, Index};
+use crate::util::{common, position};
+
+common! {
+    copy
+    /// How a pool decides.
+    pub enum Policy {
+        /// By predicted cost: the one in use.
+        Cost,
+        /// Any replica.
+        Random,
+        /// One after the other.
+        RoundRobin,
+        /// Fewest requests of this entry under way.
+        LeastOutstanding,
+        /// The less loaded of two drawn at random.
+        PowerOfTwo,
+    }
+}
+
+/// What the parts of the cost are worth.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Weights {
+    /// Milliseconds to compute one token of a prompt.
+    pub token_ms: f32,
+    /// Milliseconds that a request holds its slot, at first.
+    pub hold_ms: f32,
+    /// Milliseconds that each running request adds to the next one's.
+    pub batch_ms: f32,
+    /// Milliseconds that a reclaimable VM costs more.
+    pub reclaim_ms: f32,
+    /// Milliseconds for each thousandth of a cent an hour.
+    pub price_ms: f32,
+    /// Milliseconds for another data centre.
+    pub distance_ms: f32,
+    /// Costs that differ by less count as equal.
+    pub tolerance_ms: f32,
+    /// How much of the other entries' sending is assumed, from 0 to 1.
+    pub mirror: f32,
+}
+
+impl Default for Weights {
+    fn default() -> Weights {
+        Weights {
+            token_ms: 0.5,
+            hold_ms: 2000.0,
+            batch_ms: 10.0,
+            reclaim_ms: 2.0,
+            price_ms: 0.0,
+            distance_ms: 1.0,
+            tolerance_ms: 5.0,
+            mirror: 1.0,
+        }
+    }
+}
+
+common! {
+    /// What stays the same while a replica lives.
+    pub struct Identity {
+        /// Its endpoint's id.
+        pub id: String,
+        /// Its endpoint's incarnation.
+        pub incarnation: u64,
+        /// Where it is.
+        pub data_centre: String,
+        /// Requests that it runs at a time.
+        pub slots: u32,
+        /// Whether its VM may be reclaimed.
+        pub reclaimable: bool,
+        /// Thousandths of a cent an hour.
+        pub price: u64,
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Replica {
+    identity: Identity,
+    /// Stands for it in the prefix index; never used twice.
+    number: u32,
+    near: bool,
+    /// Running and waiting, as last reported.
+    reported: f32,
+    /// When that was measured.
+    measured_at: u64,
+    /// Of this entry's requests, those begun since that report, less those
+    /// ended.
+    change: f32,
+    /// When this entry's latest requests began (+1) and ended (-1).
+    recent: Vec<(u64, f32)>,
+    own: u32,
+    /// Prompt tokens sent that have not led to a first piece yet.
+    pending_tokens: f32,
+    /// When each request without progress began or last moved.
+    quiet: Vec<(u64, u64)>,
+    hold_ms: f32,
+    failed_until: u64,
+    matched: u32,
+}
+
+common! {
+    /// A request, as far as routing goes.
+    pub struct Ask<'a> {
+        /// Tokens in the prompt.
+        pub tokens: u32,
+        /// The prompt's block hashes.
+        pub blocks: &'a [u64],
+        /// Endpoints that it must not go to: id and incarnation.
+        pub avoid: &'a [(String, u64)],
+    }
+}
+
+common! {
+    /// Where a request goes, and what is expected of it there.
+    pub struct Choice {
+        /// The endpoint's id.
+        pub id: String,
+        /// The endpoint's incarnation.
+        pub incarnation: u64,
+        /// Prompt tokens that are probably cached there.
+        pub cached_tokens: u32,
+        /// Expected time to the first piece, in ms.
+        pub predicted_ms: f32,
+        /// To be handed back with progress and end.
+        pub ticket: Ticket,
+    }
+}
+
+common! {
+    copy
+    /// One request under way at one replica.
+    pub struct Ticket {
+        number: u32,
+        serial: u64,
+        tokens: u32,
+    }
+}
+
+/// The replicas of one service, as one entry sees them.
+#[derive(Debug)]
+pub struct Pool {
+    policy: Policy,
+    weights: Weights,
+    replicas: Vec<Replica>,
+    index: Index,
+    rng: StdRng,
+    next_number: u32,
+    next_serial: u64,
+    turn: usize,
+    peers: f32,
+    ties: Vec<usize>,
+}
+
+/// How long a replica that failed a request is passed over, in ms.
+const FAILED_MS: u64 = 1000;
+/// How many beginnings and ends are remembered to correct a late report.
+const RECENT: usize = 256;
+/// How many holders of a prefix are looked at.
+const HOLDERS: usize = 8;
+/// The weight of one new holding time in the average.
+const HOLD_SHARE: f32 = 0.1;
+
+impl Pool {
+    /// Starts empty. `seed` feeds the draws among equals.
+    pub fn open(policy: Policy, weights: Weights, seed: u64) -> Pool {
+        Pool {
+            policy,
+            weights,
+            replicas: Vec::new(),
+            index: Index::default(),
+            rng: StdRng::seed_from_u64(seed),
+            next_number: 0,
+            next_serial: 0,
+            turn: 0,
+            peers: 0.0,
+            ties: Vec::new(),
+        }
+    }
+
+    /// How many other entries decide as this one does.
+    pub fn set_peers(&mut self, peers: usize) {
+        self.peers = peers as f32;
+    }
+
+    /// Takes the list of replicas that may be given work.
+    ///
+    /// Those that stay keep what is known of them.
+    pub fn set_replicas(&mut self, near: &str, list: &[Identity]) {
+        let mut old = std::mem::take(&mut self.replicas);
+        for identity in list {
+            let known = old.iter().position(|replica| {
+                replica.identity.id == identity.id
+                    && replica.identity.incarnation == identity.incarnation
+            });
+            let replica = match known {
+                Some(at) => {
+                    let mut replica = old.swap_remove(at);
+                    replica.identity = identity.clone();
+                    replica
+                }
+                None => self.new_replica(near, identity),
+            };
+            self.replicas.push(replica);
+        }
+        self.replicas
+            .sort_by(|one, other| one.identity.id.cmp(&other.identity.id));
+        for gone in old {
+            self.index.clear(gone.number);
+        }
+    }
+
+    /// How many replicas there are.
+    pub fn len(&self) -> usize {
+        self.replicas.len()
+    }
+
+    /// True when there are none.
+    pub fn is_empty(&self) -> bool {
+        self.replicas.is_empty()
+    }
+
+    /// Slots of all replicas together.
+    pub fn slots(&self) -> u32 {
+        self.replicas.iter().map(|replica| replica.identity.slots).sum()
+    }
+
+    /// Requests thought to be running or waiting at all replicas.
+    pub fn load(&self) -> f32 {
+        self.replicas.iter().map(|replica| self.estimate(replica)).sum()
+    }
+
+    /// Takes a load that was measured `age_ms` ago.
+    ///
+    /// An age of 0 is for the load that comes with an answer.
+    pub fn report(
+        &mut self,
+        now: u64,
+        id: &str,
+        incarnation: u64,
+        load: u32,
+        age_ms: u64,
+    ) {
+        let Some(at) = self.find(id, incarnation) else { return };
+        let replica = &mut self.replicas[at];
+        let measured_at = now.saturating_sub(age_ms);
+        if measured_at < replica.measured_at {
+            return;
+        }
+        replica.measured_at = measured_at;
+        replica.reported = load as f32;
+        replica.recent.retain(|(at, _)| *at >= measured_at);
+        replica.change = replica.recent.iter().map(|(_, one)| one).sum();
+    }
+
+    /// Takes a cache event: blocks that a replica no longer has.
+    pub fn evicted(&mut self, id: &str, incarnation: u64, blocks: &[u64]) {
+        if let Some(at) = self.find(id, incarnation) {
+            self.index.remove(self.replicas[at].number, blocks);
+        }
+    }
+
+    /// Takes a cache event: blocks that a replica has.
+    pub fn cached(&mut self, id: &str, incarnation: u64, blocks: &[u64]) {
+        if let Some(at) = self.find(id, incarnation) {
+            self.index.insert(self.replicas[at].number, blocks);
+        }
+    }
+
+    /// Chooses a replica and notes that the request goes there.
+    pub fn pick(&mut self, now: u64, ask: &Ask<'_>) -> Option<Choice> {
+        let at = match self.policy {
+            Policy::Cost => self.pick_by_cost(now, ask),
+            Policy::Random => self.draw(ask, |_, _| true),
+            Policy::RoundRobin => self.next_in_turn(ask),
+            Policy::LeastOutstanding => self.least_outstanding(ask),
+            Policy::PowerOfTwo => self.power_of_two(ask),
+        }?;
+        Some(self.begin(now, at, ask))
+    }
+
+    /// The request moved: a piece of its answer came.
+    pub fn progress(&mut self, now: u64, ticket: Ticket, first: bool) {
+        let Some(replica) = self.by_number(ticket.number) else { return };
+        let quiet = replica
+            .quiet
+            .binary_search_by_key(&ticket.serial, |(serial, _)| *serial);
+        if let Ok(at) = quiet {
+            replica.quiet[at].1 = now;
+        }
+        if first {
+            replica.pending_tokens =
+                (replica.pending_tokens - ticket.tokens as f32).max(0.0);
+        }
+    }
+
+    /// The request ended; `held_ms` is given when it ended well.
+    pub fn end(
+        &mut self,
+        now: u64,
+        ticket: Ticket,
+        started: bool,
+        held_ms: Option<f32>,
+    ) {
+        let Some(replica) = self.by_number(ticket.number) else { return };
+        replica.own = replica.own.saturating_sub(1);
+        replica.note(now, -1.0);
+        replica.quiet.retain(|(serial, _)| *serial != ticket.serial);
+        if !started {
+            replica.pending_tokens =
+                (replica.pending_tokens - ticket.tokens as f32).max(0.0);
+        }
+        match held_ms {
+            Some(held) => {
+                replica.hold_ms += (held - replica.hold_ms) * HOLD_SHARE;
+            }
+            None => replica.failed_until = now + FAILED_MS,
+        }
+    }
+
+    /// The cost of one replica, as [`Pool::pick`] sees it.
+    ///
+    /// For `explain` and for tests against the naive version.
+    pub fn cost_of(
+        &mut self,
+        now: u64,
+        id: &str,
+        ask: &Ask<'_>,
+    ) -> Option<f32> {
+        self.match_prefix(ask);
+        let cost = self
+            .replicas
+            .iter()
+            .find(|replica| replica.identity.id == id)
+            .map(|replica| self.cost(now, replica, ask));
+        self.unmatch_prefix(ask);
+        cost
+    }
+
+    // ---- By cost ------------------------------------------------------------
+
+    fn pick_by_cost(&mut self, now: u64, ask: &Ask<'_>) -> Option<usize> {
+        self.match_prefix(ask);
+        let mut best = f32::INFINITY;
+        let mut ties = std::mem::take(&mut self.ties);
+        ties.clear();
+        for (at, replica) in self.replicas.iter().enumerate() {
+            let cost = self.cost(now, replica, ask);
+            if cost < best {
+                best = cost;
+            }
+            if cost <= best + self.weights.tolerance_ms
+                && !avoided(replica, ask)
+            {
+                ties.push(at);
+            }
+        }
+        if best.is_finite() {
+            let limit = best + self.weights.tolerance_ms;
+            // Those that were near an earlier best may be far from the last.
+            ties.retain(|&at| {
+                self.cost(now, &self.replicas[at], ask) <= limit
+            });
+        }
+        let chosen = match ties.len() {
+            0 => None,
+            1 => Some(ties[0]),
+            many => Some(ties[self.rng.random_range(0..many)]),
+        };
+        self.ties = ties;
+        self.unmatch_prefix(ask);
+        chosen
+    }
+
+    fn match_prefix(&mut self, ask: &Ask<'_>) {
+        let replicas = &mut self.replicas;
+        self.index.holders(ask.blocks, HOLDERS, |number, count| {
+            let holder = replicas.iter_mut().find(|one| one.number == number);
+            if let Some(holder) = holder {
+                holder.matched = count * BLOCK_TOKENS;
+            }
+        });
+    }
+
+    fn unmatch_prefix(&mut self, ask: &Ask<'_>) {
+        if ask.blocks.is_empty() {
+            return;
+        }
+        for replica in &mut self.replicas {
+            replica.matched = 0;
+        }
+    }
+
+    fn cost(&self, now: u64, replica: &Replica, ask: &Ask<'_>) -> f32 {
+        if avoided(replica, ask) {
+            return f32::INFINITY;
+        }
+        let weights = &self.weights;
+        let identity = &replica.identity;
+        let load = self.estimate(replica);
+        let slots = identity.slots as f32;
+        let over = (load + 1.0 - slots).max(0.0);
+        let queue = over / slots * replica.hold_ms;
+        let batch = load.min(slots) * weights.batch_ms;
+        let fresh = ask.tokens.saturating_sub(replica.matched) as f32;
+        let compute = (fresh + replica.pending_tokens) * weights.token_ms;
+        let stall = match replica.quiet.iter().map(|(_, at)| *at).min() {
+            Some(at) => {
+                let age = now.saturating_sub(at) as f32;
+                let expected = compute
+                    + queue
+                    + replica.pending_tokens * weights.token_ms;
+                (age - expected).max(0.0)
+            }
+            None => 0.0,
+        };
+        let failed = replica.failed_until.saturating_sub(now) as f32 * 10.0;
+        let mut cost = queue + batch + compute + stall + failed;
+        if identity.reclaimable {
+            cost += weights.reclaim_ms;
+        }
+        if !replica.near {
+            cost += weights.distance_ms;
+        }
+        cost + identity.price as f32 * weights.price_ms
+    }
+
+    /// Requests thought to be running or waiting at a replica now.
+    fn estimate(&self, replica: &Replica) -> f32 {
+        let others = self.peers * self.weights.mirror;
+        let assumed = replica.change.max(0.0) * others;
+        (replica.reported + replica.change + assumed).max(replica.own as f32)
+    }
+
+    // ---- Baselines ------------------------------------------------------------
+
+    fn draw(
+        &mut self,
+        ask: &Ask<'_>,
+        fits: impl Fn(usize, &Replica) -> bool,
+    ) -> Option<usize> {
+        let open: Vec<usize> = (0..self.replicas.len())
+            .filter(|&at| {
+                let replica = &self.replicas[at];
+                !avoided(replica, ask) && fits(at, replica)
+            })
+            .collect();
+        if open.is_empty() {
+            return None;
+        }
+        Some(open[self.rng.random_range(0..open.len())])
+    }
+
+    fn next_in_turn(&mut self, ask: &Ask<'_>) -> Option<usize> {
+        for _ in 0..self.replicas.len() {
+            self.turn = (self.turn + 1) % self.replicas.len();
+            if !avoided(&self.replicas[self.turn], ask) {
+                return Some(self.turn);
+            }
+        }
+        None
+    }
+
+    fn least_outstanding(&mut self, ask: &Ask<'_>) -> Option<usize> {
+        let least = self
+            .replicas
+            .iter()
+            .filter(|replica| !avoided(replica, ask))
+            .map(|replica| replica.own)
+            .min()?;
+        self.draw(ask, |_, replica| replica.own == least)
+    }
+
+    fn power_of_two(&mut self, ask: &Ask<'_>) -> Option<usize> {
+        let first = self.draw(ask, |_, _| true)?;
+        let second = self.draw(ask, |at, _| at != first).unwrap_or(first);
+        let load = |at: usize| {
+            let replica = &self.replicas[at];
+            (replica.reported + replica.change).max(replica.own as f32)
+        };
+        Some(if load(second) < load(first) { second } else { first })
+    }
+
+    // ---- Bookkeeping ------------------------------------------------------------
+
+    fn begin(&mut self, now: u64, at: usize, ask: &Ask<'_>) -> Choice {
+        self.match_prefix(ask);
+        let predicted_ms = self.cost(now, &self.replicas[at], ask);
+        let cached = self.replicas[at].matched.min(ask.tokens);
+        self.unmatch_prefix(ask);
+        let serial = self.next_serial;
+        self.next_serial += 1;
+        let tokens = ask.tokens - cached;
+        let replica = &mut self.replicas[at];
+        replica.own += 1;
+        replica.note(now, 1.0);
+        replica.pending_tokens += tokens as f32;
+        replica.quiet.push((serial, now));
+        let number = replica.number;
+        let choice = Choice {
+            id: replica.identity.id.clone(),
+            incarnation: replica.identity.incarnation,
+            cached_tokens: cached,
+            predicted_ms,
+            ticket: Ticket { number, serial, tokens },
+        };
+        self.index.insert(number, ask.blocks);
+        choice
+    }
+
+    fn new_replica(&mut self, near: &str, identity: &Identity) -> Replica {
+        let number = self.next_number;
+        self.next_number += 1;
+        Replica {
+            identity: identity.clone(),
+            number,
+            near: identity.data_centre == near,
+            reported: 0.0,
+            measured_at: 0,
+            change: 0.0,
+            recent: Vec::new(),
+            own: 0,
+            pending_tokens: 0.0,
+            quiet: Vec::new(),
+            hold_ms: self.weights.hold_ms,
+            failed_until: 0,
+            matched: 0,
+        }
+    }
+
+    fn find(&self, id: &str, incarnation: u64) -> Option<usize> {
+        let at = position(&self.replicas, id, |replica| {
+            replica.identity.id.as_str()
+        });
+        at.ok().filter(|&at| {
+            self.replicas[at].identity.incarnation == incarnation
+        })
+    }
+
+    fn by_number(&mut self, number: u32) -> Option<&mut Replica> {
+        self.replicas.iter_mut().find(|replica| replica.number == number)
+    }
+}
+
+impl Replica {
+    fn note(&mut self, now: u64, change: f32) {
+        self.change += change;
+        if self.recent.len() == RECENT {
+            self.recent.remove(0);
+        }
+        self.recent.push((now, change));
+    }
+}
+
+fn avoided(replica: &Replica, ask: &Ask<'_>) -> bool {
+    let identity = &replica.identity;
+    ask.avoid.iter().any(|(id, incarnation)| {
+        *id == identity.id && *incarnation == identity.incarnation
+    })
+}
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,150 @@
+//! What an entry counts, for Prometheus.
+//!
+//! Every histogram has the team and the service as labels. Both come from the
+//! configuration in force, never from a request, so that a caller can't make
+//! the number of series grow.
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+/// Which team and service a value belongs to.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Labels {
+    /// The team.
+    pub team: String,
+    /// The service.
+    pub service: String,
+}
+
+/// Why something was refused or failed, and whether it may have run.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Outcome {
+    /// The HTTP status.
+    pub status: u16,
+    /// The verdict's words.
+    pub verdict: &'static str,
+}
+
+type Histograms = Family<Labels, Histogram, fn() -> Histogram>;
+
+/// All that one entry counts.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Seconds from request to the end of its answer.
+    pub latency: Histograms,
+    /// Seconds from request to the first piece of answer.
+    pub first_token: Histograms,
+    /// Seconds between two pieces.
+    pub between_tokens: Histograms,
+    /// Seconds that a request waited for admission.
+    pub queue_wait: Histograms,
+    /// Prompt tokens that an engine computed although another had them.
+    pub recomputed_tokens: Histograms,
+    /// Answers other than success.
+    pub outcomes: Family<Outcome, Counter>,
+    /// Requests under way.
+    pub running: Gauge,
+    /// Streams moved to another endpoint.
+    pub moved: Counter,
+    /// Requests taken over from another entry.
+    pub adopted: Counter,
+    /// The revision in force.
+    pub revision: Gauge,
+}
+
+fn seconds() -> Histogram {
+    Histogram::new(exponential_buckets(0.001, 2.0, 17))
+}
+
+fn tokens() -> Histogram {
+    Histogram::new(exponential_buckets(16.0, 2.0, 14))
+}
+
+impl Metrics {
+    /// Starts at zero.
+    pub fn open() -> Metrics {
+        let mut registry = Registry::with_prefix("azuremount");
+        let seconds = || Histograms::new_with_constructor(seconds);
+        let metrics = Metrics {
+            latency: seconds(),
+            first_token: seconds(),
+            between_tokens: seconds(),
+            queue_wait: seconds(),
+            recomputed_tokens: Histograms::new_with_constructor(tokens),
+            outcomes: Family::default(),
+            running: Gauge::default(),
+            moved: Counter::default(),
+            adopted: Counter::default(),
+            revision: Gauge::default(),
+            registry: Registry::default(),
+        };
+        registry.register(
+            "latency_seconds",
+            "From request to the end of its answer",
+            metrics.latency.clone(),
+        );
+        registry.register(
+            "first_token_seconds",
+            "From request to the first piece of answer",
+            metrics.first_token.clone(),
+        );
+        registry.register(
+            "between_tokens_seconds",
+            "Between two pieces of an answer",
+            metrics.between_tokens.clone(),
+        );
+        registry.register(
+            "queue_wait_seconds",
+            "Wait for admission",
+            metrics.queue_wait.clone(),
+        );
+        registry.register(
+            "recomputed_tokens",
+            "Tokens computed again because work moved or missed a cache",
+            metrics.recomputed_tokens.clone(),
+        );
+        registry.register(
+            "outcomes",
+            "Answers other than success, by status and verdict",
+            metrics.outcomes.clone(),
+        );
+        registry.register(
+            "running_requests",
+            "Requests under way",
+            metrics.running.clone(),
+        );
+        registry.register(
+            "moved_streams",
+            "Streams moved to another endpoint",
+            metrics.moved.clone(),
+        );
+        registry.register(
+            "adopted_requests",
+            "Requests taken over from another entry",
+            metrics.adopted.clone(),
+        );
+        registry.register(
+            "revision_in_force",
+            "The configuration revision in force",
+            metrics.revision.clone(),
+        );
+        Metrics { registry, ..metrics }
+    }
+
+    /// Everything, in the text format that Prometheus reads.
+    pub fn encode(&self) -> String {
+        let mut out = String::new();
+        // Writing to a string does not fail.
+        let _ = text::encode(&mut out, &self.registry);
+        out
+    }
+}
