Test the data folder, configurations, settings and bad input

Torn tails are cut at every byte, damage before the end is an error at every byte, a full disk ends the process with exit code 3 and what was synced is there afterwards. Twenty bad requests, 150 random byte strings with fixed seeds, and heads without end leave an entry serving, below 256 MB. An open file that is an io_uring would fail a test.

Flaky at first: two disk tests found the folder locked, once in four runs. Cause: other tests start processes, and between fork and exec a child shares the lock of a disk that was just dropped; the product starts no process.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -30,6 +30,7 @@
 pub use self::tree::Place;
 use self::{reader::Reader, tree::Node};
 use crate::{
+    decide::route::Policy,
     util::{common, position},
     wire::SourceFile,
 };
@@ -142,6 +143,8 @@
         pub silence_ms: u64,
         /// Requests that may wait for each endpoint.
         pub queue: u64,
+        /// How its requests are routed.
+        pub routing: Policy,
     }
 }
 
@@ -442,8 +445,19 @@
     // Repeating is harmless only where somebody said so; a model's answer
     // has no effect outside.
     let model = kind == Kind::Model;
+    let written = table.text("routing", Some("cost"), problems);
+    let routing = Policy::parse(&written).unwrap_or_else(|| {
+        let names = Policy::ALL.map(|(name, _)| name).join(", ");
+        problems.push(Problem {
+            place: table.place().clone(),
+            key: table.path_of("routing"),
+            text: format!("{written:?} is none of {names}"),
+        });
+        Policy::Cost
+    });
     let service = Service {
         name: name.to_owned(),
+        routing,
         kind,
         repeatable: table.flag("repeatable", model, problems),
         repeatable_paths: table.texts("repeatable_paths", problems),
--- a/src/decide/route.rs
+++ b/src/decide/route.rs
@@ -42,6 +42,23 @@
     }
 }
 
+impl Policy {
+    /// All of them, with their names in configurations.
+    pub const ALL: [(&'static str, Policy); 5] = [
+        ("cost", Policy::Cost),
+        ("random", Policy::Random),
+        ("round-robin", Policy::RoundRobin),
+        ("least-outstanding", Policy::LeastOutstanding),
+        ("power-of-two", Policy::PowerOfTwo),
+    ];
+
+    /// The policy of that name.
+    pub fn parse(name: &str) -> Option<Policy> {
+        let found = Policy::ALL.iter().find(|(known, _)| *known == name);
+        found.map(|(_, policy)| *policy)
+    }
+}
+
 /// What the parts of the cost are worth.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Weights {
@@ -200,6 +217,11 @@
         }
     }
 
+    /// Decides in another way from now on.
+    pub fn set_policy(&mut self, policy: Policy) {
+        self.policy = policy;
+    }
+
     /// How many other entries decide as this one does.
     pub fn set_peers(&mut self, peers: usize) {
         self.peers = peers as f32;
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -132,6 +132,7 @@
                 .collect();
             let near = self.near.clone();
             let pool = self.pool_or_new(&service.name, service.kind);
+            pool.set_policy(service.routing);
             pool.set_replicas(&near, &list);
         }
     }
--- a/tests/all/cluster.rs
+++ b/tests/all/cluster.rs
@@ -336,6 +336,17 @@
         self.processes[name].child.is_some()
     }
 
+    pub fn pid(&mut self, name: &str) -> u32 {
+        self.child(name).id()
+    }
+
+    /// Puts the first configuration in force.
+    pub fn apply_first(&mut self) {
+        let config = self.config("first", 0, 8000);
+        let applied = self.propose(change::Kind::Apply(config));
+        applied.expect("a first configuration");
+    }
+
     fn signal(&mut self, name: &str, signal: &str) {
         let pid = self.child(name).id().to_string();
         let sent = Command::new("kill").args([signal, &pid]).status();
@@ -510,7 +521,7 @@
         let mut map = HeaderMap::new();
         for (name, value) in headers {
             let value = HeaderValue::from_str(value).expect("a value");
-            map.insert(*name, value);
+            map.append(*name, value);
         }
         let call = Call {
             address: self.address(name),
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,7 +1,26 @@
 //! All tests, in one binary: it links once, and its parts share helpers.
 
 mod cluster;
+mod config;
+mod disk;
 mod ledger;
+mod product;
 mod raft;
 mod relay;
 mod scenario;
+
+/// Runs a property with the same seeds every time.
+///
+/// `arbtest` draws random seeds unless it is given one, and runs just once
+/// then. A seed's low half is how many bytes it gives.
+fn fixed_seeds(
+    count: u64,
+    mut property: impl FnMut(
+        &mut arbtest::arbitrary::Unstructured<'_>,
+    ) -> arbtest::arbitrary::Result<()>,
+) {
+    for number in 1..=count {
+        let size = 64 << (number % 6);
+        arbtest::arbtest(&mut property).seed(number << 32 | size).run();
+    }
+}
--- a/tests/all/scenario.rs
+++ b/tests/all/scenario.rs
@@ -23,7 +23,7 @@
 
 type Answer = Result<String, Box<dyn Error>>;
 
-const BASE: &str = r#"
+pub const BASE: &str = r#"
 [system]
 name = "scenario"
 keep_entries_ms = 500
