--- a/tests/all/disk.rs
+++ b/tests/all/disk.rs
@@ -65,7 +65,7 @@
 }
 
 fn write_ten(folder: &Folder) {
-    let (mut disk, _) = open(&folder).expect("a new folder");
+    let (mut disk, _) = open(folder).expect("a new folder");
     for index in 1..=10 {
         disk.append(Some(hard(index)), vec![entry(index)]).expect("a write");
     }
--- a/tests/all/product.rs
+++ b/tests/all/product.rs
@@ -94,6 +94,9 @@
     format!("{} {verdict}", answer.status.as_u16())
 }
 
+/// Path, headers, body, and what must be answered.
+type Case<'a> = (&'a str, &'a [(&'static str, &'a str)], &'a str, &'a str);
+
 #[test]
 fn bad_requests_are_refused_as_not_run() {
     let cluster = small_cluster();
@@ -105,7 +108,7 @@
         "messages": [{ "role": "user", "content": "x" }],
     })
     .to_string();
-    let cases: [(&str, &[(&'static str, &str)], &str, &str); 20] = [
+    let cases: [Case<'_>; 20] = [
         ("/v1/nothing", &[red], "", "404 not run"),
         ("/v1/services/none/x", &[red, key], "", "404 not run"),
         ("/v1/services/model/x", &[red, key], "", "404 not run"),
