--- /dev/null
+++ b/benches/control.rs
@@ -0,0 +1,346 @@
+//! Control: commits, changes of leader, configuration, bytes, replay.
+//!
+//! ```text
+//! cargo bench --bench control
+//! ```
+//!
+//! Bytes are those that the relays between the processes carry, TCP payload
+//! both ways, HTTP/2 framing included. Processor time and memory come from
+//! the system's own account of each process.
+
+#[path = "../tests/all/cluster.rs"]
+#[allow(dead_code)]
+mod cluster;
+#[path = "../tests/all/relay.rs"]
+#[allow(dead_code)]
+mod relay;
+
+use std::{
+    fs,
+    io::Write,
+    time::{Duration, Instant},
+};
+
+use azuremount::{
+    control::{
+        disk::Disk,
+        ledger::Ledger,
+        raft::{Identity, Node, Timing},
+    },
+    wire::{Change, Claim, LogEntry, change},
+};
+use cluster::{Cluster, LONG, Role, Shape};
+use prost::Message;
+
+const BASE: &str = r#"
+[system]
+name = "bench"
+[data_centres.a]
+region = "r"
+[data_centres.b]
+region = "r"
+[data_centres.c]
+region = "r"
+[data_centres.d]
+region = "r"
+[teams.red]
+[services.model]
+kind = "model"
+[services.alerts]
+kind = "plain"
+"#;
+
+fn open(controls: u8, entries: u8, models: u8) -> Cluster {
+    let mut cluster = Cluster::open(Shape {
+        controls,
+        entries,
+        models,
+        plains: 0,
+        base: BASE.to_owned(),
+        sites: ["a", "b", "c", "d"].map(str::to_owned).to_vec(),
+        // The settings that the product has without flags.
+        control_flags: Vec::new(),
+        model_flags: Vec::new(),
+        plain_flags: Vec::new(),
+        relay_endpoints: false,
+    });
+    cluster.apply_first();
+    cluster.wait("all", |cluster| {
+        let status = cluster.status();
+        status.endpoints.len() == models as usize
+            && status.entries.len() == entries as usize
+            && status.entries.iter().all(|entry| entry.serving)
+    });
+    cluster
+}
+
+fn claim(number: u64) -> Change {
+    Change::new(change::Kind::Claim(Claim {
+        key: format!("bench-{number}"),
+        digest: vec![7; 32],
+        owner: "bench/1/1".to_owned(),
+        team: "red".to_owned(),
+    }))
+}
+
+fn median(times: &mut [f64]) -> f64 {
+    times.sort_by(f64::total_cmp);
+    times.get(times.len() / 2).copied().unwrap_or(0.0)
+}
+
+/// Milliseconds for one append and sync of a claim's size.
+fn bare_sync() -> f64 {
+    let path = std::env::temp_dir()
+        .join(format!("azuremount-sync-{}", std::process::id()));
+    let mut file = fs::File::create(&path).expect("a file");
+    let mut times: Vec<f64> = (0..500)
+        .map(|_| {
+            let began = Instant::now();
+            file.write_all(&[7; 150]).expect("a write");
+            file.sync_data().expect("a sync");
+            began.elapsed().as_secs_f64() * 1e3
+        })
+        .collect();
+    fs::remove_file(&path).expect("removed");
+    median(&mut times)
+}
+
+fn commits(cluster: &Cluster) {
+    let bare = bare_sync();
+    let client = cluster.control();
+    let mut next = 0;
+    let mut one = || {
+        next += 1;
+        let began = Instant::now();
+        let change = claim(next);
+        let proposed = client.propose(change, LONG, true);
+        cluster.runtime.block_on(proposed).expect("a claim");
+        began.elapsed().as_secs_f64() * 1e3
+    };
+    let mut times: Vec<f64> = (0..500).map(|_| one()).collect();
+    let alone = median(&mut times);
+    let p99 = times[times.len() * 99 / 100];
+    println!(
+        "commit alone: {alone:.2} ms (p99 {p99:.2}), bare append and sync \
+         {bare:.2} ms: {:.1} times",
+        alone / bare
+    );
+    for clients in [16_u64, 256] {
+        let began = Instant::now();
+        let client = std::sync::Arc::new(cluster.control());
+        let count = 20 * clients.max(100);
+        cluster.runtime.block_on(async {
+            let tasks: Vec<_> = (0..clients)
+                .map(|task| {
+                    let client = client.clone();
+                    tokio::spawn(async move {
+                        for number in 0..count / clients {
+                            let key =
+                                1_000_000 * clients + 1000 * task + number;
+                            let change = claim(key);
+                            let done = client.propose(change, LONG, true);
+                            done.await.expect("a claim");
+                        }
+                    })
+                })
+                .collect();
+            for task in tasks {
+                task.await.expect("a task");
+            }
+        });
+        let rate = count as f64 / began.elapsed().as_secs_f64();
+        println!("commits, {clients} at once: {rate:.0}/s");
+    }
+}
+
+fn in_force(cluster: &Cluster) {
+    let mut times = Vec::new();
+    for number in 0..30 {
+        let from = cluster.status().revision;
+        let config = cluster.config(&format!("force-{number}"), from, number);
+        let began = Instant::now();
+        let applied = cluster.propose(change::Kind::Apply(config));
+        applied.expect("applied");
+        loop {
+            let status = cluster.status();
+            let all = status.entries.iter();
+            if all.clone().all(|entry| entry.in_force > from) {
+                break;
+            }
+        }
+        times.push(began.elapsed().as_secs_f64() * 1e3);
+    }
+    let worst = times.iter().copied().fold(0.0, f64::max);
+    println!(
+        "apply until reported in force at {} entries: median {:.0} ms, \
+         worst {worst:.0} ms of 30",
+        cluster.names(Role::Entry).len(),
+        median(&mut times)
+    );
+}
+
+fn leader_changes(cluster: &mut Cluster) {
+    let mut times = Vec::new();
+    for number in 0..5 {
+        let leader = cluster.leader();
+        cluster.kill(&leader);
+        let began = Instant::now();
+        let change = claim(9_000_000_000 + number);
+        let client = cluster.control();
+        let proposed = client.propose(change, LONG, true);
+        cluster.runtime.block_on(proposed).expect("a claim");
+        times.push(began.elapsed().as_secs_f64() * 1e3);
+        cluster.start(&leader);
+        cluster
+            .wait("repair", |cluster| cluster.status().survivable_losses > 0);
+    }
+    let worst = times.iter().copied().fold(0.0, f64::max);
+    println!(
+        "kill -9 of the leader until the next commit: median {:.0} ms, worst \
+         {worst:.0} ms of 5 (election wait 500 to 1000 ms)",
+        median(&mut times)
+    );
+}
+
+/// Processor seconds and resident megabytes of a process.
+fn usage(pid: u32) -> (f64, f64) {
+    let stat = fs::read_to_string(format!("/proc/{pid}/stat"));
+    let stat = stat.expect("a running process");
+    let fields: Vec<&str> = stat
+        .rsplit(')')
+        .next()
+        .unwrap_or_default()
+        .split_whitespace()
+        .collect();
+    let ticks = |at: usize| fields[at].parse::<f64>().unwrap_or(0.0);
+    let status = fs::read_to_string(format!("/proc/{pid}/status"));
+    let status = status.expect("a running process");
+    let resident = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))
+        .and_then(|rest| rest.trim().trim_end_matches(" kB").parse().ok())
+        .unwrap_or(0.0);
+    ((ticks(11) + ticks(12)) / 100.0, resident / 1024.0)
+}
+
+/// Slopes: what entries and replicas cost when nothing else happens.
+fn slopes() {
+    println!(
+        "\n{:>7} {:>8} {:>6} {:>11} {:>10} {:>11} {:>10} {:>9} {:>9}",
+        "entries",
+        "replicas",
+        "chg/s",
+        "leader B/s",
+        "leader %",
+        "entry B/s",
+        "entry %",
+        "leader MB",
+        "entry MB"
+    );
+    for (entries, models, changes) in [
+        (4, 4, 0),
+        (16, 4, 0),
+        (48, 4, 0),
+        (4, 16, 0),
+        (4, 48, 0),
+        (16, 4, 1),
+        (48, 4, 1),
+    ] {
+        let mut cluster = open(3, entries, models);
+        std::thread::sleep(Duration::from_secs(4));
+        let leader = cluster.leader();
+        let pids = [cluster.pid(&leader), cluster.pid("e1")];
+        let before = pids.map(usage);
+        let bytes = [cluster.carried(&leader), cluster.carried_control("e1")];
+        let began = Instant::now();
+        let mut revision = cluster.status().revision;
+        while began.elapsed() < Duration::from_secs(8) {
+            std::thread::sleep(Duration::from_millis(1000));
+            if changes > 0 {
+                let id = format!("slope-{revision}");
+                let config = cluster.config(&id, revision, revision);
+                let applied = cluster.propose(change::Kind::Apply(config));
+                applied.expect("applied");
+                revision += 1;
+            }
+        }
+        let took = began.elapsed().as_secs_f64();
+        let after = pids.map(usage);
+        let share = |at: usize| (after[at].0 - before[at].0) / took * 100.0;
+        let rate = |at: usize, now: u64| (now - bytes[at]) as f64 / took;
+        println!(
+            "{entries:7} {models:8} {changes:6} {:11.0} {:10.2} {:11.0} \
+             {:10.2} {:9.1} {:9.1}",
+            rate(0, cluster.carried(&leader)),
+            share(0),
+            rate(1, cluster.carried_control("e1")),
+            share(1),
+            after[0].1,
+            after[1].1,
+        );
+    }
+}
+
+/// How long a member needs to read its folder, by length of the log.
+fn replay() {
+    println!();
+    for count in [1000_u64, 10_000, 100_000] {
+        let folder = std::env::temp_dir()
+            .join(format!("azuremount-replay-{}", std::process::id()));
+        let (mut disk, _) = Disk::open(&folder).expect("a folder");
+        let mut entries = Vec::new();
+        for index in 1..=count {
+            let payload = claim(index).encode_to_vec();
+            entries.push(LogEntry { index, term: 1, payload });
+            if entries.len() == 100 {
+                let batch = std::mem::take(&mut entries);
+                disk.append(None, batch).expect("a write");
+            }
+        }
+        let bytes = disk.log_bytes();
+        drop(disk);
+        let began = Instant::now();
+        let (disk, saved) = Disk::open(&folder).expect("a folder");
+        let me = Identity { id: 1, incarnation: disk.incarnation() };
+        let timing = Timing { heartbeat: 100, election: 500 };
+        let log = saved.entries.clone();
+        let node = Node::open(me, timing, 1, 0, saved);
+        let mut ledger = Ledger::default();
+        for entry in &log {
+            ledger.apply(entry);
+        }
+        let replayed = began.elapsed().as_secs_f64() * 1e3;
+        let began = Instant::now();
+        let state = ledger.encode();
+        let encoded = began.elapsed().as_secs_f64() * 1e3;
+        println!(
+            "replay of {count} claims ({:.1} MB): {replayed:.1} ms; snapshot \
+             {:.1} MB in {encoded:.1} ms; {} in the log",
+            bytes as f64 / 1e6,
+            state.len() as f64 / 1e6,
+            node.last_index()
+        );
+        fs::remove_dir_all(&folder).expect("removed");
+    }
+}
+
+fn main() {
+    let words: Vec<String> = std::env::args()
+        .skip(1)
+        .filter(|word| !word.starts_with("--"))
+        .collect();
+    let wanted =
+        |name: &str| words.is_empty() || words.iter().any(|one| one == name);
+    if wanted("commits") {
+        let mut cluster = open(3, 11, 4);
+        commits(&cluster);
+        in_force(&cluster);
+        leader_changes(&mut cluster);
+    }
+    if wanted("replay") {
+        replay();
+    }
+    if wanted("slopes") {
+        slopes();
+    }
+}
--- /dev/null
+++ b/benches/decide.rs
@@ -0,0 +1,143 @@
+//! The speed of decisions, against naive ones.
+//!
+//! ```text
+//! cargo bench --bench decide
+//! ```
+
+use std::{
+    collections::HashMap,
+    hint::black_box,
+    time::{Duration, Instant},
+};
+
+use azuremount::decide::{
+    admit::{Arrival, Gate, Room},
+    prefix::blocks,
+    route::{Ask, Identity, Policy, Pool, Weights},
+};
+
+/// Runs `act` for a while; nanoseconds for one run.
+fn time(mut act: impl FnMut(u64)) -> f64 {
+    let mut count = 0;
+    let began = Instant::now();
+    while began.elapsed() < Duration::from_millis(700) {
+        for _ in 0..256 {
+            act(count);
+            count += 1;
+        }
+    }
+    began.elapsed().as_nanos() as f64 / count as f64
+}
+
+fn identities(count: usize) -> Vec<Identity> {
+    (0..count)
+        .map(|number| Identity {
+            id: format!("gpu-{number:04}"),
+            incarnation: 1,
+            data_centre: ["a", "b", "c", "d"][number % 4].to_owned(),
+            slots: 8,
+            reclaimable: number % 2 == 0,
+            price: 100,
+        })
+        .collect()
+}
+
+/// The same decision with a map of strings and a full scan of the prefix.
+struct Naive {
+    loads: HashMap<String, f32>,
+    held: HashMap<String, Vec<u64>>,
+}
+
+impl Naive {
+    fn pick(&self, tokens: f32, wanted: &[u64]) -> Option<String> {
+        let cost = |id: &String, load: &f32| {
+            let held = self.held.get(id);
+            let matched = wanted
+                .iter()
+                .take_while(|block| {
+                    held.is_some_and(|held| held.contains(block))
+                })
+                .count();
+            let fresh = tokens - matched as f32 * 64.0;
+            (load + 1.0 - 8.0).max(0.0) / 8.0 * 2000.0
+                + load.min(8.0) * 10.0
+                + fresh * 0.5
+        };
+        self.loads
+            .iter()
+            .min_by(|one, other| {
+                cost(one.0, one.1).total_cmp(&cost(other.0, other.1))
+            })
+            .map(|(id, _)| id.clone())
+    }
+}
+
+fn main() {
+    let prompts: Vec<Vec<u64>> = (0..64)
+        .map(|number| {
+            let text = format!("packet {number} ").repeat(1200);
+            blocks(text.as_bytes())
+        })
+        .collect();
+    println!("{:36} {:>10} {:>10}", "decision", "ns", "naive ns");
+    for count in [6, 24, 120, 600] {
+        let mut pool = Pool::open(Policy::Cost, Weights::default(), 1);
+        pool.set_replicas("a", &identities(count));
+        pool.set_peers(10);
+        let route = time(|number| {
+            let blocks = &prompts[number as usize % prompts.len()];
+            let ask = Ask { tokens: 3600, blocks, avoid: &[] };
+            let now = number / 100;
+            if let Some(choice) = pool.pick(now, &ask) {
+                pool.end(now, choice.ticket, true, Some(900.0));
+            }
+        });
+        let naive = Naive {
+            loads: identities(count)
+                .into_iter()
+                .enumerate()
+                .map(|(number, one)| (one.id, (number % 7) as f32))
+                .collect(),
+            held: identities(count)
+                .into_iter()
+                .enumerate()
+                .map(|(number, one)| {
+                    let held = prompts[number % prompts.len()].clone();
+                    (one.id, held)
+                })
+                .collect(),
+        };
+        let slow = time(|number| {
+            let blocks = &prompts[number as usize % prompts.len()];
+            black_box(naive.pick(3600.0, blocks));
+        });
+        let name = format!("route, 3,600 tokens, {count} replicas");
+        println!("{name:36} {route:10.0} {slow:10.0}");
+        let short = time(|number| {
+            let ask = Ask { tokens: 30, blocks: &[], avoid: &[] };
+            let now = number / 100;
+            if let Some(choice) = pool.pick(now, &ask) {
+                pool.end(now, choice.ticket, true, Some(900.0));
+            }
+        });
+        let name = format!("route, short, {count} replicas");
+        println!("{name:36} {short:10.0}");
+    }
+    for count in [5, 50, 500] {
+        let names: Vec<String> =
+            (0..count).map(|number| format!("team-{number:03}")).collect();
+        let mut gate = Gate::open(1000.0);
+        let teams = names.iter().map(|name| (name.as_str(), 2));
+        gate.set_teams(teams, 1024);
+        let room = Room { slots: 4800, load: 0, entries: 11 };
+        let admit = time(|number| {
+            let name = &names[number as usize % names.len()];
+            let arrival = gate.arrive(number, room, name, 500.0, u64::MAX);
+            if arrival == Arrival::Start {
+                gate.done(name, 900.0);
+            }
+        });
+        let name = format!("admit and end, {count} teams");
+        println!("{name:36} {admit:10.0}");
+    }
+}
--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -1,7 +1,7 @@
 //! Routing policies side by side, in one system, on the users' shapes.
 //!
 //! ```text
-//! cargo bench --bench policy -- echipaj|roddur [engines entries rate seconds]
+//! cargo bench --bench policy -- echipaj|roddur|herd [engines entries rate seconds]
 //! ```
 //!
 //! Starts control, entries and stand-in engines as processes, puts one policy
@@ -57,6 +57,7 @@
 silence_ms = 20000
 queue = 64
 routing = "POLICY"
+recompute_percent = PERCENT
 "#;
 
 #[derive(Clone)]
@@ -109,6 +110,14 @@
     plans
 }
 
+/// Long answers to short questions, near all slots taken: nothing to gain
+/// from caches, everything to lose from herding.
+fn herd(policy: &str, rate: f64, seconds: u64) -> Vec<Plan> {
+    poisson(rate, seconds, |rng| {
+        (format!("{policy} ask {}", rng.random::<u32>()), 100, false)
+    })
+}
+
 fn poisson(
     rate: f64,
     seconds: u64,
@@ -192,6 +201,24 @@
     counts.sum()
 }
 
+/// Seconds that requests waited for admission, summed over all entries.
+fn gate_seconds(cluster: &Cluster) -> f64 {
+    let mut sum = 0.0;
+    for name in cluster.names(Role::Entry) {
+        let answer = cluster.http(&name, Method::GET, "/metrics", &[], "");
+        let body = answer.expect("metrics").body;
+        let text = String::from_utf8_lossy(&body).into_owned();
+        sum += text
+            .lines()
+            .filter(|line| {
+                line.starts_with("azuremount_queue_wait_seconds_sum")
+            })
+            .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+            .sum::<f64>();
+    }
+    sum
+}
+
 fn main() {
     let words: Vec<String> = std::env::args()
         .skip(1)
@@ -209,7 +236,7 @@
         entries,
         models: engines,
         plains: 0,
-        base: BASE.replace("POLICY", "cost"),
+        base: base(shape, "cost"),
         sites,
         control_flags: Vec::new(),
         model_flags: [
@@ -227,19 +254,21 @@
         .map(str::to_owned)
         .to_vec(),
         plain_flags: Vec::new(),
+        relay_endpoints: false,
     });
     println!(
         "{shape}: {engines} engines, {entries} entries, {rate} requests/s, \
          {seconds} s for each policy"
     );
     println!(
-        "{:18} {:>6} {:>11} {:>8} {:>8} {:>9} {:>7}",
+        "{:18} {:>6} {:>11} {:>8} {:>8} {:>9} {:>8} {:>7}",
         "policy",
         "sent",
         "recomputed",
         "p50 ms",
         "p95 ms",
         "short p95",
+        "gate ms",
         "failed"
     );
     let chosen: Vec<&str> = match words.get(5) {
@@ -258,6 +287,12 @@
     }
 }
 
+/// As in the samples: Echipaj weighs recomputed tokens more than their time.
+fn base(shape: &str, policy: &str) -> String {
+    let percent = if shape == "echipaj" { "300" } else { "100" };
+    BASE.replace("POLICY", policy).replace("PERCENT", percent)
+}
+
 fn run(
     cluster: &mut Cluster,
     shape: &str,
@@ -266,7 +301,7 @@
     rate: f64,
     seconds: u64,
 ) {
-    cluster.shape.base = BASE.replace("POLICY", policy);
+    cluster.shape.base = base(shape, policy);
     let config = cluster.config(&format!("bench-{revision}"), revision, 8000);
     let applied = cluster.propose(change::Kind::Apply(config));
     let Some(outcome::Kind::Apply(applied)) = applied.expect("ok").kind else {
@@ -288,6 +323,7 @@
     let salt = format!("{policy}{revision}");
     let plans = match shape {
         "roddur" => roddur(&salt, rate, seconds),
+        "herd" => herd(&salt, rate, seconds),
         _ => echipaj(&salt, rate, seconds),
     };
     let mut known = HashSet::new();
@@ -303,6 +339,7 @@
         })
         .sum();
     let before = computed(cluster);
+    let waited = gate_seconds(cluster);
     let addresses: Vec<_> =
         entries.iter().map(|name| cluster.address(name)).collect();
     let dispatcher = Arc::new(Dispatcher::open());
@@ -323,10 +360,12 @@
         }
     });
     let recomputed = (computed(cluster) - before).saturating_sub(unique);
+    let waited = (gate_seconds(cluster) - waited) * 1e3 / count as f64;
     let mut seen = seen.lock().expect("seen");
     let failed = seen.failed;
     println!(
-        "{policy:18} {count:6} {recomputed:11} {:8.0} {:8.0} {:9.0} {failed:7}",
+        "{policy:18} {count:6} {recomputed:11} {:8.0} {:8.0} {:9.0} \
+         {waited:8.0} {failed:7}",
         percentile(&mut seen.first, 50),
         percentile(&mut seen.first, 95),
         percentile(&mut seen.first_short, 95),
--- a/examples/standin/engine.rs
+++ b/examples/standin/engine.rs
@@ -15,8 +15,8 @@
 use azuremount::{
     decide::prefix::{BLOCK_TOKENS, blocks},
     entry::{
+        chat::Chat,
         dispatch::{Call, Dispatcher},
-        model::Chat,
     },
     http_server::{Payload, Piece, Request, Response},
     verdict::Verdict,
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -145,6 +145,10 @@
         pub queue: u64,
         /// How its requests are routed.
         pub routing: Policy,
+        /// What recomputing is worth against its time, in percent.
+        pub recompute_percent: u64,
+        /// How old a load is when its endpoint reports it, in ms.
+        pub report_lag_ms: u64,
     }
 }
 
@@ -469,6 +473,18 @@
             problems,
         ),
         queue: table.integer("queue", 0..=100_000, Some(16), problems),
+        recompute_percent: table.integer(
+            "recompute_percent",
+            0..=10_000,
+            Some(100),
+            problems,
+        ),
+        report_lag_ms: table.integer(
+            "report_lag_ms",
+            0..=60_000,
+            Some(1000),
+            problems,
+        ),
     };
     table.finish(problems);
     service
--- /dev/null
+++ b/src/control/raft/follower.rs
@@ -0,0 +1,117 @@
+//! A follower's side of replication: what it takes, what it answers.
+
+use super::{Identity, Node};
+use crate::wire::{
+    AppendReply, AppendRequest, LogEntry, SnapshotRequest, envelope::Body,
+};
+
+impl Node {
+    /// Takes the sender as leader if its term allows; false refuses it.
+    pub(super) fn accept_leader(
+        &mut self,
+        now: u64,
+        from: Identity,
+        term: u64,
+    ) -> bool {
+        if term < self.term {
+            let reply = AppendReply {
+                success: false,
+                match_index: self.last_index(),
+                round: 0,
+            };
+            self.send(from, self.term, Body::AppendReply(reply));
+            return false;
+        }
+        self.become_follower(now, term, Some(from.id));
+        self.heard_leader_at = Some(now);
+        true
+    }
+
+    pub(super) fn on_append(
+        &mut self,
+        now: u64,
+        from: Identity,
+        term: u64,
+        request: AppendRequest,
+    ) {
+        if !self.accept_leader(now, from, term) {
+            return;
+        }
+        let previous = request.previous_index;
+        let fits = previous < self.base.0
+            || self.term_at(previous) == Some(request.previous_term);
+        if !fits {
+            let hint = previous.saturating_sub(1).min(self.last_index());
+            let reply = AppendReply {
+                success: false,
+                match_index: hint,
+                round: request.round,
+            };
+            self.send(from, self.term, Body::AppendReply(reply));
+            return;
+        }
+        let matched = previous + request.entries.len() as u64;
+        for entry in request.entries {
+            self.take_entry(entry);
+        }
+        self.commit = self.commit.max(request.commit.min(matched));
+        let reply = AppendReply {
+            success: true,
+            match_index: matched,
+            round: request.round,
+        };
+        self.send(from, self.term, Body::AppendReply(reply));
+    }
+
+    pub(super) fn take_entry(&mut self, entry: LogEntry) {
+        if entry.index <= self.base.0 {
+            return;
+        }
+        match self.term_at(entry.index) {
+            Some(term) if term == entry.term => return,
+            Some(_) => self.truncate(entry.index),
+            None => {}
+        }
+        if entry.index == self.last_index() + 1 {
+            self.push_entry(entry);
+        }
+    }
+
+    pub(super) fn truncate(&mut self, from: u64) {
+        self.entries.truncate((from - 1 - self.base.0) as usize);
+        self.output.entries.retain(|entry| entry.index < from);
+        self.persisted = self.persisted.min(from - 1);
+        self.memberships.retain(|(index, _)| *index < from);
+    }
+
+    pub(super) fn on_snapshot(
+        &mut self,
+        now: u64,
+        from: Identity,
+        term: u64,
+        request: SnapshotRequest,
+    ) {
+        if !self.accept_leader(now, from, term) {
+            return;
+        }
+        let Some(snapshot) = request.snapshot else { return };
+        let index = snapshot.index;
+        if index > self.commit {
+            self.base = (index, snapshot.term);
+            self.entries.clear();
+            self.output.entries.clear();
+            self.commit = index;
+            self.handed_out = index;
+            self.persisted = index;
+            self.snapshot = Some(snapshot.clone());
+            self.find_memberships();
+            self.output.install = Some(snapshot);
+        }
+        let reply = AppendReply {
+            success: true,
+            match_index: index,
+            round: request.round,
+        };
+        self.send(from, self.term, Body::AppendReply(reply));
+    }
+}
--- a/src/decide/admit.rs
+++ b/src/decide/admit.rs
@@ -239,17 +239,13 @@
         }
     }
 
+    /// True while a team has less than its weight's part of the slots.
+    ///
+    /// Idle teams count too: otherwise a team that is alone has all slots for
+    /// its share, fills the reserve, and the next team to come has to wait.
     fn below_share(&self, at: usize, room: Room) -> bool {
         let part = room.slots as f32 / room.entries.max(1) as f32;
-        let weights: f32 = self
-            .teams
-            .iter()
-            .enumerate()
-            .filter(|(other, team)| {
-                *other == at || team.running > 0 || !team.waiting.is_empty()
-            })
-            .map(|(_, team)| team.weight)
-            .sum();
+        let weights: f32 = self.teams.iter().map(|team| team.weight).sum();
         let share = part * self.teams[at].weight / weights;
         (self.teams[at].running as f32) < share
     }
--- a/src/decide/route.rs
+++ b/src/decide/route.rs
@@ -9,10 +9,15 @@
 //! # Load that is out of date
 //!
 //! Reports come late. A pool corrects each with what it knows itself: the
-//! requests that it has begun and ended since. And it assumes that the other
-//! entries, which act on the same report by the same rules, have begun as
-//! many: without that, all entries send to the one replica that looked idle
-//! in the last report.
+//! requests that it has begun and ended since. What a report says of the other
+//! entries' requests is drawn towards the average as it ages, as those
+//! requests end and others begin. How many the others have begun since it
+//! can't know for each replica, but it can tell how many there must be: about
+//! its own rate, times their number, times the age of the reports. Poured
+//! over the replicas, emptiest first, so many requests fill them up to a
+//! level; and below that level reported loads say nothing any more. So they
+//! count as equal. Without that, all entries send to the one replica that
+//! looked idle in the last report.
 //!
 //! # Replicas that went slow or silent
 //!
@@ -20,6 +25,8 @@
 //! progress. One that has stalled so grows dearer by the millisecond, without
 //! a threshold to tune, and is cheap again with its first piece of answer.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
+
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 use super::prefix::{BLOCK_TOKENS, Index};
@@ -62,9 +69,16 @@
 /// What the parts of the cost are worth.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Weights {
-    /// Milliseconds to compute one token of a prompt.
+    /// Milliseconds to compute one token of a prompt, at first.
+    ///
+    /// A pool learns it from the requests that it sends.
     pub token_ms: f32,
-    /// Milliseconds that a request holds its slot, at first.
+    /// What recomputing is worth beyond the time that it takes, as a factor.
+    pub recompute: f32,
+    /// Milliseconds that a request holds its slot, at first; learned.
+    ///
+    /// One for the whole pool: a replica that happens to have had short
+    /// requests would else draw more than its part.
     pub hold_ms: f32,
     /// Milliseconds that each running request adds to the next one's.
     pub batch_ms: f32,
@@ -76,21 +90,23 @@
     pub distance_ms: f32,
     /// Costs that differ by less count as equal.
     pub tolerance_ms: f32,
-    /// How much of the other entries' sending is assumed, from 0 to 1.
-    pub mirror: f32,
+    /// How much of a prompt that nobody is known to hold its home is assumed
+    /// to hold, from 0 to 1.
+    pub home: f32,
 }
 
 impl Default for Weights {
     fn default() -> Weights {
         Weights {
-            token_ms: 0.5,
+            token_ms: 0.2,
+            recompute: 1.0,
             hold_ms: 2000.0,
             batch_ms: 10.0,
             reclaim_ms: 2.0,
             price_ms: 0.0,
             distance_ms: 1.0,
             tolerance_ms: 5.0,
-            mirror: 1.0,
+            home: 0.5,
         }
     }
 }
@@ -133,9 +149,12 @@
     pending_tokens: f32,
     /// When each request without progress began or last moved.
     quiet: Vec<(u64, u64)>,
-    hold_ms: f32,
     failed_until: u64,
+    /// How much of what the last report said still holds, from 0 to 1.
+    trust: f32,
     matched: u32,
+    /// Of its id; the same at every entry.
+    hash: u64,
 }
 
 common! {
@@ -173,6 +192,7 @@
         number: u32,
         serial: u64,
         tokens: u32,
+        begun_at: u64,
     }
 }
 
@@ -189,12 +209,31 @@
     turn: usize,
     peers: f32,
     ties: Vec<usize>,
+    /// Load for each slot below which reports say nothing; see the head.
+    level: f32,
+    level_at: u64,
+    /// Requests of other entries for each slot, on average.
+    usual_others: f32,
+    /// Requests of this entry in a millisecond, on average.
+    rate: f32,
+    picks: u32,
 }
 
 /// How long a replica that failed a request is passed over, in ms.
 const FAILED_MS: u64 = 1000;
 /// How many beginnings and ends are remembered to correct a late report.
 const RECENT: usize = 256;
+/// Prompts with fewer fresh tokens say nothing about the speed.
+const LEARN_TOKENS: u32 = 256;
+/// How often the level is found anew, in ms.
+const LEVEL_MS: u64 = 50;
+/// The weight of one stretch of time in the average rate.
+const RATE_SHARE: f32 = 0.05;
+/// Reports are never taken for older than this, in ms.
+const OLDEST_MS: f32 = 5000.0;
+/// The block whose hash decides where a prompt's home is: deep enough to
+/// tell packets apart that begin alike.
+const HOME_BLOCK: usize = 7;
 /// How many holders of a prefix are looked at.
 const HOLDERS: usize = 8;
 /// The weight of one new holding time in the average.
@@ -214,6 +253,11 @@
             turn: 0,
             peers: 0.0,
             ties: Vec::new(),
+            level: 0.0,
+            level_at: 0,
+            usual_others: 0.0,
+            rate: 0.0,
+            picks: 0,
         }
     }
 
@@ -222,6 +266,11 @@
         self.policy = policy;
     }
 
+    /// What recomputing is worth beyond its time, as a factor.
+    pub fn set_recompute(&mut self, factor: f32) {
+        self.weights.recompute = factor;
+    }
+
     /// How many other entries decide as this one does.
     pub fn set_peers(&mut self, peers: usize) {
         self.peers = peers as f32;
@@ -335,7 +384,23 @@
         if first {
             replica.pending_tokens =
                 (replica.pending_tokens - ticket.tokens as f32).max(0.0);
+            self.learn_token_ms(now, ticket);
+        }
+    }
+
+    /// Learns how fast prompts are computed from a first piece.
+    ///
+    /// Waits make most samples too long, and nothing makes one too short; so
+    /// the average follows short samples fast and long ones slowly.
+    fn learn_token_ms(&mut self, now: u64, ticket: Ticket) {
+        if ticket.tokens < LEARN_TOKENS {
+            return;
         }
+        let took = now.saturating_sub(ticket.begun_at) as f32;
+        let sample = (took / ticket.tokens as f32).clamp(0.005, 5.0);
+        let known = &mut self.weights.token_ms;
+        let share = if sample < *known { 0.3 } else { 0.02 };
+        *known += (sample - *known) * share;
     }
 
     /// The request ended; `held_ms` is given when it ended well.
@@ -356,7 +421,8 @@
         }
         match held_ms {
             Some(held) => {
-                replica.hold_ms += (held - replica.hold_ms) * HOLD_SHARE;
+                let known = &mut self.weights.hold_ms;
+                *known += (held - *known) * HOLD_SHARE;
             }
             None => replica.failed_until = now + FAILED_MS,
         }
@@ -384,6 +450,10 @@
     // ---- By cost ------------------------------------------------------------
 
     fn pick_by_cost(&mut self, now: u64, ask: &Ask<'_>) -> Option<usize> {
+        self.picks += 1;
+        if now >= self.level_at + LEVEL_MS {
+            self.find_level(now);
+        }
         self.match_prefix(ask);
         let mut best = f32::INFINITY;
         let mut ties = std::mem::take(&mut self.ties);
@@ -406,6 +476,10 @@
                 self.cost(now, &self.replicas[at], ask) <= limit
             });
         }
+        // What is known for sure tells equals apart: this entry's own.
+        let least =
+            ties.iter().map(|&at| self.replicas[at].own).min().unwrap_or(0);
+        ties.retain(|&at| self.replicas[at].own == least);
         let chosen = match ties.len() {
             0 => None,
             1 => Some(ties[0]),
@@ -416,6 +490,34 @@
         chosen
     }
 
+    /// Pours what the others must have begun over the replicas.
+    fn find_level(&mut self, now: u64) {
+        let passed = (now - self.level_at).min(10 * LEVEL_MS) as f32;
+        let rate = self.picks as f32 / passed.max(1.0);
+        self.rate += (rate - self.rate) * RATE_SHARE;
+        self.picks = 0;
+        self.level_at = now;
+        let mut age = 0.0;
+        let mut others = 0.0;
+        for replica in &mut self.replicas {
+            let old = now.saturating_sub(replica.measured_at) as f32;
+            // Of the requests that a report counted, so many still run.
+            replica.trust = (-old / self.weights.hold_ms).exp();
+            age += old;
+            others += replica.others();
+        }
+        age = (age / self.replicas.len().max(1) as f32).min(OLDEST_MS);
+        self.usual_others = others / (self.slots().max(1) as f32);
+        let mut slots: Vec<(f32, f32)> = Vec::new();
+        for replica in &self.replicas {
+            let count = replica.identity.slots.max(1) as f32;
+            slots.push((self.estimate(replica) / count, count));
+        }
+        let unseen = self.rate * self.peers * age;
+        slots.sort_by(|one, other| one.0.total_cmp(&other.0));
+        self.level = pour(unseen, &slots);
+    }
+
     fn match_prefix(&mut self, ask: &Ask<'_>) {
         let replicas = &mut self.replicas;
         self.index.holders(ask.blocks, HOLDERS, |number, count| {
@@ -424,6 +526,30 @@
                 holder.matched = count * BLOCK_TOKENS;
             }
         });
+        self.match_home(ask);
+    }
+
+    /// Counts a prompt that nobody is known to hold as held in part by its
+    /// home: the replica that a hash of prompt and replica picks.
+    ///
+    /// All entries find the same home without a word between them, so the
+    /// first requests of one packet, coming in at many entries at once, meet
+    /// at one replica long before its cache events get round.
+    fn match_home(&mut self, ask: &Ask<'_>) {
+        let Some(&key) = ask.blocks.get(HOME_BLOCK) else { return };
+        let half = ask.tokens / 2;
+        if self.replicas.iter().any(|replica| replica.matched >= half) {
+            return;
+        }
+        let home = self
+            .replicas
+            .iter_mut()
+            .filter(|replica| !avoided(replica, ask))
+            .max_by_key(|replica| mix(key ^ replica.hash));
+        if let Some(home) = home {
+            let assumed = ask.tokens as f32 * self.weights.home;
+            home.matched = home.matched.max(assumed as u32);
+        }
     }
 
     fn unmatch_prefix(&mut self, ask: &Ask<'_>) {
@@ -441,12 +567,15 @@
         }
         let weights = &self.weights;
         let identity = &replica.identity;
-        let load = self.estimate(replica);
         let slots = identity.slots as f32;
-        let over = (load + 1.0 - slots).max(0.0);
-        let queue = over / slots * replica.hold_ms;
+        let load = self.estimate(replica).max(self.level * slots);
+        // Whole requests: estimates are not good to a part of one, and a part
+        // would tell replicas apart that are as good as equal.
+        let over = (load + 1.0 - slots).max(0.0).round();
+        let queue = over / slots * self.weights.hold_ms;
         let batch = load.min(slots) * weights.batch_ms;
         let fresh = ask.tokens.saturating_sub(replica.matched) as f32;
+        let fresh = fresh * weights.recompute;
         let compute = (fresh + replica.pending_tokens) * weights.token_ms;
         let stall = match replica.quiet.iter().map(|(_, at)| *at).min() {
             Some(at) => {
@@ -470,10 +599,14 @@
     }
 
     /// Requests thought to be running or waiting at a replica now.
+    ///
+    /// Its own are known; those of the others are as reported, drawn towards
+    /// the average by the age of the report.
     fn estimate(&self, replica: &Replica) -> f32 {
-        let others = self.peers * self.weights.mirror;
-        let assumed = replica.change.max(0.0) * others;
-        (replica.reported + replica.change + assumed).max(replica.own as f32)
+        let slots = replica.identity.slots as f32;
+        let usual = self.usual_others * slots;
+        let differs = replica.others() - usual;
+        replica.own as f32 + usual + differs * replica.trust
     }
 
     // ---- Baselines ------------------------------------------------------------
@@ -546,7 +679,7 @@
             incarnation: replica.identity.incarnation,
             cached_tokens: cached,
             predicted_ms,
-            ticket: Ticket { number, serial, tokens },
+            ticket: Ticket { number, serial, tokens, begun_at: now },
         };
         self.index.insert(number, ask.blocks);
         choice
@@ -566,9 +699,10 @@
             own: 0,
             pending_tokens: 0.0,
             quiet: Vec::new(),
-            hold_ms: self.weights.hold_ms,
             failed_until: 0,
+            trust: 1.0,
             matched: 0,
+            hash: hash_of(&identity.id),
         }
     }
 
@@ -587,6 +721,12 @@
 }
 
 impl Replica {
+    /// Requests of other entries, as the last report had them.
+    fn others(&self) -> f32 {
+        let own_then = self.own as f32 - self.change;
+        (self.reported - own_then).max(0.0)
+    }
+
     fn note(&mut self, now: u64, change: f32) {
         self.change += change;
         if self.recent.len() == RECENT {
@@ -596,6 +736,37 @@
     }
 }
 
+/// The level to which `amount` fills vessels of (filled, width), sorted.
+fn pour(amount: f32, vessels: &[(f32, f32)]) -> f32 {
+    let mut left = amount;
+    let mut width = 0.0;
+    let mut level = vessels.first().map_or(0.0, |vessel| vessel.0);
+    for &(filled, one) in vessels {
+        let need = (filled - level) * width;
+        if need > left {
+            break;
+        }
+        left -= need;
+        level = filled;
+        width += one;
+    }
+    if width > 0.0 { level + left / width } else { level }
+}
+
+fn hash_of(id: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Spreads the bits of a number over all of it (the last steps of SplitMix).
+fn mix(number: u64) -> u64 {
+    let mut mixed = number;
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
+
 fn avoided(replica: &Replica, ask: &Ask<'_>) -> bool {
     let identity = &replica.identity;
     ask.avoid.iter().any(|(id, incarnation)| {
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -1,22 +1,20 @@
 //! What callers ask an entry: addresses, model calls, plain calls, answers.
 
-use std::sync::Arc;
-
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use serde_json::json;
-use tokio::{sync::mpsc, time::timeout};
 
 use super::{
+    answers::{stream_record, stream_remote, whole_record},
+    chat::Chat,
     endpoints, model, peers, plain,
     refusal::{Refusal, other_entries},
-    requests::{Outcome, Owner, Record},
+    requests::{Outcome, Owner},
     state::{Shared, State},
 };
 use crate::{
     config::{Kind, Service},
-    http_server::{Payload, Piece, Request, Response},
-    verdict::Verdict,
+    http_server::{Request, Response},
 };
 
 /// Names the team.
@@ -29,10 +27,6 @@
 const KEY_LIMIT: usize = 128;
 /// The longest deadline.
 const DEADLINE_LIMIT: u64 = 3_600_000;
-/// Pieces that may wait for a slow reader.
-const READ_AHEAD: usize = 64;
-/// How often a reader looks whether the record's owner has changed.
-const LOOK: std::time::Duration = std::time::Duration::from_secs(1);
 
 /// Who asks, and what for.
 #[derive(Clone, Debug)]
@@ -244,7 +238,7 @@
 }
 
 async fn chat(state: &Shared, request: Request) -> Result<Response, Refusal> {
-    let chat = model::Chat::parse(&request.body)
+    let chat = Chat::parse(&request.body)
         .map_err(|text| Refusal::bad(StatusCode::BAD_REQUEST, text))?;
     let (caller, service) =
         admit_caller(state, &request, &chat.model, Kind::Model)?;
@@ -292,219 +286,3 @@
     }
     plain::reread(state, key).await
 }
-
-// ---- Writing answers ----------------------------------------------------------
-
-fn event_stream(id: &str, pieces: mpsc::Receiver<Piece>) -> Response {
-    let mut response =
-        Response::bytes(StatusCode::OK, "text/event-stream", Bytes::new());
-    response.body = Payload::Stream(pieces);
-    response.set("azuremount-request", id);
-    response.set("cache-control", "no-store");
-    response
-}
-
-fn chunk(id: &str, model: &str, offset: usize, text: &str) -> Bytes {
-    let data = json!({
-        "id": id,
-        "object": "chat.completion.chunk",
-        "model": model,
-        "choices": [{
-            "index": 0,
-            "delta": { "content": text },
-            "finish_reason": null,
-        }],
-    });
-    Bytes::from(format!("id: {offset}\ndata: {data}\n\n"))
-}
-
-fn done(offset: usize) -> Bytes {
-    Bytes::from(format!("id: {offset}\ndata: [DONE]\n\n"))
-}
-
-fn failure(text: &str, verdict: Verdict) -> Bytes {
-    let data = json!({ "error": text, "verdict": verdict.as_str() });
-    Bytes::from(format!("event: error\ndata: {data}\n\n"))
-}
-
-fn moved(state: &State, offset: usize) -> Bytes {
-    let entries = other_entries(state);
-    let data = json!({ "entries": entries, "from": offset });
-    Bytes::from(format!("event: moved\ndata: {data}\n\n"))
-}
-
-fn stream_record(
-    state: &Shared,
-    record: Arc<Record>,
-    from: usize,
-) -> Response {
-    let (send, pieces) = mpsc::channel(READ_AHEAD);
-    let id = record.id.clone();
-    let state = state.clone();
-    state.runtime.clone().spawn(async move {
-        // A reader that has gone away ends the task, not the request.
-        let _ = write_record(&state, &record, from, &send).await;
-    });
-    event_stream(&id, pieces)
-}
-
-type Gone = mpsc::error::SendError<Piece>;
-
-async fn write_record(
-    state: &Shared,
-    record: &Record,
-    from: usize,
-    send: &mpsc::Sender<Piece>,
-) -> Result<(), Gone> {
-    let mut changes = record.watch();
-    let started_here = record.owner() == Owner::Here;
-    let mut offset = from;
-    loop {
-        let view = record.view(offset);
-        for text in &view.pieces {
-            let bytes = chunk(&record.id, &record.service, offset, text);
-            send.send(Piece::Data(bytes)).await?;
-            offset += 1;
-        }
-        let last = match view.outcome {
-            Outcome::Running => None,
-            Outcome::Finished => Some(done(offset)),
-            Outcome::Failed(text) => Some(failure(&text, Verdict::MayHaveRun)),
-        };
-        let handed_over = started_here && record.owner() != Owner::Here;
-        let last = match (last, handed_over) {
-            (None, true) => Some(moved(state, offset)),
-            (last, _) => last,
-        };
-        if let Some(bytes) = last {
-            send.send(Piece::Data(bytes)).await?;
-            return send.send(Piece::End).await;
-        }
-        if view.pieces.is_empty() {
-            let _ = timeout(LOOK, changes.changed()).await;
-        }
-    }
-}
-
-fn stream_remote(state: &Shared, id: String, from: usize) -> Response {
-    let (send, pieces) = mpsc::channel(READ_AHEAD);
-    let state = state.clone();
-    let name = id.clone();
-    state.runtime.clone().spawn(async move {
-        let _ = write_remote(&state, &name, from, &send).await;
-    });
-    event_stream(&id, pieces)
-}
-
-/// Reads a request from whichever entry has it, piece by piece.
-async fn write_remote(
-    state: &Shared,
-    id: &str,
-    from: usize,
-    send: &mpsc::Sender<Piece>,
-) -> Result<(), Gone> {
-    let mut offset = from;
-    // While an owner dies and its buddy has not taken over, nobody may
-    // answer for a moment.
-    let mut silent_since = state.now();
-    loop {
-        let Some(reply) = peers::fetch(state, id, offset).await else {
-            if state.now() > silent_since + 10_000 {
-                let text = "no entry knows the request any more";
-                let bytes = failure(text, Verdict::MayHaveRun);
-                send.send(Piece::Data(bytes)).await?;
-                return send.send(Piece::End).await;
-            }
-            tokio::time::sleep(LOOK / 5).await;
-            continue;
-        };
-        silent_since = state.now();
-        for text in &reply.pieces {
-            let bytes = chunk(id, &reply.service, offset, text);
-            send.send(Piece::Data(bytes)).await?;
-            offset += 1;
-        }
-        let last = if reply.finished {
-            Some(done(offset))
-        } else if !reply.failure.is_empty() {
-            Some(failure(&reply.failure, Verdict::MayHaveRun))
-        } else {
-            None
-        };
-        if let Some(bytes) = last {
-            send.send(Piece::Data(bytes)).await?;
-            return send.send(Piece::End).await;
-        }
-    }
-}
-
-async fn whole_record(
-    state: &Shared,
-    record: Arc<Record>,
-) -> Result<Response, Refusal> {
-    let mut changes = record.watch();
-    loop {
-        match record.view(0).outcome {
-            Outcome::Finished => return Ok(whole_answer(&record)),
-            Outcome::Failed(text) => {
-                return Err(Refusal {
-                    status: StatusCode::GATEWAY_TIMEOUT,
-                    verdict: Verdict::MayHaveRun,
-                    text,
-                    retry_after_ms: Some(1000),
-                });
-            }
-            Outcome::Running => {}
-        }
-        if record.owner() != Owner::Here {
-            return whole_elsewhere(state, &record).await;
-        }
-        let _ = timeout(LOOK, changes.changed()).await;
-    }
-}
-
-/// The caller asked for one answer, and the request has been handed over
-/// meanwhile: fetches the rest from the new owner.
-async fn whole_elsewhere(
-    state: &Shared,
-    record: &Record,
-) -> Result<Response, Refusal> {
-    let mut pieces = record.tail(0).pieces;
-    while state.now() < record.deadline {
-        let fetched = peers::fetch(state, &record.id, pieces.len()).await;
-        let Some(reply) = fetched else {
-            tokio::time::sleep(LOOK / 5).await;
-            continue;
-        };
-        pieces.extend(reply.pieces);
-        if reply.finished {
-            let text = pieces.concat();
-            return Ok(whole_text(&record.id, &record.service, &text));
-        }
-        if !reply.failure.is_empty() {
-            return Err(Refusal::doubtful(reply.failure));
-        }
-    }
-    Err(Refusal::doubtful("its deadline has passed"))
-}
-
-fn whole_answer(record: &Record) -> Response {
-    whole_text(&record.id, &record.service, &record.text())
-}
-
-fn whole_text(id: &str, model: &str, text: &str) -> Response {
-    let body = json!({
-        "id": id,
-        "object": "chat.completion",
-        "model": model,
-        "choices": [{
-            "index": 0,
-            "message": { "role": "assistant", "content": text },
-            "finish_reason": "stop",
-        }],
-    });
-    let mut response = Response::json(StatusCode::OK, &body);
-    response.set("azuremount-request", id);
-    response.set(Verdict::HEADER, Verdict::Ran.as_str());
-    response
-}
--- a/src/entry/endpoints.rs
+++ b/src/entry/endpoints.rs
@@ -129,7 +129,7 @@
         state.renewals.0.lock().unwrap_or_else(|held| held.into_inner());
     let taken = std::mem::take(&mut *renewals);
     let aged = taken.into_iter().map(|(at, mut load)| {
-        load.age_ms = now.saturating_sub(at) as u32;
+        load.age_ms += now.saturating_sub(at) as u32;
         load
     });
     aged.collect()
@@ -200,16 +200,23 @@
     if has_left(state, &body.id, body.incarnation) {
         return Err(gone());
     }
-    let known = state
+    let service = state
         .fleet()
         .endpoint(&body.id)
-        .is_some_and(|live| live.incarnation == body.incarnation);
-    if !known {
+        .filter(|live| live.incarnation == body.incarnation)
+        .map(|live| live.service.clone());
+    let Some(service) = service else {
         return Err(Refusal::bad(
             StatusCode::NOT_FOUND,
             "not announced, or silent for too long; announce again",
         ));
-    }
+    };
+    let config = state.board.config.read();
+    let lag_ms = config
+        .as_ref()
+        .as_ref()
+        .and_then(|known| known.config.service(&service))
+        .map_or(0, |service| service.report_lag_ms);
     note_renewal(
         state,
         Load {
@@ -217,7 +224,7 @@
             incarnation: body.incarnation,
             running: body.running,
             waiting: body.waiting,
-            age_ms: 0,
+            age_ms: lag_ms as u32,
         },
     );
     let orders = state.board.orders.read();
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -133,6 +133,7 @@
             let near = self.near.clone();
             let pool = self.pool_or_new(&service.name, service.kind);
             pool.set_policy(service.routing);
+            pool.set_recompute(service.recompute_percent as f32 / 100.0);
             pool.set_replicas(&near, &list);
         }
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -7,7 +7,10 @@
 //! | [`sync`] | configuration, fleet and lease, from control |
 //! | [`fleet`] | endpoints, with a router for each service |
 //! | [`admission`] | who may start, who waits, who is refused |
+//! | [`answers`] | writing model answers, for readers that come and go |
+//! | [`claims`] | claims in control's ledger |
 //! | [`plain`] | calls to plain services, at most once where it matters |
+//! | [`chat`] | what is checked of a chat request |
 //! | [`model`] | model requests, from acceptance to the end |
 //! | [`requests`] | the model requests known here |
 //! | [`peers`] | copies of requests at a second entry |
@@ -20,7 +23,10 @@
 //! still runs then is handed over to other entries. No request is cut off.
 
 pub mod admission;
+pub mod answers;
 pub mod callers;
+pub mod chat;
+pub mod claims;
 pub mod dispatch;
 pub mod endpoints;
 pub mod fleet;
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -28,6 +28,10 @@
 use super::{
     admission,
     callers::Caller,
+    claims::{
+        claim_state, look_up, owner_lives, propose_claim, release, settle,
+        settle_within, settlement,
+    },
     dispatch::{Answer, Call, Failed, LOAD_HEADER},
     refusal::Refusal,
     state::Shared,
@@ -39,18 +43,11 @@
     metrics::Labels,
     util::random_id,
     verdict::Verdict,
-    wire::{
-        self, Change, Claim, ClaimOutcome, Endpoint, Query, Settle, change,
-        claim_outcome, outcome, query, query_reply,
-    },
+    wire::{self, Claim, ClaimOutcome, Endpoint, claim_outcome},
 };
 
-/// How long a claim may take.
-const CLAIM_LIMIT: Duration = Duration::from_millis(1500);
 /// How long an answer waits for its settlement before it goes out anyway.
 const SETTLE_WAIT: Duration = Duration::from_millis(500);
-/// How long settling is tried in the background.
-const SETTLE_LIMIT: Duration = Duration::from_secs(60);
 /// Pause between two looks at a claim that another entry holds.
 const HELD_PAUSE: Duration = Duration::from_millis(100);
 /// Attempts at different endpoints for one request.
@@ -414,92 +411,7 @@
     Ok(response)
 }
 
-/// True while the entry that holds a claim is listed by control.
-fn owner_lives(state: &Shared, owner: &str) -> bool {
-    let mut parts = owner.split('/');
-    let (id, incarnation) = (parts.next(), parts.next());
-    if id == Some(state.info.id.as_str()) {
-        return incarnation == Some(&format!("{:x}", state.info.incarnation));
-    }
-    state.board.entries.read().iter().any(|entry| {
-        Some(entry.id.as_str()) == id
-            && Some(format!("{:x}", entry.incarnation).as_str()) == incarnation
-    })
-}
-
-// ---- The ledger ---------------------------------------------------------------
-
-async fn propose_claim(
-    state: &Shared,
-    claim: Claim,
-) -> Result<ClaimOutcome, Refusal> {
-    let change = Change::new(change::Kind::Claim(claim));
-    match state.control.propose(change, CLAIM_LIMIT, true).await {
-        Ok(outcome) => match outcome.kind {
-            Some(outcome::Kind::Claim(claim)) => Ok(claim),
-            _ => Err(Refusal::later("control gave no answer", 500)),
-        },
-        // Whatever became of the claim: the request itself was not sent.
-        Err(failure) => Err(Refusal::later(failure.to_string(), 500)),
-    }
-}
-
-async fn look_up(state: &Shared, key: &str) -> Result<ClaimOutcome, Refusal> {
-    let query = Query { kind: Some(query::Kind::Claim(key.to_owned())) };
-    let reply = state.control.read(query, CLAIM_LIMIT).await;
-    match reply.map(|reply| reply.kind) {
-        Ok(Some(query_reply::Kind::Claim(outcome))) => Ok(outcome),
-        _ => {
-            let mut refusal = Refusal::later("control did not answer", 500);
-            refusal.verdict = Verdict::MayHaveRun;
-            Err(refusal)
-        }
-    }
-}
-
-fn release(key: &str, owner: &str) -> Settle {
-    Settle {
-        key: key.to_owned(),
-        owner: owner.to_owned(),
-        released: true,
-        answer: None,
-    }
-}
-
-fn settlement(key: &str, owner: &str, answer: wire::Answer) -> Settle {
-    Settle {
-        key: key.to_owned(),
-        owner: owner.to_owned(),
-        released: false,
-        answer: Some(answer),
-    }
-}
-
-async fn settle(state: &Shared, settle: Settle) {
-    let change = Change::new(change::Kind::Settle(settle));
-    let settled = state.control.propose(change, SETTLE_LIMIT, true).await;
-    if let Err(failure) = settled {
-        warn!(target: "plain", "Not settled: {failure}.");
-    }
-}
-
-/// Settles, in the background once `limit` is over; true if done by then.
-async fn settle_within(
-    state: &Shared,
-    settlement: Settle,
-    limit: Duration,
-) -> bool {
-    let background = state.clone();
-    let task = state.runtime.spawn(async move {
-        settle(&background, settlement).await;
-    });
-    tokio::time::timeout(limit, task).await.is_ok()
-}
-
-fn claim_state(outcome: &ClaimOutcome) -> claim_outcome::State {
-    claim_outcome::State::try_from(outcome.state)
-        .unwrap_or(claim_outcome::State::Unknown)
-}
+// ---- Endpoints and headers ---------------------------------------------------
 
 /// What makes two requests the same one.
 fn digest(work: &Work) -> Vec<u8> {
@@ -517,8 +429,6 @@
     hasher.finalize().to_vec()
 }
 
-// ---- Endpoints ------------------------------------------------------------------
-
 fn pick(
     state: &Shared,
     work: &Work,
--- a/tests/all/cluster.rs
+++ b/tests/all/cluster.rs
@@ -35,6 +35,9 @@
 const PORT: u16 = 7700;
 const PEER_PORT: u16 = 7701;
 
+/// Stands for all entries, in links to endpoints.
+const ENTRIES: &str = "entries";
+
 static CLUSTERS: AtomicU32 = AtomicU32::new(0);
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -65,6 +68,8 @@
     pub control_flags: Vec<String>,
     pub model_flags: Vec<String>,
     pub plain_flags: Vec<String>,
+    /// Whether entries reach endpoints through a relay too.
+    pub relay_endpoints: bool,
 }
 
 pub struct Cluster {
@@ -259,6 +264,10 @@
                     _ => ("plain", "alerts"),
                 };
                 let runs = self.folder.join("runs");
+                let advertise = match self.shape.relay_endpoints {
+                    true => self.link(ENTRIES, name),
+                    false => self.address(name),
+                };
                 let flags = vec![
                     ("--kind", kind.to_owned()),
                     ("--id", name.to_owned()),
@@ -267,6 +276,7 @@
                     ("--data-centre", self.site(number)),
                     ("--entries", self.links_to(name, Role::Entry)),
                     ("--runs", runs.display().to_string()),
+                    ("--advertise", advertise.to_string()),
                 ];
                 (programs.join("examples/standin"), flags)
             }
@@ -401,16 +411,33 @@
                 (_, true) => from,
                 _ => continue,
             };
-            let role_fits = match role {
-                Some(role) => self.processes[other].role == role,
-                None => true,
-            };
+            let others_role =
+                self.processes.get(other).map(|process| process.role);
+            let role_fits = role.is_none() || role == others_role;
             if role_fits {
                 relay.set_silent(silent);
             }
         }
     }
 
+    /// Bytes that a process's links have carried.
+    pub fn carried(&self, name: &str) -> u64 {
+        let links = self.links.iter();
+        links
+            .filter(|((from, to), _)| from == name || to == name)
+            .map(|(_, relay)| relay.carried())
+            .sum()
+    }
+
+    /// Bytes between a process and the control members.
+    pub fn carried_control(&self, name: &str) -> u64 {
+        let links = self.links.iter();
+        links
+            .filter(|((from, to), _)| from == name && to.starts_with('c'))
+            .map(|(_, relay)| relay.carried())
+            .sum()
+    }
+
     /// All open connections to a process go silent for good.
     pub fn forget_connections(&self, name: &str) {
         for ((_, to), relay) in &self.links {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,13 +1,18 @@
 //! All tests, in one binary: it links once, and its parts share helpers.
 
+// The benches use more of these two than the tests do.
+#[allow(dead_code)]
 mod cluster;
 mod config;
+mod decide;
 mod disk;
 mod ledger;
 mod product;
 mod raft;
+#[allow(dead_code)]
 mod relay;
 mod scenario;
+mod steps;
 
 /// Runs a property with the same seeds every time.
 ///
--- a/tests/all/product.rs
+++ b/tests/all/product.rs
@@ -72,6 +72,7 @@
         control_flags: Vec::new(),
         model_flags: Vec::new(),
         plain_flags: Vec::new(),
+        relay_endpoints: false,
     });
     cluster.apply_first();
     cluster.wait("endpoints", |cluster| {
--- a/tests/all/relay.rs
+++ b/tests/all/relay.rs
@@ -25,6 +25,8 @@
     /// Connections below this number have gone silent for good.
     forgotten: AtomicU64,
     opened: AtomicU64,
+    /// Bytes carried, both ways.
+    carried: AtomicU64,
 }
 
 /// A link from one process to another.
@@ -59,6 +61,11 @@
         self.mode.silent.store(silent, Ordering::Relaxed);
     }
 
+    /// Bytes carried so far, both ways.
+    pub fn carried(&self) -> u64 {
+        self.mode.carried.load(Ordering::Relaxed)
+    }
+
     /// Makes all open connections silent for good; new ones work.
     pub fn forget_open(&self) {
         let opened = self.mode.opened.load(Ordering::Relaxed);
@@ -95,6 +102,7 @@
     let mut bytes = vec![0; 16 * 1024];
     loop {
         let Ok(count) = from.read(&mut bytes).await else { return };
+        mode.carried.fetch_add(count as u64, Ordering::Relaxed);
         while mode.silent.load(Ordering::Relaxed) {
             sleep(Duration::from_millis(20)).await;
         }
--- a/tests/all/scenario.rs
+++ b/tests/all/scenario.rs
@@ -1,7 +1,7 @@
 //! Scenarios: stories of failures over real processes, in `scenarios/*.scn`.
 //!
 //! Each file tells its symptom, sequence and cause first; then come commands
-//! and what they must print. The language has few words; see [`Story::run`].
+//! and what they must print. The language has few words; see [`Step`].
 
 use std::{
     collections::BTreeMap,
@@ -19,7 +19,10 @@
 use http::Method;
 use serde_json::{Value, json};
 
-use super::cluster::{Cluster, LONG, Role, Shape};
+use super::{
+    cluster::{Cluster, LONG, Role, Shape},
+    steps::Step,
+};
 
 type Answer = Result<String, Box<dyn Error>>;
 
@@ -69,135 +72,6 @@
     seen: BTreeMap<String, u64>,
 }
 
-/// The words that stories are told in.
-///
-/// A process is named by a letter and a number: c1 a control member, e1 an
-/// entry, m1 a model engine, p1 a plain service; `leader` and `follower` are
-/// the control members that are that.
-#[derive(goldenscript::Command)]
-enum Step {
-    /// Starts a system and waits until it serves: cluster controls=3
-    Cluster {
-        #[arg(key)]
-        controls: Option<u8>,
-        #[arg(key)]
-        entries: Option<u8>,
-        #[arg(key)]
-        models: Option<u8>,
-        #[arg(key)]
-        plains: Option<u8>,
-        /// Milliseconds of a piece, or of a plain call.
-        #[arg(key)]
-        piece_ms: Option<u64>,
-        /// Milliseconds that an endpoint goes on after SIGTERM.
-        #[arg(key)]
-        within_ms: Option<u64>,
-    },
-    /// Starts a process that was killed.
-    Start(String),
-    /// Starts all processes that were killed.
-    RestartKilled,
-    /// kill -9.
-    Kill(String),
-    /// SIGTERM.
-    Terminate(String),
-    /// SIGSTOP and SIGCONT.
-    Freeze(String),
-    Thaw(String),
-    /// Lets the control member go on that was frozen as `leader`.
-    ThawFrozen,
-    /// Makes all links of the leader silent, and mends them later.
-    IsolateLeader,
-    MendIsolated,
-    /// An operator's change handed to the isolated leader itself.
-    ApplyAtIsolated {
-        id: String,
-        from: u64,
-    },
-    /// Kills a member and starts it again with an empty data folder.
-    Wipe(String),
-    /// Makes all links of a process silent, and mends them.
-    Cut(String),
-    Mend(String),
-    /// The same for its links with control members only.
-    CutControl(String),
-    MendControl(String),
-    /// Makes open connections to a process silent for good; new ones work.
-    Forget(String),
-    /// Waits for a process to end by itself.
-    Ended(String),
-    /// An operator's change: apply ID FROM [drain=MS]
-    Apply {
-        id: String,
-        from: u64,
-        #[arg(key)]
-        drain: Option<u64>,
-    },
-    /// So many changes one after the other.
-    ApplyMany(u64),
-    /// Two operators at once, with changes from the same revision.
-    Race(u64),
-    /// Waits until something holds: see [`Cluster::wait_for`].
-    Wait {
-        what: String,
-        argument: Option<String>,
-    },
-    /// A call that must not run twice: send KEY ENTRY
-    Send {
-        key: String,
-        entry: String,
-        #[arg(key)]
-        path: Option<String>,
-        #[arg(key)]
-        body: Option<String>,
-        #[arg(key)]
-        deadline: Option<u64>,
-    },
-    /// The same in the background; `outcome` waits for its answer.
-    SendLater {
-        key: String,
-        entry: String,
-    },
-    /// A streamed model call in the background, by a caller that follows the
-    /// rules; returns when its first piece has come.
-    ChatLater {
-        key: String,
-        entry: String,
-        #[arg(key)]
-        tokens: Option<u64>,
-    },
-    /// What a background call came to.
-    Outcome(String),
-    /// Asks an entry for a request by its key.
-    Reread {
-        key: String,
-        entry: String,
-    },
-    /// How often the plain services ran a request.
-    Runs(String),
-    /// Sets a stand-in's fault: fault p1 silent
-    Fault {
-        target: String,
-        fault: String,
-        #[arg(key)]
-        at: Option<u64>,
-    },
-    /// Resumed streams that did not continue what had been shown.
-    WrongResumes,
-    /// The entries that an entry hands out.
-    Entries(String),
-    /// An endpoint's notice that it leaves, told to an entry.
-    Leave {
-        endpoint: String,
-        entry: String,
-    },
-    /// An endpoint's late heartbeat, with the incarnation that left.
-    LateHeartbeat {
-        endpoint: String,
-        entry: String,
-    },
-}
-
 impl Runner for Story {
     type Command = Step;
 
@@ -225,6 +99,7 @@
                     ],
                     model_flags: flags.clone(),
                     plain_flags: flags,
+                    relay_endpoints: true,
                 })
             }
             Step::Start(target) => self.act(target, Cluster::start),
@@ -304,6 +179,7 @@
                 let body = body.as_deref().unwrap_or("UV 11");
                 self.send(key, entry, path, body, *deadline)
             }
+            Step::Insist { key, entry } => self.insist(key, entry),
             Step::SendLater { key, entry } => self.send_later(key, entry),
             Step::ChatLater { key, entry, tokens } => {
                 self.chat_later(key, entry, tokens.unwrap_or(100))
@@ -489,6 +365,19 @@
         Ok(tell(answer))
     }
 
+    fn insist(&mut self, key: &str, entry: &str) -> Answer {
+        let cluster = self.cluster();
+        let mut caller = Caller::open(&[cluster.address(entry)], "red");
+        let call = azuremount::caller::PlainCall {
+            service: "alerts",
+            path: "/send",
+            key: Some(key),
+            body: "UV 11".into(),
+        };
+        let answer = cluster.runtime.block_on(caller.call(call, LONG));
+        Ok(tell(answer))
+    }
+
     fn send_later(&mut self, key: &str, entry: &str) -> Answer {
         let address = self.cluster().address(entry);
         let call = azuremount::entry::dispatch::Call {
@@ -672,6 +561,7 @@
                     .all(|entry| entry.id != name || !entry.serving),
                 "listed" => status.entries.len() as u64 == number,
                 "live" => live("") == number,
+                "claims" => status.claims == number,
                 "in_force" => {
                     !status.entries.is_empty()
                         && status
@@ -767,9 +657,12 @@
 }
 
 stories! {
+    alert_claim_lost
     alert_endpoint_dies
     alert_endpoint_silent
     alert_entry_killed
+    alert_sent_into_silence
+    alert_settlement_lost
     alert_twice
     control_frozen_leader
     control_isolated_leader
@@ -779,6 +672,7 @@
     endpoint_leaves
     entry_cut_off
     operators_race
+    reclaim_data_centre
     silent_connections
     stream_endpoint_dies
     stream_entry_killed
