--- a/src/decide/route.rs
+++ b/src/decide/route.rs
@@ -208,6 +208,12 @@
     next_serial: u64,
     turn: usize,
     peers: f32,
+    /// Where the replica of each number stands, if it is still there.
+    places: Vec<Option<usize>>,
+    /// Replicas whose `matched` is not 0.
+    matched: Vec<usize>,
+    // Kept between decisions so that none has to allocate.
+    costs: Vec<f32>,
     ties: Vec<usize>,
     /// Load for each slot below which reports say nothing; see the head.
     level: f32,
@@ -252,6 +258,9 @@
             next_serial: 0,
             turn: 0,
             peers: 0.0,
+            places: Vec::new(),
+            matched: Vec::new(),
+            costs: Vec::new(),
             ties: Vec::new(),
             level: 0.0,
             level_at: 0,
@@ -301,6 +310,13 @@
         for gone in old {
             self.index.clear(gone.number);
         }
+        self.matched.clear();
+        self.places.clear();
+        self.places.resize(self.next_number as usize, None);
+        for (at, replica) in self.replicas.iter_mut().enumerate() {
+            replica.matched = 0;
+            self.places[replica.number as usize] = Some(at);
+        }
     }
 
     /// How many replicas there are.
@@ -438,13 +454,10 @@
         ask: &Ask<'_>,
     ) -> Option<f32> {
         self.match_prefix(ask);
-        let cost = self
-            .replicas
+        self.replicas
             .iter()
             .find(|replica| replica.identity.id == id)
-            .map(|replica| self.cost(now, replica, ask));
-        self.unmatch_prefix(ask);
-        cost
+            .map(|replica| self.cost(now, replica, ask))
     }
 
     // ---- By cost ------------------------------------------------------------
@@ -455,39 +468,44 @@
             self.find_level(now);
         }
         self.match_prefix(ask);
-        let mut best = f32::INFINITY;
-        let mut ties = std::mem::take(&mut self.ties);
-        ties.clear();
-        for (at, replica) in self.replicas.iter().enumerate() {
-            let cost = self.cost(now, replica, ask);
-            if cost < best {
-                best = cost;
+        // Each cost is worked out once: at many replicas the scan is all the
+        // time that a decision takes.
+        let mut costs = std::mem::take(&mut self.costs);
+        costs.clear();
+        let all = self.replicas.iter();
+        costs.extend(all.map(|replica| self.cost(now, replica, ask)));
+        let best = costs.iter().copied().fold(f32::INFINITY, f32::min);
+        let chosen = match best.is_finite() {
+            true => self.draw_near(&costs, best + self.weights.tolerance_ms),
+            false => None,
+        };
+        self.costs = costs;
+        chosen
+    }
+
+    /// One of those whose cost is within the limit.
+    ///
+    /// What is known for sure tells equals apart: the fewest of this entry's
+    /// own requests. Among those that are left it is drawn.
+    fn draw_near(&mut self, costs: &[f32], limit: f32) -> Option<usize> {
+        self.ties.clear();
+        let mut least = u32::MAX;
+        for (at, cost) in costs.iter().enumerate() {
+            let own = self.replicas[at].own;
+            if *cost > limit || own > least {
+                continue;
             }
-            if cost <= best + self.weights.tolerance_ms
-                && !avoided(replica, ask)
-            {
-                ties.push(at);
+            if own < least {
+                least = own;
+                self.ties.clear();
             }
+            self.ties.push(at);
         }
-        if best.is_finite() {
-            let limit = best + self.weights.tolerance_ms;
-            // Those that were near an earlier best may be far from the last.
-            ties.retain(|&at| {
-                self.cost(now, &self.replicas[at], ask) <= limit
-            });
-        }
-        // What is known for sure tells equals apart: this entry's own.
-        let least =
-            ties.iter().map(|&at| self.replicas[at].own).min().unwrap_or(0);
-        ties.retain(|&at| self.replicas[at].own == least);
-        let chosen = match ties.len() {
+        match self.ties.len() {
             0 => None,
-            1 => Some(ties[0]),
-            many => Some(ties[self.rng.random_range(0..many)]),
-        };
-        self.ties = ties;
-        self.unmatch_prefix(ask);
-        chosen
+            1 => Some(self.ties[0]),
+            many => Some(self.ties[self.rng.random_range(0..many)]),
+        }
     }
 
     /// Pours what the others must have begun over the replicas.
@@ -518,12 +536,16 @@
         self.level = pour(unseen, &slots);
     }
 
+    /// Notes at each replica how much of the prompt it probably holds.
     fn match_prefix(&mut self, ask: &Ask<'_>) {
-        let replicas = &mut self.replicas;
-        self.index.holders(ask.blocks, HOLDERS, |number, count| {
-            let holder = replicas.iter_mut().find(|one| one.number == number);
-            if let Some(holder) = holder {
-                holder.matched = count * BLOCK_TOKENS;
+        for at in self.matched.drain(..) {
+            self.replicas[at].matched = 0;
+        }
+        let Pool { index, replicas, places, matched, .. } = self;
+        index.holders(ask.blocks, HOLDERS, |number, count| {
+            if let Some(&Some(at)) = places.get(number as usize) {
+                replicas[at].matched = count * BLOCK_TOKENS;
+                matched.push(at);
             }
         });
         self.match_home(ask);
@@ -538,26 +560,20 @@
     fn match_home(&mut self, ask: &Ask<'_>) {
         let Some(&key) = ask.blocks.get(HOME_BLOCK) else { return };
         let half = ask.tokens / 2;
-        if self.replicas.iter().any(|replica| replica.matched >= half) {
+        let mut held = self.matched.iter();
+        if held.any(|&at| self.replicas[at].matched >= half) {
             return;
         }
         let home = self
             .replicas
             .iter_mut()
-            .filter(|replica| !avoided(replica, ask))
-            .max_by_key(|replica| mix(key ^ replica.hash));
-        if let Some(home) = home {
+            .enumerate()
+            .filter(|(_, replica)| !avoided(replica, ask))
+            .max_by_key(|(_, replica)| mix(key ^ replica.hash));
+        if let Some((at, home)) = home {
             let assumed = ask.tokens as f32 * self.weights.home;
             home.matched = home.matched.max(assumed as u32);
-        }
-    }
-
-    fn unmatch_prefix(&mut self, ask: &Ask<'_>) {
-        if ask.blocks.is_empty() {
-            return;
-        }
-        for replica in &mut self.replicas {
-            replica.matched = 0;
+            self.matched.push(at);
         }
     }
 
@@ -571,7 +587,8 @@
         let load = self.estimate(replica).max(self.level * slots);
         // Whole requests: estimates are not good to a part of one, and a part
         // would tell replicas apart that are as good as equal.
-        let over = (load + 1.0 - slots).max(0.0).round();
+        // By way of an integer: rounding a float is a call into the C library.
+        let over = (load + 1.5 - slots).max(0.0) as u32 as f32;
         let queue = over / slots * self.weights.hold_ms;
         let batch = load.min(slots) * weights.batch_ms;
         let fresh = ask.tokens.saturating_sub(replica.matched) as f32;
@@ -661,10 +678,11 @@
     // ---- Bookkeeping ------------------------------------------------------------
 
     fn begin(&mut self, now: u64, at: usize, ask: &Ask<'_>) -> Choice {
-        self.match_prefix(ask);
+        if self.policy != Policy::Cost {
+            self.match_prefix(ask);
+        }
         let predicted_ms = self.cost(now, &self.replicas[at], ask);
         let cached = self.replicas[at].matched.min(ask.tokens);
-        self.unmatch_prefix(ask);
         let serial = self.next_serial;
         self.next_serial += 1;
         let tokens = ask.tokens - cached;
@@ -716,7 +734,8 @@
     }
 
     fn by_number(&mut self, number: u32) -> Option<&mut Replica> {
-        self.replicas.iter_mut().find(|replica| replica.number == number)
+        let at = self.places.get(number as usize).copied().flatten()?;
+        self.replicas.get_mut(at)
     }
 }
 
