--- a/src/bin/azuremount-entry.rs
+++ b/src/bin/azuremount-entry.rs
@@ -3,29 +3,23 @@
 use std::process::ExitCode;
 
 use azuremount::{
-    entry, logs,
+    daemon, entry,
     settings::{self, EntryFlags},
     signal,
 };
 
 fn main() -> ExitCode {
     let flags: EntryFlags = argh::from_env();
-    if flags.version {
-        println!("azuremount-entry {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
-    }
-    let settings = match flags.check(settings::from_environment) {
+    let prepared = daemon::prepare(
+        "azuremount-entry",
+        flags.version,
+        || flags.check(settings::from_environment),
+        |settings| &settings.logs,
+    );
+    let settings = match prepared {
         Ok(settings) => settings,
-        Err(errors) => {
-            eprint!("{errors}");
-            return ExitCode::from(settings::EXIT_SETTINGS);
-        }
+        Err(code) => return code,
     };
-    let opened = logs::open(settings.logs.format, &settings.logs.level);
-    if let Err(error) = opened {
-        eprintln!("--log-level: {error}");
-        return ExitCode::from(settings::EXIT_SETTINGS);
-    }
     match run(&settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/src/decide/route.rs
+++ b/src/decide/route/mod.rs
@@ -25,11 +25,14 @@
 //! progress. One that has stalled so grows dearer by the millisecond, without
 //! a threshold to tune, and is cheap again with its first piece of answer.
 
+mod baseline;
+mod cost;
+
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use rand::{RngExt, SeedableRng, rngs::StdRng};
+use rand::{SeedableRng, rngs::StdRng};
 
-use super::prefix::{BLOCK_TOKENS, Index};
+use super::prefix::Index;
 use crate::util::{common, position};
 
 common! {
@@ -231,17 +234,6 @@
 const RECENT: usize = 256;
 /// Prompts with fewer fresh tokens say nothing about the speed.
 const LEARN_TOKENS: u32 = 256;
-/// How often the level is found anew, in ms.
-const LEVEL_MS: u64 = 50;
-/// The weight of one stretch of time in the average rate.
-const RATE_SHARE: f32 = 0.05;
-/// Reports are never taken for older than this, in ms.
-const OLDEST_MS: f32 = 5000.0;
-/// The block whose hash decides where a prompt's home is: deep enough to
-/// tell packets apart that begin alike.
-const HOME_BLOCK: usize = 7;
-/// How many holders of a prefix are looked at.
-const HOLDERS: usize = 8;
 /// The weight of one new holding time in the average.
 const HOLD_SHARE: f32 = 0.1;
 
@@ -460,221 +452,6 @@
             .map(|replica| self.cost(now, replica, ask))
     }
 
-    // ---- By cost ------------------------------------------------------------
-
-    fn pick_by_cost(&mut self, now: u64, ask: &Ask<'_>) -> Option<usize> {
-        self.picks += 1;
-        if now >= self.level_at + LEVEL_MS {
-            self.find_level(now);
-        }
-        self.match_prefix(ask);
-        // Each cost is worked out once: at many replicas the scan is all the
-        // time that a decision takes.
-        let mut costs = std::mem::take(&mut self.costs);
-        costs.clear();
-        let all = self.replicas.iter();
-        costs.extend(all.map(|replica| self.cost(now, replica, ask)));
-        let best = costs.iter().copied().fold(f32::INFINITY, f32::min);
-        let chosen = match best.is_finite() {
-            true => self.draw_near(&costs, best + self.weights.tolerance_ms),
-            false => None,
-        };
-        self.costs = costs;
-        chosen
-    }
-
-    /// One of those whose cost is within the limit.
-    ///
-    /// What is known for sure tells equals apart: the fewest of this entry's
-    /// own requests. Among those that are left it is drawn.
-    fn draw_near(&mut self, costs: &[f32], limit: f32) -> Option<usize> {
-        self.ties.clear();
-        let mut least = u32::MAX;
-        for (at, cost) in costs.iter().enumerate() {
-            let own = self.replicas[at].own;
-            if *cost > limit || own > least {
-                continue;
-            }
-            if own < least {
-                least = own;
-                self.ties.clear();
-            }
-            self.ties.push(at);
-        }
-        match self.ties.len() {
-            0 => None,
-            1 => Some(self.ties[0]),
-            many => Some(self.ties[self.rng.random_range(0..many)]),
-        }
-    }
-
-    /// Pours what the others must have begun over the replicas.
-    fn find_level(&mut self, now: u64) {
-        let passed = (now - self.level_at).min(10 * LEVEL_MS) as f32;
-        let rate = self.picks as f32 / passed.max(1.0);
-        self.rate += (rate - self.rate) * RATE_SHARE;
-        self.picks = 0;
-        self.level_at = now;
-        let mut age = 0.0;
-        let mut others = 0.0;
-        for replica in &mut self.replicas {
-            let old = now.saturating_sub(replica.measured_at) as f32;
-            // Of the requests that a report counted, so many still run.
-            replica.trust = (-old / self.weights.hold_ms).exp();
-            age += old;
-            others += replica.others();
-        }
-        age = (age / self.replicas.len().max(1) as f32).min(OLDEST_MS);
-        self.usual_others = others / (self.slots().max(1) as f32);
-        let mut slots: Vec<(f32, f32)> = Vec::new();
-        for replica in &self.replicas {
-            let count = replica.identity.slots.max(1) as f32;
-            slots.push((self.estimate(replica) / count, count));
-        }
-        let unseen = self.rate * self.peers * age;
-        slots.sort_by(|one, other| one.0.total_cmp(&other.0));
-        self.level = pour(unseen, &slots);
-    }
-
-    /// Notes at each replica how much of the prompt it probably holds.
-    fn match_prefix(&mut self, ask: &Ask<'_>) {
-        for at in self.matched.drain(..) {
-            self.replicas[at].matched = 0;
-        }
-        let Pool { index, replicas, places, matched, .. } = self;
-        index.holders(ask.blocks, HOLDERS, |number, count| {
-            if let Some(&Some(at)) = places.get(number as usize) {
-                replicas[at].matched = count * BLOCK_TOKENS;
-                matched.push(at);
-            }
-        });
-        self.match_home(ask);
-    }
-
-    /// Counts a prompt that nobody is known to hold as held in part by its
-    /// home: the replica that a hash of prompt and replica picks.
-    ///
-    /// All entries find the same home without a word between them, so the
-    /// first requests of one packet, coming in at many entries at once, meet
-    /// at one replica long before its cache events get round.
-    fn match_home(&mut self, ask: &Ask<'_>) {
-        let Some(&key) = ask.blocks.get(HOME_BLOCK) else { return };
-        let half = ask.tokens / 2;
-        let mut held = self.matched.iter();
-        if held.any(|&at| self.replicas[at].matched >= half) {
-            return;
-        }
-        let home = self
-            .replicas
-            .iter_mut()
-            .enumerate()
-            .filter(|(_, replica)| !avoided(replica, ask))
-            .max_by_key(|(_, replica)| mix(key ^ replica.hash));
-        if let Some((at, home)) = home {
-            let assumed = ask.tokens as f32 * self.weights.home;
-            home.matched = home.matched.max(assumed as u32);
-            self.matched.push(at);
-        }
-    }
-
-    fn cost(&self, now: u64, replica: &Replica, ask: &Ask<'_>) -> f32 {
-        if avoided(replica, ask) {
-            return f32::INFINITY;
-        }
-        let weights = &self.weights;
-        let identity = &replica.identity;
-        let slots = identity.slots as f32;
-        let load = self.estimate(replica).max(self.level * slots);
-        // Whole requests: estimates are not good to a part of one, and a part
-        // would tell replicas apart that are as good as equal.
-        // By way of an integer: rounding a float is a call into the C library.
-        let over = (load + 1.5 - slots).max(0.0) as u32 as f32;
-        let queue = over / slots * self.weights.hold_ms;
-        let batch = load.min(slots) * weights.batch_ms;
-        let fresh = ask.tokens.saturating_sub(replica.matched) as f32;
-        let fresh = fresh * weights.recompute;
-        let compute = (fresh + replica.pending_tokens) * weights.token_ms;
-        let stall = match replica.quiet.iter().map(|(_, at)| *at).min() {
-            Some(at) => {
-                let age = now.saturating_sub(at) as f32;
-                let expected = compute
-                    + queue
-                    + replica.pending_tokens * weights.token_ms;
-                (age - expected).max(0.0)
-            }
-            None => 0.0,
-        };
-        let failed = replica.failed_until.saturating_sub(now) as f32 * 10.0;
-        let mut cost = queue + batch + compute + stall + failed;
-        if identity.reclaimable {
-            cost += weights.reclaim_ms;
-        }
-        if !replica.near {
-            cost += weights.distance_ms;
-        }
-        cost + identity.price as f32 * weights.price_ms
-    }
-
-    /// Requests thought to be running or waiting at a replica now.
-    ///
-    /// Its own are known; those of the others are as reported, drawn towards
-    /// the average by the age of the report.
-    fn estimate(&self, replica: &Replica) -> f32 {
-        let slots = replica.identity.slots as f32;
-        let usual = self.usual_others * slots;
-        let differs = replica.others() - usual;
-        replica.own as f32 + usual + differs * replica.trust
-    }
-
-    // ---- Baselines ------------------------------------------------------------
-
-    fn draw(
-        &mut self,
-        ask: &Ask<'_>,
-        fits: impl Fn(usize, &Replica) -> bool,
-    ) -> Option<usize> {
-        let open: Vec<usize> = (0..self.replicas.len())
-            .filter(|&at| {
-                let replica = &self.replicas[at];
-                !avoided(replica, ask) && fits(at, replica)
-            })
-            .collect();
-        if open.is_empty() {
-            return None;
-        }
-        Some(open[self.rng.random_range(0..open.len())])
-    }
-
-    fn next_in_turn(&mut self, ask: &Ask<'_>) -> Option<usize> {
-        for _ in 0..self.replicas.len() {
-            self.turn = (self.turn + 1) % self.replicas.len();
-            if !avoided(&self.replicas[self.turn], ask) {
-                return Some(self.turn);
-            }
-        }
-        None
-    }
-
-    fn least_outstanding(&mut self, ask: &Ask<'_>) -> Option<usize> {
-        let least = self
-            .replicas
-            .iter()
-            .filter(|replica| !avoided(replica, ask))
-            .map(|replica| replica.own)
-            .min()?;
-        self.draw(ask, |_, replica| replica.own == least)
-    }
-
-    fn power_of_two(&mut self, ask: &Ask<'_>) -> Option<usize> {
-        let first = self.draw(ask, |_, _| true)?;
-        let second = self.draw(ask, |at, _| at != first).unwrap_or(first);
-        let load = |at: usize| {
-            let replica = &self.replicas[at];
-            (replica.reported + replica.change).max(replica.own as f32)
-        };
-        Some(if load(second) < load(first) { second } else { first })
-    }
-
     // ---- Bookkeeping ------------------------------------------------------------
 
     fn begin(&mut self, now: u64, at: usize, ask: &Ask<'_>) -> Choice {
@@ -755,37 +532,12 @@
     }
 }
 
-/// The level to which `amount` fills vessels of (filled, width), sorted.
-fn pour(amount: f32, vessels: &[(f32, f32)]) -> f32 {
-    let mut left = amount;
-    let mut width = 0.0;
-    let mut level = vessels.first().map_or(0.0, |vessel| vessel.0);
-    for &(filled, one) in vessels {
-        let need = (filled - level) * width;
-        if need > left {
-            break;
-        }
-        left -= need;
-        level = filled;
-        width += one;
-    }
-    if width > 0.0 { level + left / width } else { level }
-}
-
 fn hash_of(id: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
     id.hash(&mut hasher);
     hasher.finish()
 }
 
-/// Spreads the bits of a number over all of it (the last steps of SplitMix).
-fn mix(number: u64) -> u64 {
-    let mut mixed = number;
-    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    mixed ^ (mixed >> 31)
-}
-
 fn avoided(replica: &Replica, ask: &Ask<'_>) -> bool {
     let identity = &replica.identity;
     ask.avoid.iter().any(|(id, incarnation)| {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod cli;
 pub mod config;
 pub mod control;
+pub mod daemon;
 pub mod decide;
 pub mod entry;
 pub mod http_server;
