--- a/tests/all/scenario.rs
+++ b/tests/all/scenario.rs
@@ -664,6 +664,7 @@
     alert_sent_into_silence
     alert_settlement_lost
     alert_twice
+    control_five
     control_frozen_leader
     control_isolated_leader
     control_kill_any
