--- a/tests/all/product.rs
+++ b/tests/all/product.rs
@@ -246,6 +246,25 @@
     assert!(resident < 256 * 1024, "{resident} kB");
 }
 
+/// A sender that stops in the middle of its body is told so, and not run.
+#[test]
+fn a_slow_sender_is_cut_off() {
+    let cluster = small_cluster();
+    let address = cluster.address("e1");
+    let mut stream = TcpStream::connect(address).expect("it listens");
+    let head = "POST /v1/services/alerts/send HTTP/1.1\r\nhost: e\r\n\
+                azuremount-team: red\r\nidempotency-key: slow\r\n\
+                content-length: 100\r\n\r\nUV";
+    stream.write_all(head.as_bytes()).expect("a part of a request");
+    let long = Some(Duration::from_secs(60));
+    stream.set_read_timeout(long).expect("a timeout");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer, then the end");
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert!(answer.contains("azuremount-verdict: not run"), "{answer}");
+    assert_eq!(cluster.runs("slow"), 0);
+}
+
 /// `xitca-web` links a crate for io_uring; a ring in use would be one of the
 /// process's open files.
 #[test]
