--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -72,8 +72,9 @@
 /// A handle on the control members; calls may run side by side.
 #[derive(Debug)]
 pub struct Client {
-    members: Vec<SocketAddr>,
+    members: Mutex<Vec<SocketAddr>>,
     current: Mutex<Current>,
+    preferred: Mutex<Option<SocketAddr>>,
 }
 
 #[derive(Clone, Copy)]
@@ -93,14 +94,45 @@
     pub fn open(members: &[SocketAddr]) -> Client {
         let address = members[0];
         Client {
-            members: members.to_vec(),
+            members: Mutex::new(members.to_vec()),
             current: Mutex::new(Current {
                 address,
                 client: open_client(address),
             }),
+            preferred: Mutex::new(None),
         }
     }
 
+    /// Takes a new list of members, for a cluster whose members change.
+    ///
+    /// An empty list changes nothing: there would be nobody to ask.
+    pub fn set_members(&self, members: &[SocketAddr]) {
+        if !members.is_empty() {
+            *self.members() = members.to_vec();
+        }
+    }
+
+    /// Asks this member next, as one that is known to lead.
+    ///
+    /// Only once for each leader: one that turns out not to answer is not
+    /// gone back to on hearsay.
+    pub fn prefer_once(&self, address: SocketAddr) {
+        let mut preferred =
+            self.preferred.lock().unwrap_or_else(|held| held.into_inner());
+        if preferred.replace(address) == Some(address) {
+            return;
+        }
+        let mut current =
+            self.current.lock().unwrap_or_else(|held| held.into_inner());
+        if current.address != address {
+            *current = Current { address, client: open_client(address) };
+        }
+    }
+
+    fn members(&self) -> std::sync::MutexGuard<'_, Vec<SocketAddr>> {
+        self.members.lock().unwrap_or_else(|held| held.into_inner())
+    }
+
     /// Puts a change through the log, within `limit`.
     ///
     /// A change is sent again after a doubtful attempt only if `repeat` says
@@ -168,7 +200,7 @@
             };
             // Only members of the settings: how a member names another may
             // not be how this process reaches it.
-            let hint = hint.filter(|hint| self.members.contains(hint));
+            let hint = hint.filter(|hint| self.members().contains(hint));
             self.move_on(address, hint);
             doubtful |= matches!(attempt, Attempt::Doubtful);
             let out_of_time = Instant::now() + PAUSE >= give_up;
@@ -198,9 +230,10 @@
         if current.address != from && hint.is_none() {
             return;
         }
-        let at = self.members.iter().position(|member| *member == from);
-        let next = at.map_or(0, |at| (at + 1) % self.members.len());
-        let address = hint.unwrap_or(self.members[next]);
+        let members = self.members();
+        let at = members.iter().position(|member| *member == from);
+        let next = at.map_or(0, |at| (at + 1) % members.len());
+        let address = hint.unwrap_or(members[next]);
         *current = Current { address, client: open_client(address) };
     }
 }
--- a/src/control/ledger.rs
+++ b/src/control/ledger.rs
@@ -36,8 +36,9 @@
         Answer, AppliedRecord, ApplyConfig, ApplyOutcome, Change, Claim,
         ClaimOutcome, ClaimRecord, Depart, Endpoint, EndpointOutcome,
         EndpointRecord, IssueOrder, LedgerState, LogEntry, OrderOutcome,
-        OrderRecord, Outcome, Settle, SourceFile, apply_outcome, change,
-        claim_outcome, endpoint_outcome, outcome,
+        OrderRecord, Outcome, PlanOutcome, PutPlan, RecordUsage, Settle,
+        SourceFile, UsageOutcome, apply_outcome, change, claim_outcome,
+        endpoint_outcome, outcome,
     },
 };
 
@@ -45,6 +46,8 @@
 pub const CLAIM_RETENTION_MS: u64 = 24 * 60 * 60 * 1000;
 /// How long the mark of a departed endpoint is kept.
 pub const DEPARTED_RETENTION_MS: u64 = 60 * 60 * 1000;
+/// How many usage windows are remembered; reports are due within a few.
+pub const USAGE_WINDOWS: usize = 64;
 /// The longest answer that is kept whole, in bytes.
 pub const ANSWER_LIMIT: usize = 64 * 1024;
 
@@ -71,6 +74,9 @@
     orders: Vec<OrderRecord>,
     order_sequence: u64,
     pruned_at: u64,
+    plan: Option<PutPlan>,
+    /// Sorted by window.
+    usage: Vec<RecordUsage>,
 }
 
 impl Ledger {
@@ -91,6 +97,8 @@
             orders: state.orders,
             order_sequence: state.order_sequence,
             pruned_at: state.pruned_at,
+            plan: state.plan,
+            usage: state.usage,
         })
     }
 
@@ -112,6 +120,8 @@
             orders: self.orders.clone(),
             order_sequence: self.order_sequence,
             pruned_at: self.pruned_at,
+            plan: self.plan.clone(),
+            usage: self.usage.clone(),
         }
         .encode_to_vec()
     }
@@ -149,6 +159,16 @@
         &self.orders
     }
 
+    /// The gateway plan with the highest version.
+    pub fn plan(&self) -> Option<&PutPlan> {
+        self.plan.as_ref()
+    }
+
+    /// The version of the gateway plan, 0 before the first.
+    pub fn plan_version(&self) -> u64 {
+        self.plan.as_ref().map_or(0, |plan| plan.version)
+    }
+
     /// How many claims are kept.
     pub fn claims(&self) -> usize {
         self.claims.len()
@@ -205,6 +225,12 @@
             change::Kind::Order(order) => {
                 outcome::Kind::Order(self.order(entry.term, order))
             }
+            change::Kind::PutPlan(plan) => {
+                outcome::Kind::Plan(self.put_plan(plan))
+            }
+            change::Kind::RecordUsage(usage) => {
+                outcome::Kind::Usage(self.record_usage(usage))
+            }
             change::Kind::Membership(_) => outcome::Kind::Done(true),
         }
     }
@@ -254,6 +280,32 @@
         answer(Result::Accepted, revision, Vec::new())
     }
 
+    /// Takes a plan if its version is higher than the one held.
+    ///
+    /// A version that is not higher changes nothing, whatever it holds: so a
+    /// change that is sent again, or overtaken by another, is harmless.
+    fn put_plan(&mut self, plan: PutPlan) -> PlanOutcome {
+        if plan.version > self.plan_version() {
+            self.plan = Some(plan);
+        }
+        PlanOutcome { version: self.plan_version() }
+    }
+
+    /// Keeps the first figure of a window; later ones get that one back.
+    fn record_usage(&mut self, usage: RecordUsage) -> UsageOutcome {
+        let at = position(&self.usage, &usage.window, |one| &one.window);
+        let recorded = match at {
+            Ok(at) => self.usage[at].clone(),
+            Err(at) => {
+                self.usage.insert(at, usage.clone());
+                let excess = self.usage.len().saturating_sub(USAGE_WINDOWS);
+                self.usage.drain(..excess);
+                usage
+            }
+        };
+        UsageOutcome { recorded: Some(recorded) }
+    }
+
     // ---- Claims -------------------------------------------------------------
 
     fn take_claim(&mut self, at_ms: u64, claim: Claim) -> ClaimOutcome {
--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -12,10 +12,10 @@
 //! a failed sync the kernel may have thrown the pages away, and the next sync
 //! succeeds without them.
 
-use std::collections::VecDeque;
+use std::{collections::VecDeque, sync::Arc};
 
 use prost::Message;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tracing::{info, warn};
 
 use super::{
@@ -26,11 +26,11 @@
 };
 use crate::{
     config,
-    util::wall_ms,
+    util::{common, wall_ms},
     wire::{
         Change, ConfigReply, Depart, Envelope, LogEntry, Member, Outcome,
-        Query, QueryReply, SourceFile, StatusReply, SyncReply, SyncRequest,
-        change, query, query_reply,
+        PutPlan, Query, QueryReply, SourceFile, StatusReply, SyncReply,
+        SyncRequest, change, query, query_reply,
     },
 };
 
@@ -43,6 +43,10 @@
 /// With [`ENTRY_LEASE_MS`] it bounds how long an entry can run on an old
 /// configuration that a cut-off leader gave it.
 const QUORUM_LEASE_MS: u64 = 1000;
+/// A leader acts for the whole system while a majority confirmed it this
+/// recently: well below the shortest election, so that it has stopped before
+/// another one can lead.
+const OFFICE_LEASE_MS: u64 = 700;
 
 /// How a proposal or a read failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -55,6 +59,43 @@
 
 type Answer<T> = oneshot::Sender<Result<T, Failure>>;
 
+/// What others may know of a member without asking it.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// The current term.
+    pub term: u64,
+    /// The leader's id, as far as known.
+    pub leader: Option<u64>,
+    /// Whether this member leads.
+    pub leads: bool,
+    /// Whether a leader was heard lately.
+    pub hears_leader: bool,
+    /// The newest gateway plan that is known to be committed.
+    pub plan: Option<Arc<PutPlan>>,
+}
+
+common! {
+    copy
+    /// A leader's right to act for the whole system, at one moment.
+    pub struct Office {
+        /// The leader's term: the fencing number.
+        pub term: u64,
+        /// For how long it has led, in ms.
+        pub held_ms: u64,
+    }
+}
+
+/// How a member that finds the others by itself keeps its place.
+#[derive(Clone, Debug)]
+pub struct Seat {
+    /// Where the other members reach this one.
+    pub address: String,
+    /// Voters without which nothing is accepted in a new cluster.
+    pub least_voters: usize,
+    /// Where the view is kept up to date.
+    pub view: watch::Sender<View>,
+}
+
 /// What the thread can be asked to do.
 #[derive(Debug)]
 pub enum Command {
@@ -72,6 +113,10 @@
     Probe(oneshot::Sender<(Identity, bool)>),
     /// Make the first member list; only after all were probed.
     Bootstrap(Vec<Member>),
+    /// Whether this member may act for the whole system now.
+    Office(oneshot::Sender<Option<Office>>),
+    /// Ask the member of this id to be taken in.
+    Join(u64),
     /// End the thread.
     Stop,
 }
@@ -109,6 +154,9 @@
     departing: Vec<Depart>,
     departing_at: u64,
     membership_at: u64,
+    seat: Option<Seat>,
+    /// When this member began to lead.
+    leads_since: u64,
 }
 
 impl Thread {
@@ -138,9 +186,18 @@
             departing: Vec::new(),
             departing_at: 0,
             membership_at: 0,
+            seat: None,
+            leads_since: 0,
         }
     }
 
+    /// Keeps a place in a cluster whose members find each other.
+    pub fn with_seat(mut self, seat: Seat) -> Thread {
+        self.node.set_retire_floor(seat.least_voters);
+        self.seat = Some(seat);
+        self
+    }
+
     /// Runs until told to stop, or until the disk fails.
     pub fn run(
         mut self,
@@ -190,10 +247,39 @@
                 info!(target: "control", "Starts a new cluster.");
                 self.node.bootstrap(members);
             }
+            Command::Office(answer) => {
+                let _ = answer.send(self.office());
+            }
+            Command::Join(leader) => self.join(leader),
             Command::Stop => {}
         }
     }
 
+    fn office(&self) -> Option<Office> {
+        if !self.node.holds_quorum(self.now, OFFICE_LEASE_MS) {
+            return None;
+        }
+        let held_ms = self.now.saturating_sub(self.leads_since);
+        Some(Office { term: self.node.term(), held_ms })
+    }
+
+    fn join(&mut self, leader: u64) {
+        let Some(seat) = &self.seat else { return };
+        let heard = self.node.hears_leader(self.now);
+        if !heard && leader != self.node.identity().id {
+            self.node.ask_to_join(leader, seat.address.clone());
+        }
+    }
+
+    /// True while a new cluster has too few voters to accept anything.
+    ///
+    /// What one disk alone acknowledged is lost with that disk.
+    fn is_too_young(&self) -> bool {
+        let Some(seat) = &self.seat else { return false };
+        let voters = self.node.members().iter().filter(|one| one.voter);
+        self.ledger.plan_version() == 0 && voters.count() < seat.least_voters
+    }
+
     fn propose(&mut self, mut change: Change, answer: Answer<Outcome>) {
         change.at_ms = wall_ms();
         if let Some(change::Kind::Announce(announce)) = &change.kind
@@ -202,6 +288,17 @@
         {
             roster.renew(self.now, endpoint);
         }
+        if let Some(change::Kind::PutPlan(plan)) = &mut change.kind {
+            if self.is_too_young() {
+                let _ = answer.send(Err(Failure::NotLeader(None)));
+                return;
+            }
+            if plan.version <= self.ledger.plan_version() {
+                // It changes nothing, and is sent again for hours; an entry
+                // without the text proves as well that this member leads.
+                plan.source.clear();
+            }
+        }
         let term = self.node.term();
         match self.node.propose(self.now, change.encode_to_vec()) {
             Ok(index) => self.waiting.push_back((index, term, answer)),
@@ -390,9 +487,33 @@
         self.follow_role();
         self.drop_lost_proposals();
         self.release_syncs();
+        self.show();
         self.snapshot()
     }
 
+    /// Brings the view up to date, and wakes others only if it changed.
+    fn show(&self) {
+        let Some(seat) = &self.seat else { return };
+        let version = self.ledger.plan_version();
+        let hears_leader = self.node.hears_leader(self.now);
+        seat.view.send_if_modified(|view| {
+            let shown = view.plan.as_ref().map_or(0, |plan| plan.version);
+            let changed = view.term != self.node.term()
+                || view.leader != self.node.leader()
+                || view.leads != self.node.is_leader()
+                || view.hears_leader != hears_leader
+                || shown != version;
+            view.term = self.node.term();
+            view.leader = self.node.leader();
+            view.leads = self.node.is_leader();
+            view.hears_leader = hears_leader;
+            if shown != version {
+                view.plan = self.ledger.plan().cloned().map(Arc::new);
+            }
+            changed
+        });
+    }
+
     fn persist(&mut self, output: &Output) -> Result<(), disk::Error> {
         if let Some(snapshot) = &output.install {
             let hard = self.node.hard();
@@ -473,6 +594,7 @@
             (true, None) => {
                 info!(target: "control", "Leads term {}.", self.node.term());
                 let seed = self.node.term();
+                self.leads_since = self.now;
                 self.roster = Some(Roster::open(self.now, seed));
             }
             (false, Some(_)) => {
@@ -520,6 +642,10 @@
             Some(query::Kind::Status(_)) => {
                 Some(query_reply::Kind::Status(self.status()))
             }
+            Some(query::Kind::Plan(_)) => {
+                let plan = self.ledger.plan().cloned().unwrap_or_default();
+                Some(query_reply::Kind::Plan(plan))
+            }
             None => None,
         };
         QueryReply { kind }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,6 +8,7 @@
 //! | [`roster`] | what the leader knows besides, pure |
 //! | [`member`] | the thread that drives these |
 //! | [`server`] | the services and the links between members |
+//! | [`seat`] | a member whose peers are not in its settings |
 //! | [`client`] | how everybody else reaches them |
 //!
 //! # Starting a cluster
@@ -25,6 +26,7 @@
 pub mod member;
 pub mod raft;
 pub mod roster;
+pub mod seat;
 pub mod server;
 
 use std::{fmt, io, net::SocketAddr, time::Duration};
--- a/src/control/raft/election.rs
+++ b/src/control/raft/election.rs
@@ -129,6 +129,7 @@
             reads: Vec::new(),
             opening: self.last_index() + 1,
             replaced: Vec::new(),
+            joining: Vec::new(),
         }));
         self.follow_members(now);
         // Entries of earlier terms commit only below one of this term.
--- a/src/control/raft/leader.rs
+++ b/src/control/raft/leader.rs
@@ -4,7 +4,8 @@
     BYTES_PER_APPEND, ENTRIES_PER_APPEND, Identity, Node, Progress, Role,
 };
 use crate::wire::{
-    AppendReply, AppendRequest, LogEntry, SnapshotRequest, envelope::Body,
+    AppendReply, AppendRequest, LogEntry, Member, SnapshotRequest,
+    envelope::Body,
 };
 
 impl Node {
@@ -16,6 +17,9 @@
         let Role::Leader(leadership) = &mut self.role else { return };
         leadership.progress.retain(|old| members.contains(&old.member));
         leadership.replaced.retain(|new| !members.contains(new));
+        leadership
+            .joining
+            .retain(|new| !members.contains(&Identity::from(new)));
         for member in members {
             let known =
                 leadership.progress.iter().any(|old| old.member == member);
@@ -154,6 +158,30 @@
         }
     }
 
+    /// Remembers who asked to be taken in; see [`Node::due_membership`].
+    pub(super) fn on_join(&mut self, from: Identity, address: String) {
+        let members = self.members();
+        let known = members.iter().any(|one| Identity::from(one) == from);
+        let renewed = members.iter().any(|one| one.id == from.id);
+        let Role::Leader(leadership) = &mut self.role else { return };
+        if known {
+            return;
+        }
+        if renewed {
+            // Its disk was lost: the old incarnation has to go first.
+            leadership.replaced.retain(|other| other.id != from.id);
+            leadership.replaced.push(from);
+            return;
+        }
+        leadership.joining.retain(|other| other.id != from.id);
+        leadership.joining.push(Member {
+            id: from.id,
+            incarnation: from.incarnation,
+            address,
+            voter: false,
+        });
+    }
+
     pub(super) fn advance_commit(&mut self) {
         let Role::Leader(leadership) = &self.role else { return };
         let mut candidate = self.last_index();
--- a/src/control/raft/mod.rs
+++ b/src/control/raft/mod.rs
@@ -41,6 +41,11 @@
 const BYTES_PER_APPEND: usize = 512 * 1024;
 /// A learner is made a voter when it lacks fewer entries than this.
 const CAUGHT_UP_ENTRIES: u64 = 16;
+/// A member that was silent for this long may be removed, in ms.
+///
+/// Longer than a VM that freezes or restarts stays away as a rule (a few
+/// seconds), so that a removal mostly means a VM that is gone for good.
+const RETIRE_MS: u64 = 8000;
 
 common! {
     copy
@@ -143,6 +148,8 @@
     opening: u64,
     /// Members that answered under a new incarnation.
     replaced: Vec<Identity>,
+    /// Processes that asked to be taken in.
+    joining: Vec<Member>,
 }
 
 #[derive(Debug)]
@@ -175,6 +182,8 @@
     snapshot: Option<Snapshot>,
     output: Output,
     hard_changed: bool,
+    /// See [`Node::set_retire_floor`].
+    retire_floor: Option<usize>,
 }
 
 impl Node {
@@ -213,6 +222,7 @@
             snapshot: saved.snapshot,
             output: Output::default(),
             hard_changed: false,
+            retire_floor: None,
         };
         node.persisted = node.last_index();
         node.find_memberships();
@@ -230,11 +240,42 @@
         }
         self.term = 1;
         self.hard_changed = true;
+        if members.len() == 1 {
+            // Nobody else could stand; waiting only delays the start.
+            self.election_at = 0;
+        }
         self.append_entry(1, membership_payload(members));
     }
 
+    /// Lets a leader remove members that have long been silent, as long as
+    /// at least `floor` sound voters remain.
+    ///
+    /// A VM that is gone for good otherwise counts towards the quorum for
+    /// ever: after two replacements in turn, one more loss stops the cluster
+    /// although most of its VMs run.
+    pub fn set_retire_floor(&mut self, floor: usize) {
+        self.retire_floor = Some(floor);
+    }
+
+    /// Asks the leader to take this process in, under `address`.
+    ///
+    /// For one that no leader talks to: it was never a member, or it was
+    /// removed while it was away.
+    pub fn ask_to_join(&mut self, leader: u64, address: String) {
+        let to = Identity { id: leader, incarnation: 0 };
+        self.send(to, self.term, Body::Join(address));
+    }
+
     // ---- Views ----------------------------------------------------------
 
+    /// True when a leader was heard within the last election time.
+    pub fn hears_leader(&self, now: u64) -> bool {
+        self.is_leader()
+            || self
+                .heard_leader_at
+                .is_some_and(|at| now < at + self.timing.election)
+    }
+
     /// True for a node that knows of no cluster.
     pub fn is_empty(&self) -> bool {
         self.last_index() == 0
@@ -363,6 +404,18 @@
                 return Some(changed);
             }
         }
+        if let Some(new) = leadership
+            .joining
+            .iter()
+            .find(|new| members.iter().all(|known| known.id != new.id))
+        {
+            let mut changed = members.to_vec();
+            changed.push(Member { voter: false, ..new.clone() });
+            return Some(changed);
+        }
+        if let Some(changed) = self.without_silent(now, leadership) {
+            return Some(changed);
+        }
         let at = members.iter().position(|member| {
             !member.voter
                 && leadership.progress.iter().any(|progress| {
@@ -377,6 +430,36 @@
         Some(changed)
     }
 
+    /// The member list without one that has long been silent.
+    fn without_silent(
+        &self,
+        now: u64,
+        leadership: &Leadership,
+    ) -> Option<Vec<Member>> {
+        let floor = self.retire_floor?;
+        let members = self.members();
+        let sound = members
+            .iter()
+            .filter(|member| member.voter)
+            .filter(|voter| {
+                self.is_sound(now, leadership, Identity::from(*voter))
+            })
+            .count();
+        let silent = members.iter().position(|member| {
+            let identity = Identity::from(member);
+            leadership.progress.iter().any(|progress| {
+                progress.member == identity
+                    && now >= progress.confirmed_at + RETIRE_MS
+            })
+        })?;
+        if members[silent].voter && sound < floor {
+            return None;
+        }
+        let mut changed = members.to_vec();
+        changed.remove(silent);
+        Some(changed)
+    }
+
     // ---- Inputs ---------------------------------------------------------
 
     /// Lets time pass: elections, heartbeats, a leader's stepping down.
@@ -463,6 +546,10 @@
         if message.to != self.me.id {
             return;
         }
+        if let Some(Body::Join(address)) = message.body {
+            self.on_join(from, address);
+            return;
+        }
         if message.to_incarnation != self.me.incarnation {
             self.send(from, self.term, Body::WrongIncarnation(true));
             return;
@@ -471,6 +558,7 @@
         let term = message.term;
         match body {
             Body::WrongIncarnation(_) => self.on_replaced(from),
+            Body::Join(address) => self.on_join(from, address),
             Body::VoteRequest(request) => {
                 self.on_vote_request(now, from, term, request);
             }
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -12,7 +12,10 @@
     transport::{Channel, Endpoint, server::TcpIncoming},
 };
 
-use super::member::{Command, Failure};
+use super::{
+    member::{Command, Failure},
+    seat,
+};
 use crate::wire::{
     Change, Empty, Envelope, Envelopes, Outcome, ProbeReply, Query,
     QueryReply, SyncReply, SyncRequest,
@@ -35,13 +38,50 @@
 /// The services of one member.
 #[derive(Clone, Debug)]
 pub struct Service {
-    commands: mpsc::Sender<Command>,
+    thread: Thread,
+}
+
+/// How commands reach the member's thread.
+#[derive(Clone, Debug)]
+enum Thread {
+    /// It lives as long as the process.
+    Fixed(mpsc::Sender<Command>),
+    /// It may be started anew, or not run at all for a while.
+    Seat(seat::Handle),
 }
 
 impl Service {
     /// Answers with what the member's thread does.
     pub fn new(commands: mpsc::Sender<Command>) -> Service {
-        Service { commands }
+        Service { thread: Thread::Fixed(commands) }
+    }
+
+    /// As [`Service::new`], for a member whose thread may be started anew.
+    pub fn of_seat(seat: seat::Handle) -> Service {
+        Service { thread: Thread::Seat(seat) }
+    }
+
+    /// The service by which members reach each other.
+    pub fn members(self) -> MembersServer<Service> {
+        MembersServer::new(self).max_decoding_message_size(MESSAGE_LIMIT)
+    }
+
+    /// The service for all others.
+    pub fn control(self) -> ControlServer<Service> {
+        ControlServer::new(self)
+            .max_decoding_message_size(MESSAGE_LIMIT)
+            .max_encoding_message_size(MESSAGE_LIMIT)
+    }
+
+    async fn command(&self, command: Command) -> Result<(), Status> {
+        let commands = match &self.thread {
+            Thread::Fixed(commands) => commands.clone(),
+            Thread::Seat(seat) => seat.commands().ok_or_else(|| {
+                Status::failed_precondition("the member's disk is away")
+            })?,
+        };
+        let sent = commands.send(command).await;
+        sent.map_err(|_| Status::unavailable("the member is stopping"))
     }
 
     /// Serves until `stop` ends.
@@ -50,11 +90,8 @@
         listener: TcpListener,
         stop: impl Future<Output = ()>,
     ) -> Result<(), tonic::transport::Error> {
-        let members = MembersServer::new(self.clone())
-            .max_decoding_message_size(MESSAGE_LIMIT);
-        let control = ControlServer::new(self)
-            .max_decoding_message_size(MESSAGE_LIMIT)
-            .max_encoding_message_size(MESSAGE_LIMIT);
+        let members = self.clone().members();
+        let control = self.control();
         tonic::transport::Server::builder()
             .http2_keepalive_interval(Some(Duration::from_secs(5)))
             .http2_keepalive_timeout(Some(Duration::from_secs(2)))
@@ -72,10 +109,7 @@
         command: impl FnOnce(oneshot::Sender<Result<T, Failure>>) -> Command,
     ) -> Result<Response<T>, Status> {
         let (answer, answered) = oneshot::channel();
-        let sent = self.commands.send(command(answer)).await;
-        if sent.is_err() {
-            return Err(Status::unavailable("the member is stopping"));
-        }
+        self.command(command(answer)).await?;
         match timeout(PROPOSE_TIMEOUT, answered).await {
             Ok(Ok(Ok(value))) => Ok(Response::new(value)),
             Ok(Ok(Err(failure))) => Err(status_of(failure)),
@@ -133,11 +167,8 @@
         request: Request<Envelopes>,
     ) -> Result<Response<Empty>, Status> {
         let messages = request.into_inner().envelopes;
-        let sent = self.commands.send(Command::Deliver(messages)).await;
-        match sent {
-            Ok(()) => Ok(Response::new(Empty {})),
-            Err(_) => Err(Status::unavailable("the member is stopping")),
-        }
+        self.command(Command::Deliver(messages)).await?;
+        Ok(Response::new(Empty {}))
     }
 
     async fn probe(
@@ -145,7 +176,7 @@
         _: Request<Empty>,
     ) -> Result<Response<ProbeReply>, Status> {
         let (answer, answered) = oneshot::channel();
-        let _ = self.commands.send(Command::Probe(answer)).await;
+        self.command(Command::Probe(answer)).await?;
         match answered.await {
             Ok((identity, empty)) => Ok(Response::new(ProbeReply {
                 id: identity.id,
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -7,5 +7,6 @@
 pub mod admit;
 pub mod moving;
 pub mod prefix;
+pub mod quota;
 pub mod retry;
 pub mod route;
--- a/src/decide/prefix.rs
+++ b/src/decide/prefix.rs
@@ -47,11 +47,13 @@
     shards: Vec<Vec<Holding>>,
     /// By replica number: blocks held, and a clock of uses.
     counts: Vec<(u32, u32)>,
+    /// Blocks remembered for one replica.
+    limit: u32,
 }
 
 impl Default for Index {
     fn default() -> Index {
-        Index { shards: vec![Vec::new(); SHARDS], counts: Vec::new() }
+        Index::open(BLOCKS_PER_REPLICA)
     }
 }
 
@@ -60,6 +62,11 @@
 }
 
 impl Index {
+    /// Starts empty; remembers up to `limit` blocks for each replica.
+    pub fn open(limit: u32) -> Index {
+        Index { shards: vec![Vec::new(); SHARDS], counts: Vec::new(), limit }
+    }
+
     /// Notes that a replica was sent these blocks.
     pub fn insert(&mut self, replica: u32, blocks: &[u64]) {
         let at = replica as usize;
@@ -82,7 +89,7 @@
                 }
             }
         }
-        if self.counts[at].0 > BLOCKS_PER_REPLICA {
+        if self.counts[at].0 > self.limit {
             self.forget_older_half(replica);
         }
     }
--- a/src/decide/route/cost.rs
+++ b/src/decide/route/cost.rs
@@ -3,7 +3,6 @@
 use rand::RngExt;
 
 use super::{Ask, Pool, Replica, avoided};
-use crate::decide::prefix::BLOCK_TOKENS;
 
 /// How often the level is found anew, in ms.
 const LEVEL_MS: u64 = 50;
@@ -105,10 +104,11 @@
         for at in self.matched.drain(..) {
             self.replicas[at].matched = 0;
         }
+        let block = self.weights.block_tokens;
         let Pool { index, replicas, places, matched, .. } = self;
         index.holders(ask.blocks, HOLDERS, |number, count| {
             if let Some(&Some(at)) = places.get(number as usize) {
-                replicas[at].matched = count * BLOCK_TOKENS;
+                replicas[at].matched = count * block;
                 matched.push(at);
             }
         });
@@ -173,7 +173,8 @@
             }
             None => 0.0,
         };
-        let failed = replica.failed_until.saturating_sub(now) as f32 * 10.0;
+        let failed = replica.failed_until.saturating_sub(now) as f32 * 10.0
+            + replica.failing(now) * weights.failing_ms;
         let mut cost = queue + batch + compute + stall + failed;
         if identity.reclaimable {
             cost += weights.reclaim_ms;
--- a/src/decide/route/mod.rs
+++ b/src/decide/route/mod.rs
@@ -32,7 +32,7 @@
 
 use rand::{SeedableRng, rngs::StdRng};
 
-use super::prefix::Index;
+use super::prefix::{BLOCK_TOKENS, BLOCKS_PER_REPLICA, Index};
 use crate::util::{common, position};
 
 common! {
@@ -96,6 +96,12 @@
     /// How much of a prompt that nobody is known to hold its home is assumed
     /// to hold, from 0 to 1.
     pub home: f32,
+    /// Tokens of prompt in a block.
+    pub block_tokens: u32,
+    /// Blocks remembered for one replica.
+    pub blocks: u32,
+    /// Milliseconds that a replica costs more that fails all its requests.
+    pub failing_ms: f32,
 }
 
 impl Default for Weights {
@@ -110,6 +116,9 @@
             distance_ms: 1.0,
             tolerance_ms: 5.0,
             home: 0.5,
+            block_tokens: BLOCK_TOKENS,
+            blocks: BLOCKS_PER_REPLICA,
+            failing_ms: 3000.0,
         }
     }
 }
@@ -153,6 +162,12 @@
     /// When each request without progress began or last moved.
     quiet: Vec<(u64, u64)>,
     failed_until: u64,
+    /// Times in a row that it failed after it had been let back in.
+    strikes: u32,
+    /// The part of its requests that failed lately, from 0 to 1.
+    failing: f32,
+    /// When `failing` last changed.
+    failing_at: u64,
     /// How much of what the last report said still holds, from 0 to 1.
     trust: f32,
     matched: u32,
@@ -228,8 +243,20 @@
     picks: u32,
 }
 
-/// How long a replica that failed a request is passed over, in ms.
+/// How long a replica that failed a request is passed over, in ms. Doubled
+/// with each failure after it was let back in, up to eight times that: each
+/// try costs a request its time.
 const FAILED_MS: u64 = 1000;
+/// Doublings of [`FAILED_MS`] at most.
+const STRIKES: u32 = 3;
+/// The weight of one more failure in the part that fails.
+const FAILURE_SHARE: f32 = 0.3;
+/// The weight of one more success. Lower, so that a replica that fails one
+/// request in three keeps standing out among those that fail none.
+const SUCCESS_SHARE: f32 = 0.1;
+/// In so many ms half of what is held against a replica is forgotten: one
+/// that gets no requests could not show otherwise that it has recovered.
+const FORGIVE_MS: f32 = 3000.0;
 /// How many beginnings and ends are remembered to correct a late report.
 const RECENT: usize = 256;
 /// Prompts with fewer fresh tokens say nothing about the speed.
@@ -244,7 +271,7 @@
             policy,
             weights,
             replicas: Vec::new(),
-            index: Index::default(),
+            index: Index::open(weights.blocks),
             rng: StdRng::seed_from_u64(seed),
             next_number: 0,
             next_serial: 0,
@@ -429,13 +456,33 @@
         }
         match held_ms {
             Some(held) => {
+                replica.judge(now, false);
                 let known = &mut self.weights.hold_ms;
                 *known += (held - *known) * HOLD_SHARE;
             }
-            None => replica.failed_until = now + FAILED_MS,
+            None => replica.judge(now, true),
         }
     }
 
+    /// The request ended for a reason that says nothing about the replica.
+    pub fn abandon(&mut self, ticket: Ticket, now: u64, started: bool) {
+        let Some(replica) = self.by_number(ticket.number) else { return };
+        replica.own = replica.own.saturating_sub(1);
+        replica.note(now, -1.0);
+        replica.quiet.retain(|(serial, _)| *serial != ticket.serial);
+        if !started {
+            replica.pending_tokens =
+                (replica.pending_tokens - ticket.tokens as f32).max(0.0);
+        }
+    }
+
+    /// This entry's requests under way at each replica.
+    pub fn own(&self) -> impl Iterator<Item = (&str, u32)> {
+        self.replicas
+            .iter()
+            .map(|replica| (replica.identity.id.as_str(), replica.own))
+    }
+
     /// The cost of one replica, as [`Pool::pick`] sees it.
     ///
     /// For `explain` and for tests against the naive version.
@@ -495,6 +542,9 @@
             pending_tokens: 0.0,
             quiet: Vec::new(),
             failed_until: 0,
+            strikes: 0,
+            failing: 0.0,
+            failing_at: 0,
             trust: 1.0,
             matched: 0,
             hash: hash_of(&identity.id),
@@ -523,6 +573,32 @@
         (self.reported - own_then).max(0.0)
     }
 
+    /// Notes how a request ended.
+    fn judge(&mut self, now: u64, failed: bool) {
+        self.failing = self.failing(now);
+        self.failing_at = now;
+        if !failed {
+            self.failing -= self.failing * SUCCESS_SHARE;
+            self.strikes = 0;
+            return;
+        }
+        self.failing += (1.0 - self.failing) * FAILURE_SHARE;
+        // Requests that were under way together fail together: one strike.
+        if now >= self.failed_until {
+            self.failed_until = now + (FAILED_MS << self.strikes);
+            self.strikes = (self.strikes + 1).min(STRIKES);
+        }
+    }
+
+    /// The part of its requests that fails, with time's forgiveness.
+    fn failing(&self, now: u64) -> f32 {
+        if self.failing == 0.0 {
+            return 0.0;
+        }
+        let passed = now.saturating_sub(self.failing_at) as f32;
+        self.failing * (-passed / FORGIVE_MS * std::f32::consts::LN_2).exp()
+    }
+
     fn note(&mut self, now: u64, change: f32) {
         self.change += change;
         if self.recent.len() == RECENT {
--- /dev/null
+++ b/src/duty/mod.rs
@@ -0,0 +1,142 @@
+//! What only one node does at a time, for the whole system.
+//!
+//! The leader of the log holds every duty; its term is the fencing number.
+//! Not every platform checks that number, so two rules keep two leaders'
+//! calls apart:
+//!
+//! - A leader calls only while a majority has confirmed it a moment ago, for
+//!   less time than the shortest election. So it has stopped before another
+//!   can lead.
+//! - A new leader waits out [`Options::lease_ms`] before its first call. So a
+//!   call of its predecessor that is still on its way arrives before.
+
+pub mod usage;
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::{task::JoinHandle, time::sleep};
+
+use crate::{
+    control::{client::Client, member::Office, seat},
+    mesh,
+    timer::Timer,
+    util::common,
+    wire::RecordUsage,
+};
+
+/// Pause between two looks at what is due. Well below the seconds within
+/// which a report or an order is due.
+const LOOK: Duration = Duration::from_millis(500);
+/// Added to the lease: what a call may take on its way.
+const MARGIN_MS: u64 = 500;
+
+common! {
+    /// How duties are done.
+    pub struct Options {
+        /// This node, as the platform is told.
+        pub holder: String,
+        /// For so long a predecessor's calls may still come in, in ms.
+        pub lease_ms: u64,
+        /// The length of a usage window, in ms.
+        pub window_ms: u64,
+        /// Whether usage is reported at all.
+        pub reports_usage: bool,
+    }
+}
+
+/// Who calls, with which fencing number.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Badge {
+    /// The node's name.
+    pub holder: String,
+    /// Grows with each new holder.
+    pub fence: u64,
+}
+
+/// Why a call to the platform had no effect, as far as known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Error {
+    /// It said no.
+    Refused(u16),
+    /// It did not answer, and may have taken the call.
+    Silent(String),
+}
+
+impl std::fmt::Display for Error {
+    fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Error::Refused(status) => write!(out, "refused with {status}"),
+            Error::Silent(text) => write!(out, "no answer: {text}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// The platform's own interface, as far as duties need it.
+#[tonic::async_trait]
+pub trait Cloud: Send + Sync + 'static {
+    /// Reports the requests of each team that began in a window.
+    ///
+    /// # Errors
+    ///
+    /// When the platform did not take it; the same may be sent again.
+    async fn report(
+        &self,
+        badge: &Badge,
+        usage: &RecordUsage,
+    ) -> Result<(), Error>;
+}
+
+/// What duties work with.
+#[derive(Clone)]
+pub struct Tools {
+    /// Whether this node may act.
+    pub seat: seat::Handle,
+    /// Puts figures through the log.
+    pub control: Arc<Client>,
+    /// What all nodes have counted.
+    pub mesh: mesh::Handle,
+    /// The platform.
+    pub cloud: Arc<dyn Cloud>,
+    /// The clock.
+    pub timer: Timer,
+}
+
+impl Tools {
+    /// This node's badge, while it may act for the whole system.
+    pub async fn badge(&self, options: &Options) -> Option<Badge> {
+        let Office { term, held_ms } = self.seat.office().await?;
+        if held_ms < options.lease_ms + MARGIN_MS {
+            return None;
+        }
+        Some(Badge { holder: options.holder.clone(), fence: term })
+    }
+}
+
+/// Running duties; they end when this is dropped.
+#[derive(Debug)]
+pub struct Handle(JoinHandle<()>);
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Does what is due whenever this node leads.
+pub fn spawn(options: Options, tools: Tools) -> Handle {
+    Handle(tokio::spawn(async move {
+        let mut reporter = usage::Reporter::default();
+        loop {
+            sleep(LOOK).await;
+            if tools.badge(&options).await.is_none() {
+                reporter = usage::Reporter::default();
+                continue;
+            }
+            if options.reports_usage {
+                reporter.look(&options, &tools).await;
+            }
+        }
+    }))
+}
--- /dev/null
+++ b/src/gateway/fleet.rs
@@ -0,0 +1,381 @@
+//! The replicas of each service, with a router for each.
+//!
+//! Which replicas there are comes from the mesh; how loaded they are comes
+//! from the requests that all nodes have under way, added up. What this node
+//! sees itself goes before either: a replica whose heartbeats fail to arrive
+//! but that answers is used, and one that fails requests is passed over.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use super::plan::{Plan, Service};
+use crate::{
+    decide::{
+        retry::{Bound, Window},
+        route::{Ask, Choice, Identity, Policy, Pool, Ticket, Weights},
+    },
+    mesh::table::{self, State, Table},
+    util::{common, position, random_id},
+    wire::Under,
+};
+
+/// A replica is used for this long after its last heartbeat, in ms: three of
+/// them, and what one may be late.
+const HEARTBEAT_LIMIT_MS: u64 = 4500;
+/// A replica that answered this recently is used without heartbeats, in ms.
+const ANSWERED_MS: u64 = 3000;
+/// Prompt tokens in a block of the router's index. Coarse: prompts here come
+/// in parts of hundreds to thousands of tokens.
+pub const BLOCK_TOKENS: u32 = 512;
+/// Milliseconds to read a token of prompt, at first; the router learns it.
+const TOKEN_MS: f32 = 0.02;
+/// Milliseconds that a running request adds to the next one's first token:
+/// a decoding step grows by some hundredths of a millisecond each, and a
+/// first token takes a few dozen steps' time under load.
+const BATCH_MS: f32 = 1.5;
+/// How long an engine's request holds its slot at first, in ms.
+const ENGINE_HOLD_MS: f32 = 1000.0;
+/// How long a plain request holds its slot at first, in ms.
+const PLAIN_HOLD_MS: f32 = 50.0;
+
+common! {
+    /// A replica that was chosen.
+    pub struct Target {
+        /// Its id.
+        pub replica: String,
+        /// Where it listens.
+        pub address: SocketAddrV4,
+        /// To be handed back.
+        pub ticket: Ticket,
+        /// Prompt tokens that it probably has in its cache.
+        pub cached_tokens: u32,
+        /// Expected time to the first byte, in ms.
+        pub predicted_ms: f32,
+    }
+}
+
+common! {
+    struct Place {
+        replica: String,
+        address: SocketAddrV4,
+        answered_at: u64,
+    }
+}
+
+#[derive(Debug)]
+struct Routed {
+    name: String,
+    pool: Pool,
+    /// Sorted by replica.
+    places: Vec<Place>,
+    repeats: Window,
+    /// The weights are those of a planned service.
+    planned: bool,
+}
+
+/// All services that have replicas or are planned.
+#[derive(Debug)]
+pub struct Fleet {
+    data_centre: String,
+    bound: Bound,
+    /// Sorted by name.
+    services: Vec<Routed>,
+}
+
+impl Fleet {
+    /// Starts without replicas, in this data centre.
+    pub fn open(data_centre: &str, bound: Bound) -> Fleet {
+        let data_centre = data_centre.to_owned();
+        Fleet { data_centre, bound, services: Vec::new() }
+    }
+
+    /// Takes over what the mesh knows now.
+    pub fn refresh(&mut self, now: u64, table: &Table, plan: Option<&Plan>) {
+        let mut listed: Vec<(&str, &table::Replica)> = table
+            .replicas()
+            .iter()
+            .filter(|replica| replica.state == State::Ready)
+            .map(|replica| (replica.says.service.as_str(), replica))
+            .collect();
+        listed.sort_by_key(|(service, _)| *service);
+        for group in listed.chunk_by(|one, other| one.0 == other.0) {
+            let name = group[0].0;
+            let planned = plan.and_then(|plan| plan.service(name));
+            let at = self.service_or_new(name, planned);
+            let replicas = group.iter().map(|(_, replica)| *replica);
+            let near = &self.data_centre;
+            self.services[at].refresh(now, near, replicas, table);
+        }
+        for service in &mut self.services {
+            let listed = listed.iter().any(|(name, _)| *name == service.name);
+            if !listed {
+                service.pool.set_replicas(&self.data_centre, &[]);
+                service.places.clear();
+            }
+        }
+        let peers = table.live(now).count();
+        for service in &mut self.services {
+            service.pool.set_peers(peers);
+        }
+    }
+
+    fn service_or_new(
+        &mut self,
+        name: &str,
+        planned: Option<&Service>,
+    ) -> usize {
+        let open =
+            || Pool::open(Policy::Cost, weights_for(planned), random_id());
+        match position(&self.services, name, |one| one.name.as_str()) {
+            Ok(at) => {
+                let routed = &mut self.services[at];
+                if !routed.planned && planned.is_some() {
+                    // Its replicas came before the plan; no request did.
+                    routed.pool = open();
+                    routed.planned = true;
+                }
+                at
+            }
+            Err(at) => {
+                let routed = Routed {
+                    name: name.to_owned(),
+                    pool: open(),
+                    places: Vec::new(),
+                    repeats: Window::open(self.bound),
+                    planned: planned.is_some(),
+                };
+                self.services.insert(at, routed);
+                at
+            }
+        }
+    }
+
+    fn find(&mut self, service: &str) -> Option<&mut Routed> {
+        let at = position(&self.services, service, |one| one.name.as_str());
+        at.ok().map(|at| &mut self.services[at])
+    }
+
+    /// Chooses a replica and counts the request as under way there.
+    pub fn pick(
+        &mut self,
+        now: u64,
+        service: &str,
+        ask: &Ask<'_>,
+    ) -> Option<Target> {
+        let routed = self.find(service)?;
+        let choice: Choice = routed.pool.pick(now, ask)?;
+        let at = position(&routed.places, &choice.id, |one| &one.replica);
+        Some(Target {
+            replica: choice.id,
+            address: routed.places[at.ok()?].address,
+            ticket: choice.ticket,
+            cached_tokens: choice.cached_tokens,
+            predicted_ms: choice.predicted_ms,
+        })
+    }
+
+    /// Counts a first sending to a service.
+    pub fn sent(&mut self, now: u64, service: &str) {
+        if let Some(routed) = self.find(service) {
+            routed.repeats.sent(now);
+        }
+    }
+
+    /// Counts a repeat at a service, if there may be one.
+    pub fn repeat(&mut self, now: u64, service: &str, entries: usize) -> bool {
+        self.find(service)
+            .is_some_and(|routed| routed.repeats.repeat(now, entries))
+    }
+
+    /// A replica began to answer, with the load that it named.
+    pub fn began(
+        &mut self,
+        now: u64,
+        service: &str,
+        target: &Target,
+        load: Option<u32>,
+    ) {
+        let Some(routed) = self.find(service) else { return };
+        routed.pool.progress(now, target.ticket, true);
+        if let Some(load) = load {
+            routed.pool.report(now, &target.replica, 0, load, 0);
+        }
+        let at = position(&routed.places, &target.replica, |one| &one.replica);
+        if let Ok(at) = at {
+            routed.places[at].answered_at = now;
+        }
+    }
+
+    /// A piece of an answer came.
+    pub fn progress(&mut self, now: u64, service: &str, ticket: Ticket) {
+        if let Some(routed) = self.find(service) {
+            routed.pool.progress(now, ticket, false);
+        }
+    }
+
+    /// A request ended.
+    pub fn end(
+        &mut self,
+        now: u64,
+        service: &str,
+        ticket: Ticket,
+        started: bool,
+        end: End,
+    ) {
+        let Some(routed) = self.find(service) else { return };
+        match end {
+            End::Well { held_ms } => {
+                routed.pool.end(now, ticket, started, Some(held_ms as f32));
+            }
+            End::Failed => routed.pool.end(now, ticket, started, None),
+            End::Left => routed.pool.abandon(ticket, now, started),
+        }
+    }
+
+    /// Requests of this node under way, for the other nodes.
+    pub fn under(&self) -> Vec<Under> {
+        let pools = self.services.iter().flat_map(|one| one.pool.own());
+        pools
+            .filter(|(_, count)| *count > 0)
+            .map(|(id, count)| Under {
+                replica: table::replica_hash(id),
+                count,
+            })
+            .collect()
+    }
+
+    /// True when a replica of that id may be given work.
+    pub fn has(&self, replica: &str) -> bool {
+        self.services.iter().any(|service| {
+            position(&service.places, replica, |one| one.replica.as_str())
+                .is_ok()
+        })
+    }
+
+    /// Replicas of a service that may be given work, and requests thought to
+    /// be under way at all of them.
+    pub fn load(&self, service: &str) -> (usize, u32, f32) {
+        let at = position(&self.services, service, |one| one.name.as_str());
+        match at {
+            Ok(at) => {
+                let pool = &self.services[at].pool;
+                (pool.len(), pool.slots(), pool.load())
+            }
+            Err(_) => (0, 0, 0.0),
+        }
+    }
+}
+
+common! {
+    copy
+    /// How a request ended at its replica.
+    pub enum End {
+        /// With a whole answer, after so many ms.
+        Well {
+            /// For how long it held its slot, in ms.
+            held_ms: u32,
+        },
+        /// By a fault of the replica.
+        Failed,
+        /// For a reason that says nothing about the replica.
+        Left,
+    }
+}
+
+impl Routed {
+    fn refresh<'a>(
+        &mut self,
+        now: u64,
+        near: &str,
+        replicas: impl Iterator<Item = &'a table::Replica> + Clone,
+        table: &Table,
+    ) {
+        let fresh = replicas.clone().filter(|replica| {
+            let heard = now < replica.heard_at + HEARTBEAT_LIMIT_MS;
+            heard || self.answered(now, &replica.says.id)
+        });
+        // Where no heartbeat comes through at all, the fault is more likely
+        // on this side of the cut than at every replica.
+        let mut used: Vec<&table::Replica> = fresh.collect();
+        if used.is_empty() {
+            used = replicas.collect();
+        }
+        let identities: Vec<Identity> = used.iter().map(identity).collect();
+        self.pool.set_replicas(near, &identities);
+        let old = std::mem::take(&mut self.places);
+        for replica in used {
+            let says = &replica.says;
+            let at = position(&old, &says.id, |one| &one.replica);
+            self.places.push(Place {
+                replica: says.id.clone(),
+                address: SocketAddrV4::new(
+                    Ipv4Addr::from(says.ip),
+                    says.port as u16,
+                ),
+                answered_at: at.map_or(0, |at| old[at].answered_at),
+            });
+            let others = table.under(now, table::replica_hash(&says.id));
+            let own = self.pool.own().find(|(id, _)| *id == says.id);
+            let load = others + own.map_or(0, |(_, own)| own);
+            self.pool.report(now, &says.id, 0, load, 0);
+        }
+        self.places.sort_by(|one, other| one.replica.cmp(&other.replica));
+    }
+
+    fn answered(&self, now: u64, replica: &str) -> bool {
+        position(&self.places, replica, |one| one.replica.as_str())
+            .is_ok_and(|at| now < self.places[at].answered_at + ANSWERED_MS)
+    }
+}
+
+fn identity(replica: &&table::Replica) -> Identity {
+    let says = &replica.says;
+    Identity {
+        id: says.id.clone(),
+        incarnation: 0,
+        data_centre: says.data_centre.clone(),
+        slots: says.slots,
+        reclaimable: says.reclaimable,
+        price: 0,
+    }
+}
+
+fn weights_for(service: Option<&Service>) -> Weights {
+    let engine = service.filter(|service| service.batch.is_some());
+    let defaults = Weights::default();
+    match engine {
+        Some(engine) => Weights {
+            token_ms: TOKEN_MS,
+            hold_ms: ENGINE_HOLD_MS,
+            batch_ms: BATCH_MS,
+            reclaim_ms: 0.0,
+            block_tokens: BLOCK_TOKENS,
+            blocks: (engine.cache_tokens / u64::from(BLOCK_TOKENS)) as u32,
+            ..defaults
+        },
+        None => Weights {
+            hold_ms: PLAIN_HOLD_MS,
+            reclaim_ms: 0.0,
+            tolerance_ms: 1.0,
+            ..defaults
+        },
+    }
+}
+
+/// The blocks of a prompt that comes in parts.
+///
+/// Each block's hash covers all parts up to its own, so two prompts share a
+/// block exactly when they share everything before it too.
+pub fn blocks_of(parts: &[(u64, u32)]) -> Vec<u64> {
+    let mut blocks = Vec::new();
+    let mut path = 0u64;
+    for &(part, tokens) in parts {
+        path =
+            (path.rotate_left(17) ^ part).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let count = u64::from((tokens + BLOCK_TOKENS / 2) / BLOCK_TOKENS);
+        for number in 0..count.max(1) {
+            let block = (path ^ number).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+            blocks.push(block ^ (block >> 29));
+        }
+    }
+    blocks
+}
--- /dev/null
+++ b/src/gateway/forward.rs
@@ -0,0 +1,712 @@
+//! One request, from its head to the answer.
+//!
+//! ```text
+//! route, key → body → quota → replica → answer, or another replica
+//! ```
+//!
+//! A request goes to a second replica only if the first is known not to have
+//! run it, or if it may run twice; and only within the route's attempts, the
+//! retry budget and the deadline. [`Attempts`] is that rule.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use http::{
+    HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header,
+};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body as _, Incoming};
+use tokio::time::{Instant, timeout_at};
+use tracing::{debug, info};
+
+use super::{
+    Gateway,
+    dialect::{Answered, Asked, Sending},
+    fleet::{End, Target, blocks_of},
+    plan::{Limits, Plan, Repeat, Route, Team},
+    refusal::Refusal,
+    relay,
+    server::{Body, full},
+    upstream::{Failed, Line},
+};
+use crate::{decide::route::Ask, verdict::Verdict};
+
+/// The longest that a client may pause within a body.
+const BODY_PAUSE: Duration = Duration::from_millis(3000);
+/// Answers up to this many bytes are read to the end before any of it goes
+/// on, so that one that breaks off can still be asked for elsewhere.
+const WHOLE_ANSWER: u64 = 256 * 1024;
+/// A request that may be repeated is tried elsewhere when its replica has
+/// been silent for this many times the route's target.
+const SILENT_TARGETS: u32 = 3;
+/// The shortest silence that is taken for a fault, in ms.
+const LEAST_SILENCE_MS: u64 = 400;
+/// Replicas that may turn one request away, beside those that may run it.
+const TURNED_AWAY: u32 = 2;
+/// When to come back while no replica can be reached, in ms: about what it
+/// takes for a replica's failure or return to become known everywhere.
+const NO_REPLICA_MS: u64 = 500;
+/// When to come back to an entry that has no plan yet, in ms.
+const NO_PLAN_MS: u64 = 300;
+/// Requests that stand in line are a second's worth at most.
+const LATER_MS: u64 = 400;
+/// The least urgent level there is.
+const LEAST_URGENT: u32 = 9;
+
+/// A request on its way.
+pub(super) struct Work {
+    pub gateway: Arc<Gateway>,
+    pub route: Route,
+    pub service: String,
+    pub team: Option<Team>,
+    pub asked: Asked,
+    pub method: Method,
+    /// Path and query, as they came.
+    pub path: String,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub began: Instant,
+    pub deadline: Instant,
+    pub attempts: Attempts,
+}
+
+/// Which replicas had a request, and whether it may go to one more.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Attempts {
+    /// Those that may have run it.
+    pub ran: u32,
+    /// Those that turned it away.
+    pub turned_away: u32,
+    /// All of them, for the router.
+    pub avoid: Vec<(String, u64)>,
+}
+
+impl Attempts {
+    /// Notes a replica that has been tried without success.
+    pub fn note(&mut self, replica: &str, verdict: Verdict) {
+        match verdict {
+            Verdict::NotRun => self.turned_away += 1,
+            Verdict::MayHaveRun | Verdict::Ran => self.ran += 1,
+        }
+        self.avoid.push((replica.to_owned(), 0));
+    }
+
+    /// True when one more replica may have it.
+    pub fn may_go_on(&self, repeat: Repeat, most: u32) -> bool {
+        let again = self.ran == 0 || repeat.is_repeatable();
+        again && self.ran < most && self.turned_away <= TURNED_AWAY
+    }
+}
+
+/// Answers one request.
+pub async fn serve(
+    gateway: Arc<Gateway>,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let began = Instant::now();
+    let asked = gateway.dialect.read(request.headers());
+    let id = asked.id.clone();
+    match accept(&gateway, request, asked, began).await {
+        Ok(work) => run(work).await,
+        Err(refusal) => {
+            refuse(&gateway, id.as_ref(), "", began, &refusal);
+            refusal.into_response()
+        }
+    }
+}
+
+/// Logs a refusal and counts it.
+fn refuse(
+    gateway: &Gateway,
+    id: Option<&HeaderValue>,
+    route: &str,
+    began: Instant,
+    refusal: &Refusal,
+) {
+    let outcome = crate::metrics::Outcome {
+        status: refusal.status.as_u16(),
+        verdict: refusal.verdict.as_str(),
+    };
+    gateway.metrics.outcomes.get_or_create(&outcome).inc();
+    info!(
+        target: "gateway",
+        request = shown(id),
+        route,
+        status = refusal.status.as_u16(),
+        verdict = refusal.verdict.as_str(),
+        after_ms = began.elapsed().as_millis() as u64,
+        retry_after_ms = refusal.retry_after_ms.unwrap_or(0),
+        "Refused: {}.", refusal.text
+    );
+}
+
+fn shown(id: Option<&HeaderValue>) -> &str {
+    id.and_then(|id| id.to_str().ok()).unwrap_or("-")
+}
+
+// ---- Before a replica is asked ----------------------------------------------
+
+async fn accept(
+    gateway: &Arc<Gateway>,
+    request: Request<Incoming>,
+    asked: Asked,
+    began: Instant,
+) -> Result<Work, Refusal> {
+    let host = host_of(&request)?;
+    let held = gateway.plan.read();
+    let Some(plan) = held.as_ref() else {
+        return Err(Refusal::later("no plan here yet", NO_PLAN_MS));
+    };
+    let path = request.uri().path();
+    let Some(route) = plan.route(&host, path) else {
+        let status = StatusCode::NOT_FOUND;
+        return Err(Refusal::wrong(status, "no route leads there"));
+    };
+    let team = team_of(plan, route, &asked)?;
+    let limit = Duration::from_millis(
+        asked.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms),
+    );
+    let deadline = began + limit;
+    let service = gateway.draw_service(route);
+    let (route, team) = (route.clone(), team.cloned());
+    let limits = plan.limits();
+    let (head, body) = request.into_parts();
+    let body = read_body(body, limits, deadline).await?;
+    if let Some(team) = &team
+        && let Some(quota) = team.quota
+    {
+        let cost = cost_of(&asked, quota.plain_tokens);
+        let admitted = gateway.admit(&team.name, quota, cost);
+        admitted.map_err(Refusal::quota)?;
+    }
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    Ok(Work {
+        gateway: gateway.clone(),
+        route,
+        service,
+        team,
+        asked,
+        method: head.method,
+        path: path.to_owned(),
+        headers: passed_on(head.headers),
+        body,
+        began,
+        deadline,
+        attempts: Attempts::default(),
+    })
+}
+
+/// The host, in lower case and without a port.
+///
+/// Two hosts, or one in the request line that differs, are refused: which of
+/// them counts would be decided differently here and further on.
+fn host_of(request: &Request<Incoming>) -> Result<String, Refusal> {
+    let wrong = |text| Refusal::broken(StatusCode::BAD_REQUEST, text);
+    let mut named = request.headers().get_all(header::HOST).iter();
+    let (Some(host), None) = (named.next(), named.next()) else {
+        return Err(wrong("needs one Host header"));
+    };
+    let host = host.to_str().map_err(|_| wrong("unreadable Host"))?;
+    if let Some(authority) = request.uri().authority()
+        && !authority.as_str().eq_ignore_ascii_case(host)
+    {
+        return Err(wrong("Host differs from the request line"));
+    }
+    if request.uri().path().is_empty() || request.method() == Method::CONNECT {
+        return Err(wrong("needs a path"));
+    }
+    let name = host.split(':').next().unwrap_or(host);
+    Ok(name.to_ascii_lowercase())
+}
+
+fn team_of<'a>(
+    plan: &'a Plan,
+    route: &Route,
+    asked: &Asked,
+) -> Result<Option<&'a Team>, Refusal> {
+    if route.public || !plan.asks_for_keys() {
+        return Ok(None);
+    }
+    let team = asked.key.as_deref().and_then(|key| plan.team(key));
+    let status = StatusCode::UNAUTHORIZED;
+    team.map(Some).ok_or(Refusal::wrong(status, "unknown key"))
+}
+
+fn cost_of(asked: &Asked, plain_tokens: Option<u64>) -> u64 {
+    match (plain_tokens, asked.tokens) {
+        (None, _) => 1,
+        (Some(_), Some((prompt, answer))) => prompt + answer,
+        (Some(plain), None) => plain,
+    }
+}
+
+/// Reads a body to the end, within the limits.
+async fn read_body(
+    mut body: Incoming,
+    limits: Limits,
+    deadline: Instant,
+) -> Result<Bytes, Refusal> {
+    let too_long =
+        || Refusal::broken(StatusCode::PAYLOAD_TOO_LARGE, "body too long");
+    if body.size_hint().lower() > limits.body_bytes as u64 {
+        return Err(too_long());
+    }
+    let mut read = BytesMut::new();
+    while !body.is_end_stream() {
+        let until = deadline.min(Instant::now() + BODY_PAUSE);
+        let frame = match timeout_at(until, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(None) => break,
+            Ok(Some(Err(_))) => {
+                let status = StatusCode::BAD_REQUEST;
+                return Err(Refusal::broken(status, "broken body"));
+            }
+            Err(_) => {
+                let status = StatusCode::REQUEST_TIMEOUT;
+                return Err(Refusal::broken(status, "the body stalled"));
+            }
+        };
+        if let Ok(data) = frame.into_data() {
+            if read.len() + data.len() > limits.body_bytes {
+                return Err(too_long());
+            }
+            read.extend_from_slice(&data);
+        }
+    }
+    Ok(read.freeze())
+}
+
+/// Headers that concern one connection only are left out.
+fn passed_on(mut headers: HeaderMap) -> HeaderMap {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in named {
+        // One may not name away what routing and framing go by.
+        if name != "host" {
+            headers.remove(name.as_str());
+        }
+    }
+    for name in [
+        header::CONNECTION,
+        header::TRANSFER_ENCODING,
+        header::CONTENT_LENGTH,
+        header::TE,
+        header::TRAILER,
+        header::UPGRADE,
+        header::EXPECT,
+        header::PROXY_AUTHORIZATION,
+        header::PROXY_AUTHENTICATE,
+    ] {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+    headers.remove("proxy-connection");
+    headers
+}
+
+// ---- At the replicas ----------------------------------------------------------
+
+/// What one replica made of a request.
+pub(super) enum Reply {
+    /// The head of an answer that is passed on as it comes.
+    Streams(Box<relay::Source>, Response<()>),
+    /// A whole answer.
+    Whole(Response<Bytes>),
+}
+
+async fn run(mut work: Work) -> Response<Body> {
+    let gateway = work.gateway.clone();
+    let id = work.asked.id.clone();
+    let route = work.route.name.clone();
+    let began = work.began;
+    let result = work.run().await;
+    match result {
+        Ok(Reply::Whole(answer)) => {
+            work.log(answer.status(), "answered");
+            answer.map(full)
+        }
+        Ok(Reply::Streams(source, head)) => {
+            work.log(head.status(), "streams");
+            relay::open(work, *source, head)
+        }
+        Err(refusal) => {
+            if refusal.verdict == Verdict::NotRun {
+                work.give_back();
+            }
+            refuse(&gateway, id.as_ref(), &route, began, &refusal);
+            refusal.into_response()
+        }
+    }
+}
+
+impl Work {
+    /// Milliseconds by the timer's clock.
+    pub fn now(&self) -> u64 {
+        self.gateway.timer.now()
+    }
+
+    async fn run(&mut self) -> Result<Reply, Refusal> {
+        let mut last = Refusal::later("no replica is there", NO_REPLICA_MS);
+        let mut answer = None;
+        loop {
+            if Instant::now() >= self.deadline {
+                let verdict = last.verdict;
+                return self.settle(answer, Refusal::late(verdict));
+            }
+            let Some(target) = self.pick() else {
+                return self.settle(answer, last);
+            };
+            let tried = self.attempts.ran + self.attempts.turned_away;
+            if tried == 0 {
+                self.gateway.fleet().sent(self.now(), &self.service);
+            }
+            match self.attempt(&target, self.asked.last_event).await {
+                Ok(Reply::Whole(failure)) if is_failure(&failure) => {
+                    self.attempts.note(&target.replica, Verdict::Ran);
+                    answer = Some(failure);
+                }
+                Ok(reply) => return Ok(reply),
+                Err(failed) => {
+                    debug!(
+                        target: "gateway",
+                        request = shown(self.asked.id.as_ref()),
+                        replica = target.replica,
+                        verdict = failed.verdict.as_str(),
+                        "Attempt failed: {}.", failed.text
+                    );
+                    self.attempts.note(&target.replica, failed.verdict);
+                    last = match (failed.verdict, failed.sent) {
+                        (Verdict::NotRun, true) => {
+                            Refusal::later("the replicas are full", LATER_MS)
+                        }
+                        (Verdict::NotRun, false) => Refusal::later(
+                            "no replica can be reached",
+                            NO_REPLICA_MS,
+                        ),
+                        _ => Refusal::doubtful("the replica did not answer"),
+                    };
+                    if self.attempts.ran > 0 {
+                        last.verdict = Verdict::MayHaveRun;
+                    }
+                    if self.attempts.ran > 0
+                        && failed.verdict == Verdict::NotRun
+                    {
+                        last = Refusal::doubtful("no replica answered");
+                    }
+                    if Instant::now() >= self.deadline {
+                        last = Refusal::late(last.verdict);
+                    }
+                }
+            }
+            if !self.may_repeat() {
+                return self.settle(answer, last);
+            }
+        }
+    }
+
+    /// A replica's own failure is passed on before one of the gateway's.
+    fn settle(
+        &self,
+        answer: Option<Response<Bytes>>,
+        refusal: Refusal,
+    ) -> Result<Reply, Refusal> {
+        answer.map(Reply::Whole).ok_or(refusal)
+    }
+
+    /// Whether one more replica may be asked; counts it if so.
+    pub fn may_repeat(&self) -> bool {
+        let route = &self.route;
+        if !self.attempts.may_go_on(route.repeat, route.attempts) {
+            return false;
+        }
+        let entries = self.gateway.entries();
+        let now = self.now();
+        self.gateway.fleet().repeat(now, &self.service, entries)
+    }
+
+    /// The router's choice among replicas that have not had the request.
+    pub fn pick(&self) -> Option<Target> {
+        let blocks = blocks_of(&self.asked.parts);
+        let tokens = self.asked.tokens.map_or(0, |(prompt, _)| prompt);
+        let ask = Ask {
+            tokens: tokens as u32,
+            blocks: &blocks,
+            avoid: &self.attempts.avoid,
+        };
+        let now = self.now();
+        let target = self.gateway.fleet().pick(now, &self.service, &ask)?;
+        let had = self.attempts.avoid.iter();
+        let had = had.filter(|(id, _)| *id == target.replica).count() > 0;
+        if had {
+            let ticket = target.ticket;
+            let mut fleet = self.gateway.fleet();
+            fleet.end(now, &self.service, ticket, false, End::Left);
+            return None;
+        }
+        Some(target)
+    }
+
+    /// Asks one replica.
+    pub async fn attempt(
+        &self,
+        target: &Target,
+        last_event: Option<u64>,
+    ) -> Result<Reply, Failed> {
+        let mut flight = Flight::begin(self, target);
+        let lines = &self.gateway.lines;
+        let taken =
+            lines.take(&target.replica, target.address, self.deadline).await;
+        let mut line = taken.inspect_err(|_| flight.end = End::Failed)?;
+        let request = self.request(target, last_event)?;
+        let silence = self.silence();
+        let sent = line.send(request, self.body.len(), silence).await;
+        let response = sent.inspect_err(|failed| {
+            let due = Instant::now() < self.deadline;
+            if due || failed.verdict != Verdict::MayHaveRun {
+                flight.end = End::Failed;
+            }
+        })?;
+        let answered = self.gateway.dialect.judge(
+            self.asked.id.as_ref(),
+            response.status(),
+            response.headers(),
+        );
+        self.check(&answered, &mut flight)?;
+        flight.began(&answered);
+        self.gateway.count_began(self.team.as_ref());
+        let streams = self.route.repeat.is_stream();
+        if streams && response.status().is_success() {
+            let (head, body) = response.into_parts();
+            let keep = answered.keep_ms;
+            let source = relay::Source { body, line, flight, keep };
+            let head = answer_head(head, &Method::GET);
+            return Ok(Reply::Streams(Box::new(source), head));
+        }
+        self.read_whole(response, line, flight, answered.keep_ms).await
+    }
+
+    fn check(
+        &self,
+        answered: &Answered,
+        flight: &mut Flight,
+    ) -> Result<(), Failed> {
+        let failed = |verdict, text: &str| {
+            Err(Failed { verdict, sent: true, text: text.to_owned() })
+        };
+        if !answered.matches {
+            flight.end = End::Failed;
+            return failed(Verdict::MayHaveRun, "answer to another request");
+        }
+        if answered.wrong_replica {
+            flight.end = End::Failed;
+            return failed(Verdict::NotRun, "another replica is there");
+        }
+        if answered.not_run {
+            flight.end = End::Failed;
+            return failed(Verdict::NotRun, "the replica refused it");
+        }
+        Ok(())
+    }
+
+    /// Reads an answer to its end, or hands on a long one as it comes.
+    async fn read_whole(
+        &self,
+        response: Response<Incoming>,
+        line: Line,
+        mut flight: Flight,
+        keep: Option<u64>,
+    ) -> Result<Reply, Failed> {
+        let (head, mut body) = response.into_parts();
+        let failure = head.status.is_server_error();
+        if body.size_hint().lower() > WHOLE_ANSWER {
+            let source = relay::Source { body, line, flight, keep };
+            let head = answer_head(head, &self.method);
+            return Ok(Reply::Streams(Box::new(source), head));
+        }
+        let mut read = BytesMut::new();
+        loop {
+            match timeout_at(self.deadline, body.frame()).await {
+                Ok(Some(Ok(frame))) => {
+                    if let Ok(data) = frame.into_data() {
+                        read.extend_from_slice(&data);
+                    }
+                }
+                Ok(None) => break,
+                Ok(Some(Err(error))) => {
+                    flight.end = End::Failed;
+                    return Err(Failed {
+                        verdict: Verdict::Ran,
+                        sent: true,
+                        text: format!("the answer broke off: {error}"),
+                    });
+                }
+                Err(_) => {
+                    return Err(Failed {
+                        verdict: Verdict::Ran,
+                        sent: true,
+                        text: "the answer did not end in time".to_owned(),
+                    });
+                }
+            }
+        }
+        flight.finish(failure);
+        self.gateway.lines.put_back(line, keep.map(Duration::from_millis));
+        let head = answer_head(head, &self.method);
+        Ok(Reply::Whole(head.map(|()| read.freeze())))
+    }
+
+    fn request(
+        &self,
+        target: &Target,
+        last_event: Option<u64>,
+    ) -> Result<Request<Full<Bytes>>, Failed> {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let mut headers = self.headers.clone();
+        let team = self.team.as_ref();
+        let priority =
+            team.and_then(|team| team.priority).unwrap_or(self.route.priority);
+        // Room is left between two ranks for what is served first within one.
+        let urgency = (2 * priority).min(LEAST_URGENT) as u8;
+        let sending = Sending {
+            replica: &target.replica,
+            team: team.map(|team| team.name.as_str()),
+            deadline_ms: left.as_millis() as u64,
+            urgency: self.route.repeat.is_stream().then_some(urgency),
+            last_event,
+        };
+        self.gateway.dialect.write(&mut headers, &sending);
+        let mut request = Request::builder()
+            .method(self.method.clone())
+            .uri(self.path.as_str())
+            .body(Full::new(self.body.clone()))
+            .map_err(|error| Failed {
+                verdict: Verdict::NotRun,
+                sent: false,
+                text: error.to_string(),
+            })?;
+        *request.headers_mut() = headers;
+        Ok(request)
+    }
+
+    /// How long a replica may be silent before its answer begins.
+    fn silence(&self) -> Duration {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let mut next = self.attempts.clone();
+        next.ran += 1;
+        if !next.may_go_on(self.route.repeat, self.route.attempts) {
+            return left;
+        }
+        let target = Duration::from_millis(self.route.target_ms);
+        let least = Duration::from_millis(LEAST_SILENCE_MS);
+        left.min((target * SILENT_TARGETS).max(least))
+    }
+
+    fn give_back(&self) {
+        if let Some(team) = &self.team
+            && let Some(quota) = team.quota
+        {
+            let cost = cost_of(&self.asked, quota.plain_tokens);
+            self.gateway.give_back(&team.name, cost);
+        }
+    }
+
+    fn log(&self, status: StatusCode, how: &'static str) {
+        info!(
+            target: "gateway",
+            request = shown(self.asked.id.as_ref()),
+            route = self.route.name,
+            plan = self.gateway.plan_version(),
+            replica = self.attempts.avoid.last().map_or("", |last| &last.0),
+            tried = self.attempts.avoid.len(),
+            status = status.as_u16(),
+            after_ms = self.began.elapsed().as_millis() as u64,
+            "Request {how}."
+        );
+    }
+}
+
+/// True for an answer after which another replica may do better.
+fn is_failure(answer: &Response<Bytes>) -> bool {
+    answer.status().is_server_error()
+}
+
+/// The head of an answer, for the client.
+fn answer_head(head: http::response::Parts, method: &Method) -> Response<()> {
+    let length = head.headers.get(header::CONTENT_LENGTH).cloned();
+    let mut headers = passed_on(head.headers);
+    if let (Some(length), &Method::HEAD) = (length, method) {
+        headers.insert(header::CONTENT_LENGTH, length);
+    }
+    let mut answer = Response::new(());
+    *answer.status_mut() = head.status;
+    *answer.headers_mut() = headers;
+    answer
+}
+
+/// A request under way at a replica; counted until dropped.
+pub(super) struct Flight {
+    gateway: Arc<Gateway>,
+    service: String,
+    target: Target,
+    began_at: u64,
+    started: bool,
+    /// What it will have ended as when it is dropped.
+    pub end: End,
+}
+
+impl Flight {
+    fn begin(work: &Work, target: &Target) -> Flight {
+        Flight {
+            gateway: work.gateway.clone(),
+            service: work.service.clone(),
+            target: target.clone(),
+            began_at: work.now(),
+            started: false,
+            // Dropped on the way when the client has left.
+            end: End::Left,
+        }
+    }
+
+    fn began(&mut self, answered: &Answered) {
+        self.started = true;
+        let now = self.gateway.timer.now();
+        let mut fleet = self.gateway.fleet();
+        fleet.began(now, &self.service, &self.target, answered.load);
+    }
+
+    /// The answer was read to its end.
+    pub fn finish(&mut self, failure: bool) {
+        let now = self.gateway.timer.now();
+        let held_ms = now.saturating_sub(self.began_at) as u32;
+        self.end = match failure {
+            true => End::Failed,
+            false => End::Well { held_ms },
+        };
+    }
+
+    /// Something came.
+    pub fn progress(&self) {
+        let now = self.gateway.timer.now();
+        let ticket = self.target.ticket;
+        self.gateway.fleet().progress(now, &self.service, ticket);
+    }
+
+    /// The replica.
+    pub fn replica(&self) -> &str {
+        &self.target.replica
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        let now = self.gateway.timer.now();
+        let ticket = self.target.ticket;
+        let mut fleet = self.gateway.fleet();
+        fleet.end(now, &self.service, ticket, self.started, self.end);
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,248 @@
+//! A gateway: passes clients' requests on to replicas, unchanged.
+//!
+//! | module | does |
+//! |---|---|
+//! | [`server`] | connections with clients |
+//! | [`plan`] | routes, services, teams and limits, checked |
+//! | [`dialect`] | the headers that mean something here |
+//! | [`forward`] | one request, from its head to the answer |
+//! | [`relay`] | answers that are passed on as they come |
+//! | [`events`] | streams cut where an event ends |
+//! | [`fleet`] | the replicas of each service, with a router for each |
+//! | [`upstream`] | connections with replicas |
+//! | [`refusal`] | answers of the gateway's own |
+//!
+//! What it decides by stands in [`crate::decide`].
+
+pub mod dialect;
+pub mod events;
+pub mod fleet;
+pub mod forward;
+pub mod plan;
+pub mod refusal;
+mod relay;
+pub mod server;
+pub mod upstream;
+
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use rand::RngExt;
+use tracing::info;
+
+use self::{
+    dialect::Dialect,
+    fleet::Fleet,
+    plan::{Plan, Quota, Route, Team},
+    upstream::Lines,
+};
+use crate::{
+    board::Cell,
+    decide::{
+        quota::{Allowance, Meter},
+        retry::Bound,
+    },
+    mesh::{self, table::Own},
+    metrics::Metrics,
+    timer::Timer,
+    util::{common, name_hash, position, wall_ms},
+    wire::Spent,
+};
+
+common! {
+    copy
+    /// How usage is counted.
+    pub struct Windows {
+        /// The length of a window, in ms.
+        pub length_ms: u64,
+    }
+}
+
+/// How to run a gateway.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Where this VM is.
+    pub data_centre: String,
+    /// What repeats are allowed over all entries.
+    pub repeats: Bound,
+    /// How usage is counted.
+    pub windows: Windows,
+}
+
+/// The data path of one node.
+pub struct Gateway {
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) timer: Timer,
+    /// Written by the node; versions only grow.
+    pub(crate) plan: Cell<Option<Plan>>,
+    pub(crate) lines: Lines,
+    pub(crate) metrics: Metrics,
+    mesh: std::sync::OnceLock<mesh::Handle>,
+    fleet: Mutex<Fleet>,
+    /// Sorted by team.
+    meters: Mutex<Vec<(String, Meter)>>,
+    windows: Windows,
+}
+
+impl std::fmt::Debug for Gateway {
+    fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        out.debug_struct("Gateway").finish_non_exhaustive()
+    }
+}
+
+impl Gateway {
+    /// Starts without a plan; every request is refused until there is one.
+    pub fn open(
+        options: &Options,
+        dialect: Arc<dyn Dialect>,
+        timer: Timer,
+    ) -> Gateway {
+        Gateway {
+            dialect,
+            timer,
+            plan: Cell::new(None),
+            lines: Lines::default(),
+            metrics: Metrics::open(),
+            mesh: std::sync::OnceLock::new(),
+            fleet: Mutex::new(Fleet::open(
+                &options.data_centre,
+                options.repeats,
+            )),
+            meters: Mutex::default(),
+            windows: options.windows,
+        }
+    }
+
+    /// Joins the mesh, which also needs the gateway; once.
+    pub fn set_mesh(&self, mesh: mesh::Handle) {
+        let _ = self.mesh.set(mesh);
+    }
+
+    /// Puts a plan in force, if it is newer than the one that is.
+    pub fn set_plan(&self, plan: Plan) {
+        let version = plan.version();
+        if version <= self.plan_version() {
+            return;
+        }
+        info!(
+            target: "gateway",
+            plan = version,
+            before = self.plan_version(),
+            routes = plan.routes().len(),
+            "New plan in force."
+        );
+        self.metrics.revision.set(version as i64);
+        self.plan.write(Some(plan));
+        self.refresh();
+    }
+
+    /// The version in force, 0 before the first.
+    pub fn plan_version(&self) -> u64 {
+        self.plan.read().as_ref().as_ref().map_or(0, Plan::version)
+    }
+
+    /// Takes over what the mesh knows of replicas and of quotas.
+    pub fn refresh(&self) {
+        let Some(mesh) = self.mesh.get() else { return };
+        let now = self.timer.now();
+        let plan = self.plan.read();
+        let mut fleet = self.fleet();
+        let table = mesh.table();
+        fleet.refresh(now, &table, plan.as_ref().as_ref());
+        self.lines.retain(|replica| fleet.has(replica));
+        for (team, meter) in self.meters().iter_mut() {
+            for (entry, total) in table.spent(name_hash(team)) {
+                meter.note(now, entry, total);
+            }
+        }
+    }
+
+    /// What other nodes are told of this one's requests.
+    pub fn own(&self) -> Own {
+        let spent = self
+            .meters()
+            .iter()
+            .map(|(team, meter)| Spent {
+                team: name_hash(team),
+                tokens: meter.own(),
+            })
+            .collect();
+        Own { under: self.fleet().under(), spent }
+    }
+
+    pub(crate) fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        self.fleet.lock().unwrap_or_else(|held| held.into_inner())
+    }
+
+    fn meters(&self) -> MutexGuard<'_, Vec<(String, Meter)>> {
+        self.meters.lock().unwrap_or_else(|held| held.into_inner())
+    }
+
+    /// Entries that serve, this one too.
+    fn entries(&self) -> usize {
+        let now = self.timer.now();
+        let Some(mesh) = self.mesh.get() else { return 1 };
+        mesh.table().reach(now).0
+    }
+
+    /// One of a route's services, by weight.
+    fn draw_service(&self, route: &Route) -> String {
+        let total: u64 = route.split.iter().map(|(_, weight)| weight).sum();
+        let mut drawn = rand::rng().random_range(0..total.max(1));
+        for (service, weight) in &route.split {
+            if drawn < *weight {
+                return service.clone();
+            }
+            drawn -= weight;
+        }
+        String::new()
+    }
+
+    fn allowance(&self, quota: Quota) -> Allowance {
+        let now = self.timer.now();
+        let (entries, unheard) = match self.mesh.get() {
+            Some(mesh) => mesh.table().reach(now),
+            None => (1, 0),
+        };
+        Allowance {
+            rate: quota.rate as f64,
+            burst: quota.burst.max(1) as f64,
+            heard: 1.0 - unheard as f64 / entries as f64,
+        }
+    }
+
+    /// Admits a team's request, or says after how many ms to come back.
+    fn admit(&self, team: &str, quota: Quota, cost: u64) -> Result<(), u64> {
+        let now = self.timer.now();
+        let allowance = self.allowance(quota);
+        let mut meters = self.meters();
+        let at = match position(&meters, team, |(name, _)| name.as_str()) {
+            Ok(at) => at,
+            Err(at) => {
+                let meter = Meter::open(now, allowance);
+                meters.insert(at, (team.to_owned(), meter));
+                at
+            }
+        };
+        meters[at].1.admit(now, allowance, cost)
+    }
+
+    /// Gives back what a request would have used, as it did not run.
+    fn give_back(&self, team: &str, cost: u64) {
+        let mut meters = self.meters();
+        if let Ok(at) = position(&meters, team, |(name, _)| name.as_str()) {
+            meters[at].1.give_back(cost);
+        }
+    }
+
+    /// Counts a request that a replica began to run.
+    fn count_began(&self, team: Option<&Team>) {
+        let (Some(team), Some(mesh)) = (team, self.mesh.get()) else {
+            return;
+        };
+        let now = self.timer.now();
+        let mut table = mesh.table();
+        let wall = wall_ms() as i64 + table.clock_offset(now);
+        let window = wall.max(0) as u64 / self.windows.length_ms.max(1);
+        table.count_began(window, &team.name);
+    }
+}
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -4,9 +4,19 @@
 //! 2026-12-02T08:00:00Z  INFO control: Leads term 4.
 //! ```
 
-use std::{fmt, str::FromStr};
+use std::{
+    fmt,
+    io::{self, Write},
+    str::FromStr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+        mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
+    },
+    time::Duration,
+};
 
-use tracing_subscriber::EnvFilter;
+use tracing_subscriber::{EnvFilter, fmt::MakeWriter};
 
 use crate::util::common;
 
@@ -61,3 +71,109 @@
     };
     started.map_err(|error| format!("can't start logging: {error}"))
 }
+
+/// Lines that may wait to be written: a few seconds' worth.
+const WAITING_LINES: usize = 2048;
+/// Lines written in a second at most. Three times what a node logs when all
+/// its requests are refused; beyond it lines only say the same again.
+const LINES_PER_SECOND: u64 = 300;
+/// Pause between two writes, so that one write takes many lines.
+const WRITE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Starts logging JSON lines to standard output, by a thread of its own.
+///
+/// Nothing that logs ever waits: a line that finds no room is dropped, and
+/// the next one written is followed by a count of those.
+///
+/// # Errors
+///
+/// When the filter can't be read, the thread can't be started, or logging
+/// was started before.
+pub fn open_lines(level: &str) -> Result<(), String> {
+    let filter = EnvFilter::try_new(level)
+        .map_err(|error| format!("{level:?} is no log filter: {error}"))?;
+    let (queue, waiting) = sync_channel(WAITING_LINES);
+    let dropped = Arc::new(AtomicU64::new(0));
+    let lines = Lines { queue, dropped: dropped.clone() };
+    std::thread::Builder::new()
+        .name("logs".into())
+        .spawn(move || write_lines(&waiting, &dropped))
+        .map_err(|error| format!("can't start the log thread: {error}"))?;
+    tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .json()
+        .flatten_event(true)
+        .with_current_span(false)
+        .with_span_list(false)
+        .with_writer(lines)
+        .try_init()
+        .map_err(|error| format!("can't start logging: {error}"))
+}
+
+/// Hands lines to the thread that writes them.
+struct Lines {
+    queue: SyncSender<Vec<u8>>,
+    dropped: Arc<AtomicU64>,
+}
+
+/// One line; handed over when dropped.
+struct Line<'a> {
+    lines: &'a Lines,
+    text: Vec<u8>,
+}
+
+impl<'a> MakeWriter<'a> for Lines {
+    type Writer = Line<'a>;
+
+    fn make_writer(&'a self) -> Line<'a> {
+        Line { lines: self, text: Vec::new() }
+    }
+}
+
+impl Write for Line<'_> {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.text.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Drop for Line<'_> {
+    fn drop(&mut self) {
+        let text = std::mem::take(&mut self.text);
+        if let Err(TrySendError::Full(_)) = self.lines.queue.try_send(text) {
+            self.lines.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+fn write_lines(waiting: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
+    let mut second = std::time::Instant::now();
+    let mut written = 0;
+    while let Ok(first) = waiting.recv() {
+        if second.elapsed() >= Duration::from_secs(1) {
+            second = std::time::Instant::now();
+            written = 0;
+        }
+        let mut batch = Vec::new();
+        for line in std::iter::once(first).chain(waiting.try_iter()) {
+            if written < LINES_PER_SECOND {
+                batch.extend_from_slice(&line);
+                written += 1;
+            } else {
+                dropped.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+        let missing = dropped.swap(0, Ordering::Relaxed);
+        if missing > 0 {
+            let line = format!("{{\"dropped_lines\":{missing}}}\n");
+            batch.extend_from_slice(line.as_bytes());
+        }
+        // Where standard output is gone there is nobody to tell.
+        let _ = io::stdout().write_all(&batch);
+        std::thread::sleep(WRITE_PAUSE);
+    }
+}
--- /dev/null
+++ b/src/mesh/mod.rs
@@ -0,0 +1,257 @@
+//! How nodes know of each other, of the replicas, and of what all have used.
+//!
+//! Every node tells the others of itself over UDP, a few times a second.
+//! Datagrams get lost, and nothing is sent twice for it: each says how things
+//! are, not what has changed, so the next one makes up for the last.
+//! [`table`] holds what is known, apart from any I/O.
+//!
+//! What is urgent (a replica leaves, a node stops) goes out at once, and in
+//! the regular datagrams after that.
+
+pub mod table;
+
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use prost::Message;
+use tokio::{
+    net::UdpSocket,
+    sync::Notify,
+    task::JoinHandle,
+    time::{MissedTickBehavior, interval, sleep},
+};
+use tracing::{debug, info, warn};
+
+use self::table::{News, Own, Table};
+use crate::{
+    timer::Timer,
+    util::wall_ms,
+    wire::{Gossip, Peer},
+};
+
+/// Between two datagrams to the same node.
+///
+/// Short enough that a quota overdrawn by all nodes at once is noticed within
+/// a third of a second; ten nodes then get thirty datagrams a second each.
+const PERIOD: Duration = Duration::from_millis(300);
+/// Between two urgent rounds, so that many changes share one.
+const URGENT_PAUSE: Duration = Duration::from_millis(10);
+/// Every so many rounds, nodes that are silent are told too.
+const SILENT_ROUNDS: u64 = 4;
+/// Nodes told in one round; at more than that, the rest follow in turn.
+const FANOUT: usize = 16;
+/// The longest datagram that is read, in bytes.
+const LONGEST: usize = 16 * 1024;
+
+/// How to join the mesh.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// This node.
+    pub me: Peer,
+    /// Where datagrams come in; the port is the same at every node.
+    pub listen: SocketAddrV4,
+    /// Nodes to speak to first.
+    pub seeds: Vec<Ipv4Addr>,
+}
+
+/// What the mesh needs from the node, and tells it.
+pub trait Host: Send + Sync + 'static {
+    /// What goes into the next datagram besides the table.
+    fn own(&self) -> Own;
+    /// Something has changed, or a period has passed.
+    fn news(self: Arc<Self>, news: News);
+}
+
+/// A running mesh; clones share it.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    shared: Arc<Shared>,
+    tasks: Arc<Tasks>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    table: Mutex<Table>,
+    seeds: Mutex<Vec<Ipv4Addr>>,
+    socket: UdpSocket,
+    port: u16,
+    urgent: Notify,
+    timer: Timer,
+}
+
+#[derive(Debug)]
+struct Tasks(Vec<JoinHandle<()>>);
+
+impl Drop for Tasks {
+    fn drop(&mut self) {
+        for task in &self.0 {
+            task.abort();
+        }
+    }
+}
+
+/// Joins the mesh.
+///
+/// `host` is called with the handle's table unlocked.
+///
+/// # Errors
+///
+/// When the address can't be bound.
+pub async fn bind(
+    options: Options,
+    timer: Timer,
+    host: Arc<dyn Host>,
+) -> io::Result<Handle> {
+    let socket = UdpSocket::bind(options.listen).await?;
+    let port = options.listen.port();
+    info!(target: "mesh", "Listens on {}.", options.listen);
+    let shared = Arc::new(Shared {
+        table: Mutex::new(Table::open(options.me)),
+        seeds: Mutex::new(options.seeds),
+        socket,
+        port,
+        urgent: Notify::new(),
+        timer,
+    });
+    let tasks = vec![
+        tokio::spawn(receive(shared.clone(), host.clone())),
+        tokio::spawn(tell(shared.clone(), host)),
+    ];
+    Ok(Handle { shared, tasks: Arc::new(Tasks(tasks)) })
+}
+
+impl Handle {
+    /// The table, locked; never held across an await.
+    pub fn table(&self) -> MutexGuard<'_, Table> {
+        self.shared.table()
+    }
+
+    /// Tells all others at once.
+    pub fn urge(&self) {
+        self.shared.urgent.notify_one();
+    }
+
+    /// Takes new seeds, as when the settings have changed.
+    pub fn set_seeds(&self, seeds: Vec<Ipv4Addr>) {
+        *self.shared.seeds.lock().unwrap_or_else(|held| held.into_inner()) =
+            seeds;
+        self.urge();
+    }
+
+    /// Whether the background tasks still run.
+    pub fn is_running(&self) -> bool {
+        self.tasks.0.iter().all(|task| !task.is_finished())
+    }
+}
+
+impl Shared {
+    fn table(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().unwrap_or_else(|held| held.into_inner())
+    }
+
+    async fn send(&self, gossip: &Gossip, to: Ipv4Addr) {
+        let to = SocketAddr::from((to, self.port));
+        // A datagram that can't be sent is as good as one lost on its way.
+        if let Err(error) =
+            self.socket.send_to(&gossip.encode_to_vec(), to).await
+        {
+            debug!(target: "mesh", "Can't send to {to}: {error}.");
+        }
+    }
+}
+
+async fn receive(shared: Arc<Shared>, host: Arc<dyn Host>) {
+    let mut buffer = vec![0; LONGEST];
+    loop {
+        let (length, from) = match shared.socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                // A refused datagram of ours shows up here; the socket lives.
+                debug!(target: "mesh", "Can't receive: {error}.");
+                sleep(URGENT_PAUSE).await;
+                continue;
+            }
+        };
+        let Ok(gossip) = Gossip::decode(&buffer[..length]) else {
+            warn!(target: "mesh", "Unreadable datagram from {from}.");
+            continue;
+        };
+        let hello = gossip.hello;
+        let now = shared.timer.now();
+        let news = shared.table().hear(now, wall_ms() as i64, gossip);
+        if news != News::default() {
+            host.clone().news(news);
+        }
+        if let (true, SocketAddr::V4(from)) = (hello, from) {
+            // Before the table is locked: the host locks things of its own.
+            let own = host.own();
+            let wall_ms = wall_ms() as i64;
+            let answer = shared.table().compose(now, wall_ms, own);
+            shared.send(&answer, *from.ip()).await;
+        }
+    }
+}
+
+async fn tell(shared: Arc<Shared>, host: Arc<dyn Host>) {
+    let mut period = interval(PERIOD);
+    period.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut round = 0;
+    loop {
+        let regular = tokio::select! {
+            _ = period.tick() => true,
+            () = shared.urgent.notified() => {
+                sleep(URGENT_PAUSE).await;
+                false
+            }
+        };
+        if regular {
+            round += 1;
+            shared.table().expire(shared.timer.now());
+            host.clone().news(News::default());
+        }
+        tell_all(&shared, &*host, round).await;
+    }
+}
+
+async fn tell_all(shared: &Shared, host: &dyn Host, round: u64) {
+    let now = shared.timer.now();
+    let own = host.own();
+    let mut gossip = shared.table().compose(now, wall_ms() as i64, own);
+    let (mut live, silent) = split_nodes(shared, now);
+    if live.len() > FANOUT {
+        let from = (round as usize * FANOUT) % live.len();
+        live.rotate_left(from);
+        live.truncate(FANOUT);
+    }
+    for to in live {
+        shared.send(&gossip, to).await;
+    }
+    if round % SILENT_ROUNDS == 1 || silent.len() <= 3 {
+        gossip.hello = true;
+        for to in silent {
+            shared.send(&gossip, to).await;
+        }
+    }
+}
+
+/// Nodes that are heard, and nodes and seeds that are not.
+fn split_nodes(shared: &Shared, now: u64) -> (Vec<Ipv4Addr>, Vec<Ipv4Addr>) {
+    let table = shared.table();
+    let live: Vec<Ipv4Addr> = table.live(now).map(|one| one.ip()).collect();
+    let seeds = shared.seeds.lock().unwrap_or_else(|held| held.into_inner());
+    let me = Ipv4Addr::from(table.own().ip);
+    let mut silent: Vec<Ipv4Addr> = table
+        .nodes()
+        .iter()
+        .map(|node| node.ip())
+        .chain(seeds.iter().copied())
+        .filter(|ip| *ip != me && !live.contains(ip))
+        .collect();
+    silent.sort_unstable();
+    silent.dedup();
+    (live, silent)
+}
--- /dev/null
+++ b/src/mesh/table.rs
@@ -0,0 +1,518 @@
+//! What a node knows of the other nodes and of the replicas, apart from I/O.
+//!
+//! Every statement carries a counter of the one who makes it: a node's `beat`
+//! or a replica's `sequence`. A statement with a lower counter is old and
+//! changes nothing, however late it comes and whoever passes it on.
+//!
+//! A replica's state only moves from ready to leaving to gone. Its next start
+//! has a new id; so a late heartbeat can't bring back one that has left.
+
+use std::net::Ipv4Addr;
+
+use crate::{
+    util::{common, position, upsert},
+    wire::{Gossip, Peer, RecordUsage, Sighting, Spent, TeamCount, Under},
+};
+
+/// A node that was not heard for this long is not handed out, in ms.
+///
+/// Six times the pause between two datagrams: several in a row may be lost.
+pub const LIVE_MS: u64 = 1800;
+/// A node that was not heard for this long is forgotten, in ms.
+///
+/// Until then it is thought to serve behind a cut and to use its part of
+/// every quota there.
+pub const FORGET_NODE_MS: u64 = 60_000;
+/// A replica without a heartbeat for this long is forgotten, in ms. Longer
+/// than a cut between a replica and control, behind which it goes on serving.
+const FORGET_REPLICA_MS: u64 = 30_000;
+/// How long the mark of a replica that has left is kept, in ms: longer than a
+/// heartbeat can be late.
+const TOMBSTONE_MS: u64 = 60_000;
+/// Usage windows that are passed on: late enough for a lost datagram, short
+/// enough for one.
+const WINDOWS: usize = 4;
+/// Replicas named in one datagram, so that it fits an Ethernet frame.
+const REPLICAS_PER_DATAGRAM: usize = 12;
+/// Nodes named in one datagram besides the sender, for the same reason.
+const PEERS_PER_DATAGRAM: usize = 6;
+/// Replicas in each datagram that the receiver probably knows, in turn, so
+/// that every gap is filled within seconds.
+const REPEATED_PER_DATAGRAM: usize = 3;
+
+common! {
+    copy
+    /// Whether a replica may be given work.
+    pub enum State {
+        /// It may.
+        Ready,
+        /// It finishes what it has.
+        Leaving,
+        /// It said goodbye.
+        Gone,
+    }
+}
+
+impl State {
+    fn from_u32(number: u32) -> State {
+        match number {
+            0 => State::Ready,
+            1 => State::Leaving,
+            _ => State::Gone,
+        }
+    }
+}
+
+common! {
+    /// One incarnation of a replica.
+    pub struct Replica {
+        /// What it says of itself, as it goes over the wire.
+        pub says: Sighting,
+        /// Whether it may be given work.
+        pub state: State,
+        /// When its last heartbeat came in anywhere, by this node's clock.
+        pub heard_at: u64,
+        /// When it was first seen here.
+        pub since: u64,
+        /// Its heartbeats come in here, or its state has changed: to be told.
+        news: bool,
+    }
+}
+
+common! {
+    /// Another node.
+    pub struct Node {
+        /// What it says of itself.
+        pub says: Peer,
+        /// When it last said something, by this node's clock.
+        pub heard_at: u64,
+        /// When it was last heard directly, not through others.
+        pub direct_at: u64,
+        /// Its requests under way, by replica.
+        under: Vec<Under>,
+        /// Its tokens admitted since its start, by team.
+        spent: Vec<Spent>,
+        /// Its clock's lead over this node's, in ms.
+        lead_ms: i64,
+    }
+}
+
+common! {
+    /// Requests begun at one incarnation of a node, by window.
+    struct Began {
+        node: u64,
+        windows: Vec<RecordUsage>,
+    }
+}
+
+/// The whole of it.
+#[derive(Debug)]
+pub struct Table {
+    me: Peer,
+    nodes: Vec<Node>,
+    replicas: Vec<Replica>,
+    began: Vec<Began>,
+    next_peer: usize,
+    next_replica: usize,
+}
+
+/// What this node adds to its datagrams from elsewhere.
+#[derive(Clone, Debug, Default)]
+pub struct Own {
+    /// Requests under way, by replica.
+    pub under: Vec<Under>,
+    /// Tokens admitted since the start, by team.
+    pub spent: Vec<Spent>,
+}
+
+/// What a datagram changed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct News {
+    /// A replica appeared, or changed its state.
+    pub replicas: bool,
+    /// A node appeared.
+    pub nodes: bool,
+}
+
+/// A replica's number towards other nodes.
+pub fn replica_hash(id: &str) -> u64 {
+    crate::util::name_hash(id)
+}
+
+impl Table {
+    /// Starts with nobody else.
+    pub fn open(me: Peer) -> Table {
+        Table {
+            me,
+            nodes: Vec::new(),
+            replicas: Vec::new(),
+            began: Vec::new(),
+            next_peer: 0,
+            next_replica: 0,
+        }
+    }
+
+    /// What this node says of itself; the caller changes it in place.
+    pub fn me(&mut self) -> &mut Peer {
+        &mut self.me
+    }
+
+    /// This node's own statement.
+    pub fn own(&self) -> &Peer {
+        &self.me
+    }
+
+    /// All other nodes that are remembered, sorted by address.
+    pub fn nodes(&self) -> &[Node] {
+        &self.nodes
+    }
+
+    /// Other nodes that were heard lately.
+    pub fn live(&self, now: u64) -> impl Iterator<Item = &Node> {
+        self.nodes.iter().filter(move |node| node.is_live(now))
+    }
+
+    /// All replicas, also those that have left, sorted by id.
+    pub fn replicas(&self) -> &[Replica] {
+        &self.replicas
+    }
+
+    // ---- Replicas ---------------------------------------------------------
+
+    /// Takes a replica's statement; true when it is news to others.
+    pub fn sight(&mut self, now: u64, says: Sighting, direct: bool) -> bool {
+        let heard_at = now.saturating_sub(u64::from(says.age_ms));
+        let state = State::from_u32(says.state);
+        let found = position(&self.replicas, says.id.as_str(), |one| {
+            one.says.id.as_str()
+        });
+        match found {
+            Ok(at) => self.replicas[at].renew(says, state, heard_at, direct),
+            Err(_) if state == State::Gone && says.service.is_empty() => {
+                // A goodbye of somebody never seen: the mark keeps a late
+                // heartbeat from bringing it in.
+                self.add(now, says, state, heard_at);
+                true
+            }
+            Err(_) if says.service.is_empty() => false,
+            Err(_) => {
+                self.add(now, says, state, heard_at);
+                true
+            }
+        }
+    }
+
+    fn add(&mut self, now: u64, says: Sighting, state: State, heard_at: u64) {
+        let replica =
+            Replica { says, state, heard_at, since: now, news: true };
+        upsert(&mut self.replicas, replica, |one| one.says.id.as_str());
+    }
+
+    // ---- Datagrams --------------------------------------------------------
+
+    /// Takes a datagram; `wall_ms` is this node's time of day.
+    pub fn hear(&mut self, now: u64, wall_ms: i64, gossip: Gossip) -> News {
+        let mut news = News::default();
+        let Some(from) = gossip.from else { return news };
+        if from.ip == self.me.ip {
+            return news;
+        }
+        let (ip, incarnation) = (from.ip, from.incarnation);
+        news.nodes |= self.hear_of(now, from, true);
+        for peer in gossip.peers {
+            news.nodes |= self.hear_of(now, peer, false);
+        }
+        if let Ok(at) = position(&self.nodes, &ip, |one| &one.says.ip) {
+            let node = &mut self.nodes[at];
+            if node.says.incarnation == incarnation {
+                node.direct_at = now;
+                node.under = gossip.under;
+                node.spent = gossip.spent;
+                node.lead_ms = gossip.wall_ms - wall_ms;
+            }
+        }
+        for says in gossip.replicas {
+            news.replicas |= self.sight(now, says, false);
+        }
+        let began = Began { node: incarnation, windows: gossip.usage };
+        if !began.windows.is_empty() {
+            self.note_began(began);
+        }
+        news
+    }
+
+    fn hear_of(&mut self, now: u64, says: Peer, direct: bool) -> bool {
+        if says.ip == self.me.ip {
+            return false;
+        }
+        match position(&self.nodes, &says.ip, |one| &one.says.ip) {
+            Ok(at) => {
+                let node = &mut self.nodes[at];
+                let restarted = node.says.incarnation != says.incarnation;
+                // A beat is a time of day, so it grows across restarts too,
+                // unless the clock has jumped back meanwhile: then the node
+                // is believed as soon as it speaks for itself.
+                let old = says.beat <= node.says.beat;
+                if old && !(restarted && direct) {
+                    return false;
+                }
+                node.heard_at = now;
+                if restarted {
+                    node.under.clear();
+                    node.spent.clear();
+                }
+                node.says = says;
+                restarted
+            }
+            Err(at) => {
+                let node = Node {
+                    says,
+                    heard_at: now,
+                    direct_at: 0,
+                    under: Vec::new(),
+                    spent: Vec::new(),
+                    lead_ms: 0,
+                };
+                self.nodes.insert(at, node);
+                true
+            }
+        }
+    }
+
+    /// The next datagram.
+    pub fn compose(&mut self, now: u64, wall_ms: i64, own: Own) -> Gossip {
+        self.me.beat = self.me.beat.max(wall_ms as u64) + 1;
+        let usage = match self
+            .began
+            .iter()
+            .find(|one| one.node == self.me.incarnation)
+        {
+            Some(began) => {
+                let skip = began.windows.len().saturating_sub(WINDOWS);
+                began.windows[skip..].to_vec()
+            }
+            None => Vec::new(),
+        };
+        Gossip {
+            from: Some(self.me.clone()),
+            peers: self.next_peers(now),
+            replicas: self.next_replicas(now),
+            under: own.under,
+            spent: own.spent,
+            usage,
+            wall_ms,
+            hello: false,
+        }
+    }
+
+    fn next_peers(&mut self, now: u64) -> Vec<Peer> {
+        let live: Vec<&Node> =
+            self.nodes.iter().filter(|node| node.is_live(now)).collect();
+        let count = live.len().min(PEERS_PER_DATAGRAM);
+        let from = self.next_peer;
+        self.next_peer = self.next_peer.wrapping_add(count);
+        (0..count)
+            .map(|step| live[(from + step) % live.len()].says.clone())
+            .collect()
+    }
+
+    /// What is new first, then some of the rest in turn.
+    fn next_replicas(&mut self, now: u64) -> Vec<Sighting> {
+        let mut told = Vec::new();
+        for replica in &mut self.replicas {
+            if replica.news && told.len() < REPLICAS_PER_DATAGRAM {
+                replica.news = false;
+                told.push(replica.aged(now));
+            }
+        }
+        let count = self.replicas.len().min(REPEATED_PER_DATAGRAM);
+        for _ in 0..count {
+            self.next_replica = (self.next_replica + 1) % self.replicas.len();
+            told.push(self.replicas[self.next_replica].aged(now));
+        }
+        told
+    }
+
+    /// Drops what is past its time.
+    pub fn expire(&mut self, now: u64) {
+        self.nodes.retain(|node| now < node.heard_at + FORGET_NODE_MS);
+        self.replicas.retain(|replica| {
+            let keep = match replica.state {
+                State::Ready => FORGET_REPLICA_MS,
+                State::Leaving | State::Gone => TOMBSTONE_MS,
+            };
+            now < replica.heard_at + keep
+        });
+    }
+
+    // ---- Sums -------------------------------------------------------------
+
+    /// Requests of other live nodes under way at a replica.
+    pub fn under(&self, now: u64, replica: u64) -> u32 {
+        self.live(now)
+            .flat_map(|node| &node.under)
+            .filter(|under| under.replica == replica)
+            .map(|under| under.count)
+            .sum()
+    }
+
+    /// Tokens that each other node has admitted for a team since its start,
+    /// with the node's incarnation.
+    pub fn spent(&self, team: u64) -> impl Iterator<Item = (u64, u64)> + '_ {
+        self.nodes.iter().flat_map(move |node| {
+            let spent = node.spent.iter().filter(move |one| one.team == team);
+            spent.map(|one| (node.says.incarnation, one.tokens))
+        })
+    }
+
+    /// How many nodes there are, this one too, and how many of them are not
+    /// heard directly at the moment although they may well serve.
+    pub fn reach(&self, now: u64) -> (usize, usize) {
+        let serving = self.nodes.iter().filter(|node| node.says.serving);
+        let unheard = serving
+            .clone()
+            .filter(|node| now >= node.direct_at + LIVE_MS)
+            .count();
+        (serving.count() + 1, unheard)
+    }
+
+    /// What to add to this node's time of day, in ms.
+    ///
+    /// The median over all nodes that were heard lately: a clock that jumps,
+    /// or a third of them, does not move it.
+    pub fn clock_offset(&self, now: u64) -> i64 {
+        let heard = self.nodes.iter().filter(|node| {
+            node.direct_at > 0 && now < node.direct_at + LIVE_MS
+        });
+        let mut leads: Vec<i64> = heard.map(|node| node.lead_ms).collect();
+        leads.push(0);
+        leads.sort_unstable();
+        leads[leads.len() / 2]
+    }
+
+    // ---- Usage ------------------------------------------------------------
+
+    /// Counts a request that began here.
+    pub fn count_began(&mut self, window: u64, team: &str) {
+        let node = self.me.incarnation;
+        let at = match position(&self.began, &node, |one| &one.node) {
+            Ok(at) => at,
+            Err(at) => {
+                self.began.insert(at, Began { node, windows: Vec::new() });
+                at
+            }
+        };
+        let windows = &mut self.began[at].windows;
+        let at = match position(windows, &window, |one| &one.window) {
+            Ok(at) => at,
+            Err(at) => {
+                windows.insert(at, RecordUsage { window, counts: Vec::new() });
+                at
+            }
+        };
+        let counts = &mut windows[at].counts;
+        match position(counts, team, |one| one.team.as_str()) {
+            Ok(at) => counts[at].count += 1,
+            Err(at) => {
+                let team = team.to_owned();
+                counts.insert(at, TeamCount { team, count: 1 });
+            }
+        }
+    }
+
+    fn note_began(&mut self, new: Began) {
+        let at = match position(&self.began, &new.node, |one| &one.node) {
+            Ok(at) => at,
+            Err(at) => {
+                self.began.insert(at, new);
+                return;
+            }
+        };
+        for window in new.windows {
+            // Counts of one incarnation only grow; a datagram that was
+            // overtaken by a later one is recognised by its lower sum.
+            let windows = &mut self.began[at].windows;
+            let found = position(windows, &window.window, |one| &one.window);
+            match found {
+                Ok(at) if sum(&windows[at]) < sum(&window) => {
+                    windows[at] = window;
+                }
+                Ok(_) => {}
+                Err(at) => windows.insert(at, window),
+            }
+        }
+    }
+
+    /// Requests that began in a window, anywhere, by team.
+    pub fn usage(&self, window: u64) -> RecordUsage {
+        let mut counts: Vec<TeamCount> = Vec::new();
+        let windows = self.began.iter().flat_map(|began| &began.windows);
+        for count in windows
+            .filter(|one| one.window == window)
+            .flat_map(|one| &one.counts)
+        {
+            match position(&counts, count.team.as_str(), |one| {
+                one.team.as_str()
+            }) {
+                Ok(at) => counts[at].count += count.count,
+                Err(at) => counts.insert(at, count.clone()),
+            }
+        }
+        RecordUsage { window, counts }
+    }
+
+    /// Forgets windows before this one.
+    pub fn forget_usage(&mut self, before: u64) {
+        for began in &mut self.began {
+            began.windows.retain(|one| one.window >= before);
+        }
+        self.began.retain(|began| !began.windows.is_empty());
+    }
+}
+
+fn sum(window: &RecordUsage) -> u64 {
+    window.counts.iter().map(|one| one.count).sum()
+}
+
+impl Node {
+    /// True while the node was heard lately.
+    pub fn is_live(&self, now: u64) -> bool {
+        now < self.heard_at + LIVE_MS
+    }
+
+    /// Its address.
+    pub fn ip(&self) -> Ipv4Addr {
+        Ipv4Addr::from(self.says.ip)
+    }
+}
+
+impl Replica {
+    fn renew(
+        &mut self,
+        says: Sighting,
+        state: State,
+        heard_at: u64,
+        direct: bool,
+    ) -> bool {
+        let newer = says.sequence > self.says.sequence;
+        if newer {
+            self.heard_at = self.heard_at.max(heard_at);
+        }
+        let moved = state > self.state;
+        if moved {
+            self.state = state;
+        }
+        if newer && !says.service.is_empty() {
+            self.says = says;
+        }
+        self.says.state = self.state as u32;
+        self.news |= moved || (newer && direct);
+        moved
+    }
+
+    /// As it is told to others now.
+    fn aged(&self, now: u64) -> Sighting {
+        let age = now.saturating_sub(self.heard_at);
+        Sighting { age_ms: age as u32, ..self.says.clone() }
+    }
+}
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,577 @@
+//! One node: gateway, mesh and, with a disk, a member of the log.
+//!
+//! Every VM runs one. [`spawn`] binds its own addresses; the interface towards
+//! operators and replicas is the platform's, which calls the [`Handle`].
+//!
+//! # Configuration
+//!
+//! Plans are accepted by the log and spread by whoever has them: members see
+//! them committed, all others hear of a higher version through the mesh and
+//! fetch it from a peer. A version never goes down. While control is away the
+//! node serves by the plan that it holds; only reading the plan back is
+//! refused, as nobody can say then which is the newest.
+//!
+//! # Stopping
+//!
+//! [`Handle::shutdown`]: not ready and not handed out at once; answers ask
+//! their clients to go elsewhere; requests that still come are served for a
+//! while, as clients keep addresses for some seconds; all that runs is
+//! finished.
+
+use std::{
+    fmt, io,
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    path::PathBuf,
+    sync::{
+        Arc, Mutex, OnceLock,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use tokio::{
+    net::TcpListener,
+    task::JoinHandle,
+    time::{Instant, sleep, timeout},
+};
+use tonic::{Request, Response, Status, transport::server::TcpIncoming};
+use tracing::{info, warn};
+
+use crate::{
+    control::{
+        client::{Client, Error},
+        seat,
+        server::{MESSAGE_LIMIT, Service, connect},
+    },
+    duty::{self, Cloud},
+    gateway::{
+        self, Gateway,
+        dialect::Dialect,
+        forward,
+        plan::{Draft, Invalid, Plan},
+        server::{self, Server},
+    },
+    mesh::{
+        self,
+        table::{News, Own},
+    },
+    timer::Timer,
+    util::random_id,
+    verdict::Verdict,
+    wire::{
+        Change, Empty, Peer, PlanOutcome, PutPlan, Query, Sighting, change,
+        nodes_client::NodesClient,
+        nodes_server::{Nodes, NodesServer},
+        outcome, query, query_reply,
+    },
+};
+
+/// How long an operator's change may take. Operators go on to another node
+/// after a second or so; by then the change is decided or will be soon.
+const PUT_LIMIT: Duration = Duration::from_millis(2500);
+/// How long a read through the quorum may take, for the same reason.
+const READ_LIMIT: Duration = Duration::from_millis(800);
+/// How long fetching a plan from a peer may take.
+const FETCH_LIMIT: Duration = Duration::from_millis(1000);
+/// How often a member asks to be taken in while nobody leads it.
+const JOIN: Duration = Duration::from_millis(500);
+/// How long a stopping node goes on taking requests: clients keep an address
+/// for twice the time they are told, or a little more.
+const LINGER: Duration = Duration::from_millis(3200);
+/// What is left of the grace period for ending the process itself.
+const LAST_WORDS: Duration = Duration::from_millis(400);
+/// Addresses that callers are given at most.
+const ADDRESSES: usize = 64;
+
+/// Reads a plan in the operators' own format.
+pub type ReadPlan = fn(&[u8]) -> Result<Draft, Invalid>;
+
+/// How to run a node.
+#[derive(Clone)]
+pub struct Options {
+    /// For callers.
+    pub front: SocketAddrV4,
+    /// For other nodes, over TCP and UDP; the port is the same on all VMs.
+    pub peers: SocketAddrV4,
+    /// Nodes to speak to first.
+    pub seeds: Vec<Ipv4Addr>,
+    /// Where this VM is.
+    pub data_centre: String,
+    /// The data folder of a member; without one this node only relays.
+    pub folder: Option<PathBuf>,
+    /// Whether this node makes the cluster if its folder is empty.
+    pub founds: bool,
+    /// Members that may lose their disks at once.
+    pub tolerance: usize,
+    /// The data path.
+    pub gateway: gateway::Options,
+    /// What the leader does for the whole system.
+    pub duties: duty::Options,
+    /// The headers of the platform.
+    pub dialect: Arc<dyn Dialect>,
+    /// The plan's format.
+    pub read_plan: ReadPlan,
+    /// The platform's interface for duties.
+    pub cloud: Arc<dyn Cloud>,
+}
+
+/// A running node; clones share it.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    node: Arc<Node>,
+}
+
+/// What a node's parts share.
+struct Node {
+    gateway: Arc<Gateway>,
+    mesh: OnceLock<mesh::Handle>,
+    seat: Option<seat::Handle>,
+    control: Arc<Client>,
+    read_plan: ReadPlan,
+    /// As the operator sent it; written with the gateway's plan.
+    source: Mutex<Option<Arc<PutPlan>>>,
+    fetching: AtomicBool,
+    stopping: AtomicBool,
+    front: SocketAddrV4,
+    peer_port: u16,
+    server: Mutex<Option<Server>>,
+    tasks: Mutex<Vec<JoinHandle<()>>>,
+    duties: Mutex<Option<duty::Handle>>,
+}
+
+impl fmt::Debug for Node {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "Node at {}", self.front)
+    }
+}
+
+/// Why a plan was not put in force, as far as known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PutError {
+    /// It is wrong, and will be whenever it is sent.
+    Invalid(Invalid),
+    /// Control did not take it, or did not say.
+    Away(Verdict, String),
+}
+
+impl fmt::Display for PutError {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            PutError::Invalid(invalid) => invalid.fmt(out),
+            PutError::Away(verdict, text) => {
+                write!(out, "{}: {text}", verdict.as_str())
+            }
+        }
+    }
+}
+
+impl std::error::Error for PutError {}
+
+/// Starts a node.
+///
+/// # Errors
+///
+/// When an address can't be bound.
+pub async fn spawn(options: Options) -> io::Result<Handle> {
+    let timer = Timer::spawn();
+    let gateway = Arc::new(Gateway::open(
+        &options.gateway,
+        options.dialect.clone(),
+        timer.clone(),
+    ));
+    let seat = options.folder.clone().map(|folder| {
+        let options = seat::Options {
+            address: options.peers,
+            folder,
+            founds: options.founds,
+            least_voters: 2 * options.tolerance + 1,
+        };
+        seat::spawn(options, timer.clone())
+    });
+    let port = options.peers.port();
+    let seeds: Vec<SocketAddr> =
+        options.seeds.iter().map(|ip| (*ip, port).into()).collect();
+    let first = seeds.first().copied().unwrap_or(options.peers.into());
+    let control = Client::open(&[first]);
+    control.set_members(&seeds);
+    let node = Arc::new(Node {
+        gateway: gateway.clone(),
+        mesh: OnceLock::new(),
+        seat: seat.clone(),
+        control: Arc::new(control),
+        read_plan: options.read_plan,
+        source: Mutex::new(None),
+        fetching: AtomicBool::new(false),
+        stopping: AtomicBool::new(false),
+        front: options.front,
+        peer_port: port,
+        server: Mutex::new(None),
+        tasks: Mutex::new(Vec::new()),
+        duties: Mutex::new(None),
+    });
+    let listener = TcpListener::bind(SocketAddr::V4(options.peers)).await?;
+    let mesh = mesh::bind(
+        mesh::Options {
+            me: Peer {
+                ip: (*options.peers.ip()).into(),
+                incarnation: random_id(),
+                data_centre: options.data_centre.clone(),
+                has_disk: seat.is_some(),
+                ..Peer::default()
+            },
+            listen: options.peers,
+            seeds: options.seeds.clone(),
+        },
+        timer.clone(),
+        node.clone(),
+    )
+    .await?;
+    gateway.set_mesh(mesh.clone());
+    let _ = node.mesh.set(mesh.clone());
+    let front = TcpListener::bind(SocketAddr::V4(options.front)).await?;
+    let serving = gateway.clone();
+    let limits = move || {
+        let plan = serving.plan.read();
+        plan.as_ref().as_ref().map(Plan::limits).unwrap_or_default()
+    };
+    let serving = gateway.clone();
+    let server = server::spawn(front, limits, move |request| {
+        forward::serve(serving.clone(), request)
+    })?;
+    *lock(&node.server) = Some(server);
+    let mut tasks = vec![tokio::spawn(serve_peers(node.clone(), listener))];
+    if let Some(seat) = &seat {
+        tasks.push(tokio::spawn(follow(node.clone(), seat.clone())));
+        tasks.push(tokio::spawn(ask_to_join(node.clone(), seat.clone())));
+        let tools = duty::Tools {
+            seat: seat.clone(),
+            control: node.control.clone(),
+            mesh,
+            cloud: options.cloud.clone(),
+            timer,
+        };
+        *lock(&node.duties) = Some(duty::spawn(options.duties, tools));
+    }
+    *lock(&node.tasks) = tasks;
+    info!(
+        target: "node",
+        front = %node.front,
+        data_centre = options.data_centre,
+        has_disk = seat.is_some(),
+        "Node starts."
+    );
+    Ok(Handle { node })
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|held| held.into_inner())
+}
+
+impl Handle {
+    /// True while callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.node.is_ready()
+    }
+
+    /// Where callers may connect: entries that serve, this one too.
+    pub fn entries(&self) -> Vec<SocketAddrV4> {
+        let node = &self.node;
+        let now = node.gateway.timer.now();
+        let port = node.front.port();
+        let mut entries = Vec::new();
+        if node.is_ready() {
+            entries.push(node.front);
+        }
+        if let Some(mesh) = node.mesh.get() {
+            let table = mesh.table();
+            let live = table.live(now).filter(|one| one.says.serving);
+            entries.extend(live.map(|one| SocketAddrV4::new(one.ip(), port)));
+        }
+        entries.truncate(ADDRESSES);
+        entries
+    }
+
+    /// Takes a plan in the operators' format; returns once it is committed.
+    ///
+    /// # Errors
+    ///
+    /// When it is invalid, or control did not take it or did not say.
+    pub async fn put_plan(&self, source: &[u8]) -> Result<u64, PutError> {
+        self.node.put_plan(source).await
+    }
+
+    /// The newest plan, read through the quorum; empty before the first.
+    ///
+    /// # Errors
+    ///
+    /// When no majority answers.
+    pub async fn read_plan(&self) -> Result<PutPlan, Error> {
+        let query = Query { kind: Some(query::Kind::Plan(Empty {})) };
+        let reply = self.node.control.read(query, READ_LIMIT).await?;
+        match reply.kind {
+            Some(query_reply::Kind::Plan(plan)) => Ok(plan),
+            _ => Err(Error::Refused("unexpected reply".to_owned())),
+        }
+    }
+
+    /// Takes what a replica says of itself.
+    pub fn sight(&self, says: Sighting) {
+        let node = &self.node;
+        let Some(mesh) = node.mesh.get() else { return };
+        let now = node.gateway.timer.now();
+        let id = says.id.clone();
+        let state = says.state;
+        if mesh.table().sight(now, says, true) {
+            info!(target: "node", replica = id, state, "Replica changed.");
+            // Refreshed before the replica has its answer: from then on it
+            // counts on getting no new work if it said that it leaves.
+            node.gateway.refresh();
+            mesh.urge();
+        }
+    }
+
+    /// Takes new seeds.
+    pub fn set_seeds(&self, seeds: Vec<Ipv4Addr>) {
+        if let Some(mesh) = self.node.mesh.get() {
+            info!(target: "node", "New seeds: {seeds:?}.");
+            mesh.set_seeds(seeds);
+        }
+    }
+
+    /// What the node has counted, for Prometheus.
+    pub fn metrics(&self) -> String {
+        self.node.gateway.metrics.encode()
+    }
+
+    /// Stops in order, within `grace`; see the module head.
+    pub async fn shutdown(self, grace: Duration) {
+        let node = &self.node;
+        let end = Instant::now() + grace.saturating_sub(LAST_WORDS);
+        info!(target: "node", "Stops: no longer handed out.");
+        node.stopping.store(true, Ordering::Relaxed);
+        node.say_serving();
+        let server = lock(&node.server).take();
+        if let Some(server) = &server {
+            server.close_after_answers();
+        }
+        // Duties first: a successor waits for this node's lease to run out.
+        *lock(&node.duties) = None;
+        sleep(LINGER.min(grace / 2)).await;
+        if let Some(server) = server {
+            let left = end.saturating_duration_since(Instant::now());
+            server.shutdown(left).await;
+        }
+        if let Some(seat) = &node.seat {
+            seat.stop().await;
+        }
+        for task in lock(&node.tasks).drain(..) {
+            task.abort();
+        }
+        info!(target: "node", "Stopped.");
+    }
+}
+
+impl Node {
+    fn is_ready(&self) -> bool {
+        !self.stopping.load(Ordering::Relaxed)
+            && self.gateway.plan_version() > 0
+    }
+
+    /// Tells the others whether this node serves.
+    fn say_serving(&self) {
+        let ready = self.is_ready();
+        let version = self.gateway.plan_version();
+        if let Some(mesh) = self.mesh.get() {
+            let mut table = mesh.table();
+            table.me().serving = ready;
+            table.me().plan_version = version;
+            drop(table);
+            mesh.urge();
+        }
+    }
+
+    async fn put_plan(&self, source: &[u8]) -> Result<u64, PutError> {
+        let draft = (self.read_plan)(source).map_err(PutError::Invalid)?;
+        let plan = Plan::check(draft).map_err(PutError::Invalid)?;
+        let version = plan.version();
+        let record = PutPlan { version, source: source.to_vec() };
+        let change = Change::new(change::Kind::PutPlan(record));
+        let outcome = self.control.propose(change, PUT_LIMIT, true).await;
+        let outcome = outcome.map_err(|error| {
+            PutError::Away(error.verdict(), error.to_string())
+        })?;
+        match outcome.kind {
+            Some(outcome::Kind::Plan(PlanOutcome { version: held }))
+                if held > 0 =>
+            {
+                info!(target: "node", plan = version, held, "Plan accepted.");
+                Ok(held)
+            }
+            _ => {
+                let text = "control gave no outcome".to_owned();
+                Err(PutError::Away(Verdict::MayHaveRun, text))
+            }
+        }
+    }
+
+    /// Puts a committed plan in force, if it is newer.
+    fn adopt(&self, record: Arc<PutPlan>) {
+        if record.version <= self.gateway.plan_version() {
+            return;
+        }
+        let read = (self.read_plan)(&record.source);
+        match read.and_then(Plan::check) {
+            Ok(plan) => {
+                *lock(&self.source) = Some(record);
+                self.gateway.set_plan(plan);
+                self.say_serving();
+            }
+            // It was checked before it was committed, so this is a node of
+            // another version. It goes on with the plan that it can read.
+            Err(invalid) => warn!(
+                target: "node",
+                plan = record.version,
+                "Can't read a committed plan: {invalid}."
+            ),
+        }
+    }
+
+    /// Takes over what the mesh says of leader, members and plans.
+    fn follow_mesh(self: &Arc<Node>) {
+        let Some(mesh) = self.mesh.get() else { return };
+        let now = self.gateway.timer.now();
+        let mut members = Vec::new();
+        let mut newest: Option<(u64, Ipv4Addr)> = None;
+        let leader = {
+            let mut table = mesh.table();
+            let mut best = (table.own().leader_term, table.own().leader);
+            for node in table.live(now) {
+                let says = &node.says;
+                if says.has_disk {
+                    members.push((node.ip(), self.peer_port).into());
+                }
+                if says.leader != 0 {
+                    best = best.max((says.leader_term, says.leader));
+                }
+                let held = newest.map_or(0, |(version, _)| version);
+                if says.plan_version > held {
+                    newest = Some((says.plan_version, node.ip()));
+                }
+            }
+            if table.own().has_disk {
+                let ip = Ipv4Addr::from(table.own().ip);
+                members.push((ip, self.peer_port).into());
+            }
+            (table.me().leader_term, table.me().leader) = best;
+            best.1
+        };
+        self.control.set_members(&members);
+        if leader != 0 {
+            self.control.prefer_once(seat::address_of(leader).into());
+        }
+        if let Some((version, from)) = newest
+            && version > self.gateway.plan_version()
+            && !self.fetching.swap(true, Ordering::Relaxed)
+        {
+            tokio::spawn(fetch(self.clone(), from));
+        }
+    }
+}
+
+impl mesh::Host for Node {
+    fn own(&self) -> Own {
+        self.gateway.own()
+    }
+
+    fn news(self: Arc<Self>, _: News) {
+        self.gateway.refresh();
+        self.follow_mesh();
+    }
+}
+
+/// Fetches a newer plan from a peer.
+async fn fetch(node: Arc<Node>, from: Ipv4Addr) {
+    let address = SocketAddr::from((from, node.peer_port));
+    let mut client = NodesClient::new(connect(address))
+        .max_decoding_message_size(MESSAGE_LIMIT);
+    match timeout(FETCH_LIMIT, client.fetch(Empty {})).await {
+        Ok(Ok(reply)) => node.adopt(Arc::new(reply.into_inner())),
+        Ok(Err(status)) => {
+            let text = status.message();
+            warn!(target: "node", "No plan from {from}: {text}.");
+        }
+        Err(_) => warn!(target: "node", "No plan from {from}: silent."),
+    }
+    node.fetching.store(false, Ordering::Relaxed);
+}
+
+/// Takes over what this node's own member sees.
+async fn follow(node: Arc<Node>, seat: seat::Handle) {
+    let mut view = seat.view();
+    while view.changed().await.is_ok() {
+        let seen = view.borrow_and_update().clone();
+        if let (Some(mesh), Some(leader)) = (node.mesh.get(), seen.leader) {
+            let mut table = mesh.table();
+            let me = table.me();
+            if seen.hears_leader
+                && (seen.term, leader) > (me.leader_term, me.leader)
+            {
+                (me.leader_term, me.leader) = (seen.term, leader);
+            }
+        }
+        if let Some(plan) = seen.plan {
+            node.adopt(plan);
+        }
+    }
+}
+
+async fn ask_to_join(node: Arc<Node>, seat: seat::Handle) {
+    loop {
+        sleep(JOIN).await;
+        let leader = match node.mesh.get() {
+            Some(mesh) => mesh.table().own().leader,
+            None => 0,
+        };
+        if leader != 0 {
+            seat.join(leader);
+        }
+    }
+}
+
+async fn serve_peers(node: Arc<Node>, listener: TcpListener) {
+    let nodes = NodesServer::new(PeerService { node: node.clone() })
+        .max_encoding_message_size(MESSAGE_LIMIT);
+    let seat = node.seat.clone().map(Service::of_seat);
+    let served = tonic::transport::Server::builder()
+        .http2_keepalive_interval(Some(Duration::from_secs(5)))
+        .http2_keepalive_timeout(Some(Duration::from_secs(2)))
+        .add_service(nodes)
+        .add_optional_service(seat.clone().map(Service::members))
+        .add_optional_service(seat.map(Service::control))
+        .serve_with_incoming(
+            TcpIncoming::from(listener).with_nodelay(Some(true)),
+        )
+        .await;
+    if let Err(error) = served {
+        warn!(target: "node", "The server for peers ended: {error}.");
+    }
+}
+
+/// What other nodes may ask.
+struct PeerService {
+    node: Arc<Node>,
+}
+
+#[tonic::async_trait]
+impl Nodes for PeerService {
+    async fn fetch(
+        &self,
+        _: Request<Empty>,
+    ) -> Result<Response<PutPlan>, Status> {
+        let held = lock(&self.node.source).clone();
+        match held {
+            Some(plan) => Ok(Response::new(PutPlan::clone(&plan))),
+            None => Err(Status::not_found("no plan here yet")),
+        }
+    }
+}
--- a/src/util.rs
+++ b/src/util.rs
@@ -1,6 +1,9 @@
 //! Small helpers that several parts share.
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    time::{SystemTime, UNIX_EPOCH},
+};
 
 /// Gives a type the derives that nearly every type here has.
 ///
@@ -56,3 +59,10 @@
         }
     }
 }
+
+/// A number for a name, the same in every process of one version.
+pub fn name_hash(name: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    name.hash(&mut hasher);
+    hasher.finish()
+}
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -118,7 +118,7 @@
     /// Wall clock of the leader that proposed it, in ms; drives retention.
     #[prost(uint64, tag = "1")]
     pub at_ms: u64,
-    #[prost(oneof = "change::Kind", tags = "2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "change::Kind", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub kind: ::core::option::Option<change::Kind>,
 }
 /// Nested message and enum types in `Change`.
@@ -139,8 +139,36 @@
         Membership(super::Membership),
         #[prost(message, tag = "8")]
         Order(super::IssueOrder),
+        #[prost(message, tag = "9")]
+        PutPlan(super::PutPlan),
+        #[prost(message, tag = "10")]
+        RecordUsage(super::RecordUsage),
     }
 }
+/// A gateway plan, numbered by its operators; the highest version counts.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PutPlan {
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// As the operator sent it.
+    #[prost(bytes = "vec", tag = "2")]
+    pub source: ::prost::alloc::vec::Vec<u8>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TeamCount {
+    #[prost(string, tag = "1")]
+    pub team: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub count: u64,
+}
+/// What a usage report will say of a window, before it is sent.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RecordUsage {
+    #[prost(uint64, tag = "1")]
+    pub window: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub counts: ::prost::alloc::vec::Vec<TeamCount>,
+}
 /// An absolute order to an endpoint; resent until it is read back.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct IssueOrder {
@@ -316,16 +344,28 @@
     #[prost(uint64, tag = "1")]
     pub sequence: u64,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PlanOutcome {
+    /// The version held afterwards; 0 while there are too few voters.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+}
+/// The window's figure that was recorded first.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct UsageOutcome {
+    #[prost(message, optional, tag = "1")]
+    pub recorded: ::core::option::Option<RecordUsage>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Outcome {
     #[prost(uint64, tag = "1")]
     pub index: u64,
-    #[prost(oneof = "outcome::Kind", tags = "2, 3, 4, 5, 6")]
+    #[prost(oneof = "outcome::Kind", tags = "2, 3, 4, 5, 6, 7, 8")]
     pub kind: ::core::option::Option<outcome::Kind>,
 }
 /// Nested message and enum types in `Outcome`.
 pub mod outcome {
-    #[derive(Clone, PartialEq, Eq, Hash, ::prost::Oneof)]
+    #[derive(Clone, PartialEq, ::prost::Oneof)]
     pub enum Kind {
         #[prost(message, tag = "2")]
         Apply(super::ApplyOutcome),
@@ -337,6 +377,10 @@
         Order(super::OrderOutcome),
         #[prost(bool, tag = "6")]
         Done(bool),
+        #[prost(message, tag = "7")]
+        Plan(super::PlanOutcome),
+        #[prost(message, tag = "8")]
+        Usage(super::UsageOutcome),
     }
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -443,6 +487,10 @@
     pub order_sequence: u64,
     #[prost(uint64, tag = "10")]
     pub pruned_at: u64,
+    #[prost(message, optional, tag = "11")]
+    pub plan: ::core::option::Option<PutPlan>,
+    #[prost(message, repeated, tag = "12")]
+    pub usage: ::prost::alloc::vec::Vec<RecordUsage>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct VoteRequest {
@@ -502,7 +550,7 @@
     pub to_incarnation: u64,
     #[prost(uint64, tag = "5")]
     pub term: u64,
-    #[prost(oneof = "envelope::Body", tags = "6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "envelope::Body", tags = "6, 7, 8, 9, 10, 11, 12")]
     pub body: ::core::option::Option<envelope::Body>,
 }
 /// Nested message and enum types in `Envelope`.
@@ -522,6 +570,9 @@
         /// The receiver is not the incarnation that was addressed.
         #[prost(bool, tag = "11")]
         WrongIncarnation(bool),
+        /// The sender asks to be taken in; its address.
+        #[prost(string, tag = "12")]
+        Join(::prost::alloc::string::String),
     }
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -621,7 +672,7 @@
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Query {
-    #[prost(oneof = "query::Kind", tags = "1, 2, 3")]
+    #[prost(oneof = "query::Kind", tags = "1, 2, 3, 4")]
     pub kind: ::core::option::Option<query::Kind>,
 }
 /// Nested message and enum types in `Query`.
@@ -634,6 +685,8 @@
         Config(super::Empty),
         #[prost(message, tag = "3")]
         Status(super::Empty),
+        #[prost(message, tag = "4")]
+        Plan(super::Empty),
     }
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -670,7 +723,7 @@
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct QueryReply {
-    #[prost(oneof = "query_reply::Kind", tags = "1, 2, 3")]
+    #[prost(oneof = "query_reply::Kind", tags = "1, 2, 3, 4")]
     pub kind: ::core::option::Option<query_reply::Kind>,
 }
 /// Nested message and enum types in `QueryReply`.
@@ -683,6 +736,8 @@
         Config(super::ConfigReply),
         #[prost(message, tag = "3")]
         Status(super::StatusReply),
+        #[prost(message, tag = "4")]
+        Plan(super::PutPlan),
     }
 }
 /// A copy of an accepted request, with what has been answered so far.
@@ -773,6 +828,100 @@
     #[prost(string, tag = "6")]
     pub failure: ::prost::alloc::string::String,
 }
+/// What a node says of itself.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Peer {
+    /// IPv4 address; ports are the same on all VMs.
+    #[prost(fixed32, tag = "1")]
+    pub ip: u32,
+    #[prost(fixed64, tag = "2")]
+    pub incarnation: u64,
+    /// Grows with everything that the node says.
+    #[prost(uint64, tag = "3")]
+    pub beat: u64,
+    #[prost(string, tag = "4")]
+    pub data_centre: ::prost::alloc::string::String,
+    /// Takes callers' requests.
+    #[prost(bool, tag = "5")]
+    pub serving: bool,
+    #[prost(bool, tag = "6")]
+    pub has_disk: bool,
+    #[prost(uint64, tag = "7")]
+    pub plan_version: u64,
+    /// The newest leader that the node knows of; 0 when it knows none.
+    #[prost(fixed64, tag = "8")]
+    pub leader: u64,
+    #[prost(uint64, tag = "9")]
+    pub leader_term: u64,
+}
+/// What is known of one incarnation of a replica.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Sighting {
+    #[prost(string, tag = "1")]
+    pub id: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(fixed32, tag = "3")]
+    pub ip: u32,
+    #[prost(uint32, tag = "4")]
+    pub port: u32,
+    #[prost(string, tag = "5")]
+    pub data_centre: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "6")]
+    pub slots: u32,
+    /// 0: ready, 1: leaving, 2: gone.
+    #[prost(uint32, tag = "7")]
+    pub state: u32,
+    #[prost(uint64, tag = "8")]
+    pub sequence: u64,
+    /// Since its last heartbeat; each hop adds its own holding time.
+    #[prost(uint32, tag = "9")]
+    pub age_ms: u32,
+    #[prost(bool, tag = "10")]
+    pub reclaimable: bool,
+    #[prost(uint32, tag = "11")]
+    pub cold_left_ms: u32,
+    /// How long it goes on, once it is leaving; 0 when not known.
+    #[prost(uint32, tag = "12")]
+    pub leaves_ms: u32,
+}
+/// Requests of the sender that are under way at a replica.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Under {
+    #[prost(fixed64, tag = "1")]
+    pub replica: u64,
+    #[prost(uint32, tag = "2")]
+    pub count: u32,
+}
+/// Tokens that the sender has admitted for a team since it started.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Spent {
+    #[prost(fixed64, tag = "1")]
+    pub team: u64,
+    #[prost(uint64, tag = "2")]
+    pub tokens: u64,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Gossip {
+    #[prost(message, optional, tag = "1")]
+    pub from: ::core::option::Option<Peer>,
+    #[prost(message, repeated, tag = "2")]
+    pub peers: ::prost::alloc::vec::Vec<Peer>,
+    #[prost(message, repeated, tag = "3")]
+    pub replicas: ::prost::alloc::vec::Vec<Sighting>,
+    #[prost(message, repeated, tag = "4")]
+    pub under: ::prost::alloc::vec::Vec<Under>,
+    #[prost(message, repeated, tag = "5")]
+    pub spent: ::prost::alloc::vec::Vec<Spent>,
+    /// Requests that began at the sender, by window.
+    #[prost(message, repeated, tag = "6")]
+    pub usage: ::prost::alloc::vec::Vec<RecordUsage>,
+    #[prost(sfixed64, tag = "7")]
+    pub wall_ms: i64,
+    /// The receiver should answer at once: the sender is new.
+    #[prost(bool, tag = "8")]
+    pub hello: bool,
+}
 /// Generated client implementations.
 pub mod members_client {
     #![allow(
@@ -1982,3 +2131,295 @@
         const NAME: &'static str = SERVICE_NAME;
     }
 }
+/// Generated client implementations.
+pub mod nodes_client {
+    #![allow(
+        unused_variables,
+        dead_code,
+        missing_docs,
+        clippy::wildcard_imports,
+        clippy::let_unit_value,
+    )]
+    use tonic::codegen::*;
+    use tonic::codegen::http::Uri;
+    #[derive(Debug, Clone)]
+    pub struct NodesClient<T> {
+        inner: tonic::client::Grpc<T>,
+    }
+    impl NodesClient<tonic::transport::Channel> {
+        /// Attempt to create a new client by connecting to a given endpoint.
+        pub async fn connect<D>(dst: D) -> Result<Self, tonic::transport::Error>
+        where
+            D: TryInto<tonic::transport::Endpoint>,
+            D::Error: Into<StdError>,
+        {
+            let conn = tonic::transport::Endpoint::new(dst)?.connect().await?;
+            Ok(Self::new(conn))
+        }
+    }
+    impl<T> NodesClient<T>
+    where
+        T: tonic::client::GrpcService<tonic::body::Body>,
+        T::Error: Into<StdError>,
+        T::ResponseBody: Body<Data = Bytes> + std::marker::Send + 'static,
+        <T::ResponseBody as Body>::Error: Into<StdError> + std::marker::Send,
+    {
+        pub fn new(inner: T) -> Self {
+            let inner = tonic::client::Grpc::new(inner);
+            Self { inner }
+        }
+        pub fn with_origin(inner: T, origin: Uri) -> Self {
+            let inner = tonic::client::Grpc::with_origin(inner, origin);
+            Self { inner }
+        }
+        pub fn with_interceptor<F>(
+            inner: T,
+            interceptor: F,
+        ) -> NodesClient<InterceptedService<T, F>>
+        where
+            F: tonic::service::Interceptor,
+            T::ResponseBody: Default,
+            T: tonic::codegen::Service<
+                http::Request<tonic::body::Body>,
+                Response = http::Response<
+                    <T as tonic::client::GrpcService<tonic::body::Body>>::ResponseBody,
+                >,
+            >,
+            <T as tonic::codegen::Service<
+                http::Request<tonic::body::Body>,
+            >>::Error: Into<StdError> + std::marker::Send + std::marker::Sync,
+        {
+            NodesClient::new(InterceptedService::new(inner, interceptor))
+        }
+        /// Compress requests with the given encoding.
+        ///
+        /// This requires the server to support it otherwise it might respond with an
+        /// error.
+        #[must_use]
+        pub fn send_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.inner = self.inner.send_compressed(encoding);
+            self
+        }
+        /// Enable decompressing responses.
+        #[must_use]
+        pub fn accept_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.inner = self.inner.accept_compressed(encoding);
+            self
+        }
+        /// Limits the maximum size of a decoded message.
+        ///
+        /// Default: `4MB`
+        #[must_use]
+        pub fn max_decoding_message_size(mut self, limit: usize) -> Self {
+            self.inner = self.inner.max_decoding_message_size(limit);
+            self
+        }
+        /// Limits the maximum size of an encoded message.
+        ///
+        /// Default: `usize::MAX`
+        #[must_use]
+        pub fn max_encoding_message_size(mut self, limit: usize) -> Self {
+            self.inner = self.inner.max_encoding_message_size(limit);
+            self
+        }
+        /// The newest plan that the receiver holds.
+        pub async fn fetch(
+            &mut self,
+            request: impl tonic::IntoRequest<super::Empty>,
+        ) -> std::result::Result<tonic::Response<super::PutPlan>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/azuremount.v1.Nodes/Fetch",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut().insert(GrpcMethod::new("azuremount.v1.Nodes", "Fetch"));
+            self.inner.unary(req, path, codec).await
+        }
+    }
+}
+/// Generated server implementations.
+pub mod nodes_server {
+    #![allow(
+        unused_variables,
+        dead_code,
+        missing_docs,
+        clippy::wildcard_imports,
+        clippy::let_unit_value,
+    )]
+    use tonic::codegen::*;
+    /// Generated trait containing gRPC methods that should be implemented for use with NodesServer.
+    #[async_trait]
+    pub trait Nodes: std::marker::Send + std::marker::Sync + 'static {
+        /// The newest plan that the receiver holds.
+        async fn fetch(
+            &self,
+            request: tonic::Request<super::Empty>,
+        ) -> std::result::Result<tonic::Response<super::PutPlan>, tonic::Status>;
+    }
+    #[derive(Debug)]
+    pub struct NodesServer<T> {
+        inner: Arc<T>,
+        accept_compression_encodings: EnabledCompressionEncodings,
+        send_compression_encodings: EnabledCompressionEncodings,
+        max_decoding_message_size: Option<usize>,
+        max_encoding_message_size: Option<usize>,
+    }
+    impl<T> NodesServer<T> {
+        pub fn new(inner: T) -> Self {
+            Self::from_arc(Arc::new(inner))
+        }
+        pub fn from_arc(inner: Arc<T>) -> Self {
+            Self {
+                inner,
+                accept_compression_encodings: Default::default(),
+                send_compression_encodings: Default::default(),
+                max_decoding_message_size: None,
+                max_encoding_message_size: None,
+            }
+        }
+        pub fn with_interceptor<F>(
+            inner: T,
+            interceptor: F,
+        ) -> InterceptedService<Self, F>
+        where
+            F: tonic::service::Interceptor,
+        {
+            InterceptedService::new(Self::new(inner), interceptor)
+        }
+        /// Enable decompressing requests with the given encoding.
+        #[must_use]
+        pub fn accept_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.accept_compression_encodings.enable(encoding);
+            self
+        }
+        /// Compress responses with the given encoding, if the client supports it.
+        #[must_use]
+        pub fn send_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.send_compression_encodings.enable(encoding);
+            self
+        }
+        /// Limits the maximum size of a decoded message.
+        ///
+        /// Default: `4MB`
+        #[must_use]
+        pub fn max_decoding_message_size(mut self, limit: usize) -> Self {
+            self.max_decoding_message_size = Some(limit);
+            self
+        }
+        /// Limits the maximum size of an encoded message.
+        ///
+        /// Default: `usize::MAX`
+        #[must_use]
+        pub fn max_encoding_message_size(mut self, limit: usize) -> Self {
+            self.max_encoding_message_size = Some(limit);
+            self
+        }
+    }
+    impl<T, B> tonic::codegen::Service<http::Request<B>> for NodesServer<T>
+    where
+        T: Nodes,
+        B: Body + std::marker::Send + 'static,
+        B::Error: Into<StdError> + std::marker::Send + 'static,
+    {
+        type Response = http::Response<tonic::body::Body>;
+        type Error = std::convert::Infallible;
+        type Future = BoxFuture<Self::Response, Self::Error>;
+        fn poll_ready(
+            &mut self,
+            _cx: &mut Context<'_>,
+        ) -> Poll<std::result::Result<(), Self::Error>> {
+            Poll::Ready(Ok(()))
+        }
+        fn call(&mut self, req: http::Request<B>) -> Self::Future {
+            match req.uri().path() {
+                "/azuremount.v1.Nodes/Fetch" => {
+                    #[allow(non_camel_case_types)]
+                    struct FetchSvc<T: Nodes>(pub Arc<T>);
+                    impl<T: Nodes> tonic::server::UnaryService<super::Empty>
+                    for FetchSvc<T> {
+                        type Response = super::PutPlan;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::Empty>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Nodes>::fetch(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = FetchSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                _ => {
+                    Box::pin(async move {
+                        let mut response = http::Response::new(
+                            tonic::body::Body::default(),
+                        );
+                        let headers = response.headers_mut();
+                        headers
+                            .insert(
+                                tonic::Status::GRPC_STATUS,
+                                (tonic::Code::Unimplemented as i32).into(),
+                            );
+                        headers
+                            .insert(
+                                http::header::CONTENT_TYPE,
+                                tonic::metadata::GRPC_CONTENT_TYPE,
+                            );
+                        Ok(response)
+                    })
+                }
+            }
+        }
+    }
+    impl<T> Clone for NodesServer<T> {
+        fn clone(&self) -> Self {
+            let inner = self.inner.clone();
+            Self {
+                inner,
+                accept_compression_encodings: self.accept_compression_encodings,
+                send_compression_encodings: self.send_compression_encodings,
+                max_decoding_message_size: self.max_decoding_message_size,
+                max_encoding_message_size: self.max_encoding_message_size,
+            }
+        }
+    }
+    /// Generated gRPC service name
+    pub const SERVICE_NAME: &str = "azuremount.v1.Nodes";
+    impl<T> tonic::server::NamedService for NodesServer<T> {
+        const NAME: &'static str = SERVICE_NAME;
+    }
+}
