Place replicas by load, and share what replicas have cached

Reclaimable replicas are ordered, ordinary ones stand in when they go; replicas fetch cached prompts from each other; nodes tell each other which prompts replicas were sent.

Ruled out: sizing by requests under way, which grows with every delay and ordered 40 replicas for a dip.

--- a/benches/decide.rs
+++ b/benches/decide.rs
@@ -38,6 +38,7 @@
             slots: 8,
             reclaimable: number % 2 == 0,
             price: 100,
+            leaving: false,
         })
         .collect()
 }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod admit;
 pub mod moving;
+pub mod place;
 pub mod prefix;
 pub mod quota;
 pub mod retry;
--- /dev/null
+++ b/src/decide/place.rs
@@ -0,0 +1,210 @@
+//! How many replicas of an engine each data centre should have, and which
+//! kind.
+//!
+//! Reclaimable replicas cost a fraction of the others, and all of one data
+//! centre can be taken away at once, on seconds of notice, while none are to
+//! be had anywhere else for a long while. So there are as many of them that
+//! those of [`LOST_AT_ONCE`] data centres can go before anybody acts, and the
+//! rest still carries the load. What is missing beyond that is replaced by
+//! ordinary ones as soon as a notice comes or an order is refused, until
+//! reclaimable ones serve in their place.
+//!
+//! The load is measured by the time that prompts take to read. The number of
+//! requests under way would seem simpler, but it grows with every delay: too
+//! few replicas for a moment would end in orders of far too many.
+
+use crate::util::common;
+
+/// Data centres whose reclaimable replicas may be gone before orders have
+/// brought others: a second one often follows within the time that a change
+/// of leader and a boot take.
+const LOST_AT_ONCE: u32 = 2;
+/// The part of its time that a replica should spend on reading prompts. At a
+/// fifth, a prompt seldom meets another one before it; at a third, the 95th
+/// percentile of the first token doubles.
+const READING: f32 = 0.3;
+/// Replicas kept at least after a loss, over all data centres: below this
+/// one replica's failure takes too large a part of the load with it.
+const LEAST: f32 = 8.0;
+/// The part of the replicas found at the start that is taken to be needed
+/// before any load was seen: their operators sized them with some room.
+const FOUND: f32 = 0.6;
+/// How fast a past peak of the load is forgotten, in ms for half of it. Long
+/// against the time in which replicas boot, so that a wave's next crest finds
+/// them there.
+const FORGET_MS: f32 = 10_000.0;
+
+/// Over which the load of a moment is averaged, in ms.
+const RECENT_MS: f32 = 4000.0;
+/// Less than this, in replicas that only read, is no load.
+const BUSY: f32 = 0.05;
+/// Ordinary replicas that are let go at a time under load, as a part of all:
+/// the prompts that they hold have to be read elsewhere first.
+const RELEASED: f32 = 0.06;
+
+common! {
+    /// What there is in one data centre.
+    pub struct Site {
+        /// Its name.
+        pub data_centre: String,
+        /// Reclaimable replicas that serve.
+        pub spot: u32,
+        /// Other replicas that serve.
+        pub ordinary: u32,
+        /// Price of an ordinary replica.
+        pub price: f64,
+        /// No reclaimable ones are to be had: an order was refused, or those
+        /// that were there are being taken away.
+        pub dry: bool,
+    }
+}
+
+common! {
+    /// What one engine may be given.
+    pub struct Bounds {
+        /// Replicas of a data centre at least, of both kinds together.
+        pub least: u32,
+        /// Replicas of a data centre at most, of both kinds together.
+        pub most: u32,
+        /// Whether there are reclaimable replicas at all.
+        pub has_spot: bool,
+    }
+}
+
+common! {
+    /// How many replicas of each kind a data centre should have.
+    pub struct Wish {
+        /// Its name.
+        pub data_centre: String,
+        /// Reclaimable ones.
+        pub spot: u32,
+        /// Others.
+        pub ordinary: u32,
+    }
+}
+
+/// The load that replicas are kept for: the part of their time, added up,
+/// that replicas spend on reading prompts.
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// Work sent by each node since its start, in ms.
+    sent: Vec<(u64, u64)>,
+    at: u64,
+    recent: f32,
+    peak: f32,
+}
+
+impl Load {
+    /// Starts from the replicas that are there, as no load was seen yet.
+    ///
+    /// Starting from none would let nearly all of them go, right before the
+    /// traffic for which they were bought.
+    pub fn open(now: u64, found: u32) -> Load {
+        let peak = found as f32 * FOUND * READING;
+        Load { sent: Vec::new(), at: now, recent: 0.0, peak }
+    }
+
+    /// Takes what each node has sent since its start, in ms.
+    pub fn note(&mut self, now: u64, sent: Vec<(u64, u64)>) {
+        let passed = now.saturating_sub(self.at).max(1) as f32;
+        let new: u64 = sent
+            .iter()
+            .map(|(node, ms)| {
+                let known = self.sent.iter().find(|(old, _)| old == node);
+                // What a node sent before it was first heard is no load of
+                // this moment.
+                known.map_or(0, |(_, old)| ms.saturating_sub(*old))
+            })
+            .sum();
+        let share = 1.0 - (-passed / RECENT_MS).exp();
+        self.recent += (new as f32 / passed - self.recent) * share;
+        let kept = (-passed / FORGET_MS * std::f32::consts::LN_2).exp();
+        self.peak = (self.peak * kept).max(self.recent);
+        self.sent = sent;
+        self.at = now;
+    }
+
+    /// The peak that is still remembered, in replicas that only read.
+    pub fn peak(&self) -> f32 {
+        self.peak
+    }
+
+    /// True while requests come in.
+    pub fn is_busy(&self) -> bool {
+        self.recent > BUSY
+    }
+}
+
+/// What each data centre should have, in the order of `sites`.
+pub fn wishes(sites: &[Site], bounds: &Bounds, load: &Load) -> Vec<Wish> {
+    let need = needed(load);
+    let count = sites.len().max(1) as u32;
+    if !bounds.has_spot {
+        let each = need.div_ceil(count).clamp(bounds.least, bounds.most);
+        return sites.iter().map(|site| wish(site, 0, each)).collect();
+    }
+    let left = count.saturating_sub(LOST_AT_ONCE).max(1);
+    let each = need.div_ceil(left).clamp(bounds.least, bounds.most);
+    // While reclaimable ones are not to be had: enough for one more loss.
+    let total = (need * count).div_ceil((count - 1).max(1)).min(each * count);
+    let mut wishes: Vec<Wish> = sites
+        .iter()
+        .map(|site| {
+            // Where some are missing, the load has moved to the others: they
+            // keep what they have.
+            let missing = sites.iter().any(|other| other.spot < each);
+            let kept = if missing { site.spot.min(bounds.most) } else { 0 };
+            wish(site, each.max(kept), 0)
+        })
+        .collect();
+    // What will be there soon, as far as known.
+    let coming: u32 = sites
+        .iter()
+        .map(|site| if site.dry { site.spot.min(each) } else { each })
+        .sum();
+    let serving: u32 = sites.iter().map(|site| site.spot.min(each)).sum();
+    let there: u32 = sites.iter().map(|site| site.ordinary).sum();
+    let mut kept = there.min(total.saturating_sub(serving));
+    if load.is_busy() {
+        let let_go = (total as f32 * RELEASED).ceil() as u32;
+        kept = kept.max(there.saturating_sub(let_go));
+    }
+    let wanted = total.saturating_sub(coming).max(kept);
+    spread(wanted, sites, bounds, &mut wishes);
+    wishes
+}
+
+fn wish(site: &Site, spot: u32, ordinary: u32) -> Wish {
+    Wish { data_centre: site.data_centre.clone(), spot, ordinary }
+}
+
+/// Spreads ordinary replicas: those that are there stay, new ones go where
+/// they are cheapest, one by one in turn.
+fn spread(wanted: u32, sites: &[Site], bounds: &Bounds, wishes: &mut [Wish]) {
+    let room = |site: &Site| bounds.most.saturating_sub(site.spot);
+    let mut left = wanted;
+    for (site, wish) in sites.iter().zip(&mut *wishes) {
+        wish.ordinary = site.ordinary.min(room(site)).min(left);
+        left -= wish.ordinary;
+    }
+    let mut order: Vec<usize> = (0..sites.len()).collect();
+    order.sort_by(|&one, &other| {
+        sites[one].price.total_cmp(&sites[other].price)
+    });
+    while left > 0 {
+        let before = left;
+        for &at in &order {
+            if left > 0 && wishes[at].ordinary < room(&sites[at]) {
+                wishes[at].ordinary += 1;
+                left -= 1;
+            }
+        }
+        if left == before {
+            return;
+        }
+    }
+}
+
+fn needed(load: &Load) -> u32 {
+    (load.peak() / READING).max(LEAST).ceil() as u32
+}
--- a/src/decide/route/cost.rs
+++ b/src/decide/route/cost.rs
@@ -2,7 +2,7 @@
 
 use rand::RngExt;
 
-use super::{Ask, Pool, Replica, avoided};
+use super::{Ask, LEAST_FETCH, Pool, Replica, avoided};
 
 /// How often the level is found anew, in ms.
 const LEVEL_MS: u64 = 50;
@@ -104,12 +104,14 @@
         for at in self.matched.drain(..) {
             self.replicas[at].matched = 0;
         }
+        self.known.clear();
         let block = self.weights.block_tokens;
-        let Pool { index, replicas, places, matched, .. } = self;
+        let Pool { index, replicas, places, matched, known, .. } = self;
         index.holders(ask.blocks, HOLDERS, |number, count| {
             if let Some(&Some(at)) = places.get(number as usize) {
                 replicas[at].matched = count * block;
                 matched.push(at);
+                known.push((at, count * block));
             }
         });
         self.match_home(ask);
@@ -132,7 +134,9 @@
             .replicas
             .iter_mut()
             .enumerate()
-            .filter(|(_, replica)| !avoided(replica, ask))
+            .filter(|(_, replica)| {
+                !avoided(replica, ask) && !replica.identity.leaving
+            })
             .max_by_key(|(_, replica)| mix(key ^ replica.hash));
         if let Some((at, home)) = home {
             let assumed = ask.tokens as f32 * self.weights.home;
@@ -147,7 +151,7 @@
         replica: &Replica,
         ask: &Ask<'_>,
     ) -> f32 {
-        if avoided(replica, ask) {
+        if avoided(replica, ask) || replica.identity.leaving {
             return f32::INFINITY;
         }
         let weights = &self.weights;
@@ -160,9 +164,13 @@
         let over = (load + 1.5 - slots).max(0.0) as u32 as f32;
         let queue = over / slots * self.weights.hold_ms;
         let batch = load.min(slots) * weights.batch_ms;
-        let fresh = ask.tokens.saturating_sub(replica.matched) as f32;
-        let fresh = fresh * weights.recompute;
-        let compute = (fresh + replica.pending_tokens) * weights.token_ms;
+        let fresh = ask.tokens.saturating_sub(replica.matched);
+        let fetched = self.fetched(replica, ask);
+        let fetch =
+            fetched as f32 * weights.fetch_ms.unwrap_or(weights.token_ms);
+        let fresh = (fresh - fetched) as f32 * weights.recompute;
+        let compute =
+            (fresh + replica.pending_tokens) * weights.token_ms + fetch;
         let stall = match replica.quiet.iter().map(|(_, at)| *at).min() {
             Some(at) => {
                 let age = now.saturating_sub(at) as f32;
@@ -185,6 +193,19 @@
         cost + identity.price as f32 * weights.price_ms
     }
 
+    /// Tokens of the prompt that a replica would fetch from another.
+    fn fetched(&self, replica: &Replica, ask: &Ask<'_>) -> u32 {
+        if self.weights.fetch_ms.is_none() {
+            return 0;
+        }
+        let most = self.known.iter().map(|(_, count)| *count).max();
+        let more = most.unwrap_or(0).saturating_sub(replica.matched);
+        if more < LEAST_FETCH {
+            return 0;
+        }
+        more.min(ask.tokens.saturating_sub(replica.matched))
+    }
+
     /// Requests thought to be running or waiting at a replica now.
     ///
     /// Its own are known; those of the others are as reported, drawn towards
--- a/src/decide/route/mod.rs
+++ b/src/decide/route/mod.rs
@@ -102,8 +102,14 @@
     pub blocks: u32,
     /// Milliseconds that a replica costs more that fails all its requests.
     pub failing_ms: f32,
+    /// Milliseconds to fetch one token of a cached prompt from another
+    /// replica; `None` where replicas can't.
+    pub fetch_ms: Option<f32>,
 }
 
+/// Tokens that are not worth a fetch: it takes some milliseconds by itself.
+const LEAST_FETCH: u32 = 1024;
+
 impl Default for Weights {
     fn default() -> Weights {
         Weights {
@@ -119,6 +125,7 @@
             block_tokens: BLOCK_TOKENS,
             blocks: BLOCKS_PER_REPLICA,
             failing_ms: 3000.0,
+            fetch_ms: None,
         }
     }
 }
@@ -138,6 +145,9 @@
         pub reclaimable: bool,
         /// Thousandths of a cent an hour.
         pub price: u64,
+        /// It finishes what it has and gets nothing new; until it is gone,
+        /// others can fetch from its cache.
+        pub leaving: bool,
     }
 }
 
@@ -196,6 +206,9 @@
         pub incarnation: u64,
         /// Prompt tokens that are probably cached there.
         pub cached_tokens: u32,
+        /// Another endpoint that probably has much more of the prompt: the
+        /// chosen one should fetch it there.
+        pub fetch_from: Option<String>,
         /// Expected time to the first piece, in ms.
         pub predicted_ms: f32,
         /// To be handed back with progress and end.
@@ -230,6 +243,9 @@
     places: Vec<Option<usize>>,
     /// Replicas whose `matched` is not 0.
     matched: Vec<usize>,
+    /// Of these, those that were sent the prompt's beginning: with the
+    /// tokens that they probably hold.
+    known: Vec<(usize, u32)>,
     // Kept between decisions so that none has to allocate.
     costs: Vec<f32>,
     ties: Vec<usize>,
@@ -241,6 +257,8 @@
     /// Requests of this entry in a millisecond, on average.
     rate: f32,
     picks: u32,
+    /// Time that all prompts sent so far take to read, in ms.
+    work_ms: f64,
 }
 
 /// How long a replica that failed a request is passed over, in ms. Doubled
@@ -279,6 +297,7 @@
             peers: 0.0,
             places: Vec::new(),
             matched: Vec::new(),
+            known: Vec::new(),
             costs: Vec::new(),
             ties: Vec::new(),
             level: 0.0,
@@ -286,6 +305,7 @@
             usual_others: 0.0,
             rate: 0.0,
             picks: 0,
+            work_ms: 0.0,
         }
     }
 
@@ -330,6 +350,7 @@
             self.index.clear(gone.number);
         }
         self.matched.clear();
+        self.known.clear();
         self.places.clear();
         self.places.resize(self.next_number as usize, None);
         for (at, replica) in self.replicas.iter_mut().enumerate() {
@@ -395,6 +416,14 @@
         }
     }
 
+    /// Notes blocks that other entries have sent to a replica.
+    pub fn sent_elsewhere(&mut self, id_hash: u64, blocks: &[u64]) {
+        let at = self.replicas.iter().position(|one| one.hash == id_hash);
+        if let Some(at) = at {
+            self.index.insert(self.replicas[at].number, blocks);
+        }
+    }
+
     /// Chooses a replica and notes that the request goes there.
     pub fn pick(&mut self, now: u64, ask: &Ask<'_>) -> Option<Choice> {
         let at = match self.policy {
@@ -476,6 +505,11 @@
         }
     }
 
+    /// Time that all prompts sent so far take one replica to read, in ms.
+    pub fn work_ms(&self) -> u64 {
+        self.work_ms as u64
+    }
+
     /// This entry's requests under way at each replica.
     pub fn own(&self) -> impl Iterator<Item = (&str, u32)> {
         self.replicas
@@ -509,7 +543,14 @@
         let cached = self.replicas[at].matched.min(ask.tokens);
         let serial = self.next_serial;
         self.next_serial += 1;
-        let tokens = ask.tokens - cached;
+        let source = self.source(at, cached);
+        let fetched = source.map_or(0, |from| {
+            self.replicas[from].matched.min(ask.tokens) - cached
+        });
+        let fetch_from =
+            source.map(|from| self.replicas[from].identity.id.clone());
+        let tokens = ask.tokens - cached - fetched;
+        self.work_ms += f64::from(tokens as f32 * self.weights.token_ms);
         let replica = &mut self.replicas[at];
         replica.own += 1;
         replica.note(now, 1.0);
@@ -520,6 +561,7 @@
             id: replica.identity.id.clone(),
             incarnation: replica.identity.incarnation,
             cached_tokens: cached,
+            fetch_from,
             predicted_ms,
             ticket: Ticket { number, serial, tokens, begun_at: now },
         };
@@ -527,6 +569,14 @@
         choice
     }
 
+    /// The replica that holds most of the prompt, if it is worth a fetch.
+    fn source(&self, chosen: usize, cached: u32) -> Option<usize> {
+        self.weights.fetch_ms?;
+        let best = self.known.iter().copied().max_by_key(|(_, count)| *count);
+        let (at, most) = best?;
+        (at != chosen && most >= cached + LEAST_FETCH).then_some(at)
+    }
+
     fn new_replica(&mut self, near: &str, identity: &Identity) -> Replica {
         let number = self.next_number;
         self.next_number += 1;
--- a/src/duty/mod.rs
+++ b/src/duty/mod.rs
@@ -10,6 +10,7 @@
 //! - A new leader waits out [`Options::lease_ms`] before its first call. So a
 //!   call of its predecessor that is still on its way arrives before.
 
+pub mod scale;
 pub mod usage;
 
 use std::{sync::Arc, time::Duration};
@@ -17,7 +18,9 @@
 use tokio::{task::JoinHandle, time::sleep};
 
 use crate::{
+    board::Cell,
     control::{client::Client, member::Office, seat},
+    gateway::plan::Plan,
     mesh,
     timer::Timer,
     util::common,
@@ -41,6 +44,31 @@
         pub window_ms: u64,
         /// Whether usage is reported at all.
         pub reports_usage: bool,
+        /// Whether replicas are ordered at all.
+        pub orders_replicas: bool,
+    }
+}
+
+common! {
+    /// How many replicas of one kind a data centre should have.
+    pub struct Order {
+        /// Of which service.
+        pub service: String,
+        /// Where.
+        pub data_centre: String,
+        /// Whether they may be reclaimed.
+        pub reclaimable: bool,
+        /// How many, in all.
+        pub count: u32,
+    }
+}
+
+impl Order {
+    /// True when both say how many there should be of the same replicas.
+    pub fn is_for(&self, other: &Order) -> bool {
+        self.service == other.service
+            && self.data_centre == other.data_centre
+            && self.reclaimable == other.reclaimable
     }
 }
 
@@ -86,6 +114,14 @@
         badge: &Badge,
         usage: &RecordUsage,
     ) -> Result<(), Error>;
+
+    /// Orders replicas.
+    ///
+    /// # Errors
+    ///
+    /// When the platform has none, or did not answer; the same order may be
+    /// given again.
+    async fn order(&self, badge: &Badge, order: &Order) -> Result<(), Error>;
 }
 
 /// What duties work with.
@@ -97,6 +133,8 @@
     pub control: Arc<Client>,
     /// What all nodes have counted.
     pub mesh: mesh::Handle,
+    /// The plan in force.
+    pub plan: Arc<Cell<Option<Plan>>>,
     /// The platform.
     pub cloud: Arc<dyn Cloud>,
     /// The clock.
@@ -128,15 +166,20 @@
 pub fn spawn(options: Options, tools: Tools) -> Handle {
     Handle(tokio::spawn(async move {
         let mut reporter = usage::Reporter::default();
+        let mut scaler = scale::Scaler::default();
         loop {
             sleep(LOOK).await;
             if tools.badge(&options).await.is_none() {
                 reporter = usage::Reporter::default();
+                scaler = scale::Scaler::default();
                 continue;
             }
             if options.reports_usage {
                 reporter.look(&options, &tools).await;
             }
+            if options.orders_replicas {
+                scaler.look(&options, &tools).await;
+            }
         }
     }))
 }
--- /dev/null
+++ b/src/duty/scale.rs
@@ -0,0 +1,217 @@
+//! Orders of replicas, by the wishes of [`crate::decide::place`].
+
+use tracing::{info, warn};
+
+use super::{Error, Options, Order, Tools};
+use crate::{
+    decide::place::{Bounds, Load, Site, wishes},
+    gateway::plan::{Plan, Scaling, Service},
+    mesh::table::{Replica, State, Table},
+    util::{common, name_hash},
+};
+
+/// An order that was not met is given again after this long, in ms: longer
+/// than replicas take to boot, as a rule, so that one that is under way is
+/// not ordered twice.
+const AGAIN_MS: u64 = 6000;
+/// After a refusal, as none are to be had: when to ask again, in ms. Calls
+/// to the platform cost something, and so do the seconds of the ordinary
+/// replicas that stand in.
+const REFUSED_MS: u64 = 2000;
+/// For this long after a refusal or a notice a data centre counts as having
+/// none, in ms: until one more order there has been decided.
+const DRY_MS: u64 = 3000;
+
+common! {
+    struct Given {
+        order: Order,
+        /// Not before this is it given again unchanged.
+        again_at: u64,
+        /// None are to be had until then, as far as known.
+        dry_until: u64,
+    }
+}
+
+/// What one leader has ordered.
+#[derive(Debug, Default)]
+pub struct Scaler {
+    given: Vec<Given>,
+    /// By service.
+    loads: Vec<(String, Load)>,
+}
+
+impl Scaler {
+    /// Orders what is due.
+    pub async fn look(&mut self, options: &Options, tools: &Tools) {
+        let held = tools.plan.read();
+        let Some(plan) = held.as_ref() else { return };
+        let now = tools.timer.now();
+        let due = self.due(now, plan, &tools.mesh.table());
+        for (order, there) in due {
+            let Some(badge) = tools.badge(options).await else { return };
+            let result = tools.cloud.order(&badge, &order).await;
+            let refused = result.is_err();
+            log(&order, there, badge.fence, result);
+            self.note(now, refused, order);
+        }
+    }
+
+    /// Orders that are new, or were not met, with what there is now.
+    fn due(
+        &mut self,
+        now: u64,
+        plan: &Plan,
+        table: &Table,
+    ) -> Vec<(Order, u32)> {
+        let mut due = Vec::new();
+        for service in plan.services() {
+            let Some(scaling) = &service.scaling else { continue };
+            let ready: Vec<&Replica> = table
+                .replicas()
+                .iter()
+                .filter(|one| one.state == State::Ready)
+                .filter(|one| one.says.service == service.name)
+                .collect();
+            let mut sites = sites(scaling, &ready);
+            for site in &mut sites {
+                let name = &site.data_centre;
+                site.dry = self.is_dry(now, &service.name, name)
+                    || is_being_reclaimed(now, table, service, name);
+            }
+            let bounds = Bounds {
+                least: scaling.least,
+                most: scaling.most,
+                has_spot: scaling.spot_price.is_some(),
+            };
+            let load = self.load(now, service, table, ready.len()).clone();
+            for (wish, site) in
+                wishes(&sites, &bounds, &load).iter().zip(&sites)
+            {
+                let kinds = [
+                    (true, wish.spot, site.spot),
+                    (false, wish.ordinary, site.ordinary),
+                ];
+                for (reclaimable, count, there) in kinds {
+                    let order = Order {
+                        service: service.name.clone(),
+                        data_centre: wish.data_centre.clone(),
+                        reclaimable,
+                        count,
+                    };
+                    if self.is_due(now, &order, there) {
+                        due.push((order, there));
+                    }
+                }
+            }
+        }
+        // What is bought first, what is let go last.
+        due.sort_by_key(|(order, there)| order.count < *there);
+        due
+    }
+
+    fn load(
+        &mut self,
+        now: u64,
+        service: &Service,
+        table: &Table,
+        found: usize,
+    ) -> &Load {
+        let name = &service.name;
+        let known = self.loads.iter().position(|(known, _)| known == name);
+        let at = known.unwrap_or_else(|| {
+            let load = Load::open(now, found as u32);
+            self.loads.push((name.clone(), load));
+            self.loads.len() - 1
+        });
+        let load = &mut self.loads[at].1;
+        load.note(now, table.work(name_hash(name)));
+        load
+    }
+
+    fn is_due(&self, now: u64, order: &Order, there: u32) -> bool {
+        let given = self.given.iter().find(|one| one.order.is_for(order));
+        match given {
+            Some(given) if given.order.count == order.count => {
+                there != order.count && now >= given.again_at
+            }
+            Some(_) => true,
+            None => there != order.count,
+        }
+    }
+
+    fn is_dry(&self, now: u64, service: &str, data_centre: &str) -> bool {
+        self.given.iter().any(|one| {
+            one.order.reclaimable
+                && one.order.service == service
+                && one.order.data_centre == data_centre
+                && now < one.dry_until
+        })
+    }
+
+    fn note(&mut self, now: u64, refused: bool, order: Order) {
+        let (wait, dry) =
+            if refused { (REFUSED_MS, DRY_MS) } else { (AGAIN_MS, 0) };
+        let given =
+            Given { order, again_at: now + wait, dry_until: now + dry };
+        let old =
+            self.given.iter().position(|one| one.order.is_for(&given.order));
+        match old {
+            Some(at) => self.given[at] = given,
+            None => self.given.push(given),
+        }
+    }
+}
+
+/// True while reclaimable replicas are leaving a data centre on notice.
+fn is_being_reclaimed(
+    now: u64,
+    table: &Table,
+    service: &Service,
+    data_centre: &str,
+) -> bool {
+    table.replicas().iter().any(|one| {
+        one.state == State::Leaving
+            && one.says.reclaimable
+            && one.says.service == service.name
+            && one.says.data_centre == data_centre
+            && one.says.leaves_ms > 0
+            && now < one.heard_at + DRY_MS
+    })
+}
+
+fn sites(scaling: &Scaling, ready: &[&Replica]) -> Vec<Site> {
+    let count = |data_centre: &str, reclaimable: bool| {
+        ready
+            .iter()
+            .filter(|one| one.says.data_centre == data_centre)
+            .filter(|one| one.says.reclaimable == reclaimable)
+            .count() as u32
+    };
+    scaling
+        .prices
+        .iter()
+        .map(|(data_centre, price)| Site {
+            data_centre: data_centre.clone(),
+            spot: count(data_centre, true),
+            ordinary: count(data_centre, false),
+            price: *price,
+            dry: false,
+        })
+        .collect()
+}
+
+fn log(order: &Order, there: u32, fence: u64, result: Result<(), Error>) {
+    let Order { service, data_centre, reclaimable, count } = order;
+    match result {
+        Ok(()) => info!(
+            target: "duty",
+            service, data_centre, reclaimable, count, there, fence,
+            "Ordered replicas."
+        ),
+        Err(error) => warn!(
+            target: "duty",
+            service, data_centre, reclaimable, count, there, fence,
+            "Replicas not ordered: {error}."
+        ),
+    }
+}
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -128,6 +128,7 @@
                     price: config
                         .class(&endpoint.class)
                         .map_or(0, |class| class.price),
+                    leaving: false,
                 })
                 .collect();
             let near = self.near.clone();
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -39,6 +39,8 @@
         pub deadline_ms: u64,
         /// From 0, the most urgent, to 9.
         pub urgency: Option<u8>,
+        /// Another replica that has more of the prompt in its cache.
+        pub fetch_from: Option<std::net::SocketAddrV4>,
         /// The event after which the stream goes on here.
         pub last_event: Option<u64>,
     }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -14,8 +14,8 @@
         route::{Ask, Choice, Identity, Policy, Pool, Ticket, Weights},
     },
     mesh::table::{self, State, Table},
-    util::{common, position, random_id},
-    wire::Under,
+    util::{common, name_hash, position, random_id},
+    wire::{Cached, Under, Work},
 };
 
 /// A replica is used for this long after its last heartbeat, in ms: three of
@@ -48,6 +48,8 @@
         pub ticket: Ticket,
         /// Prompt tokens that it probably has in its cache.
         pub cached_tokens: u32,
+        /// Where it should fetch more of the prompt.
+        pub fetch_from: Option<SocketAddrV4>,
         /// Expected time to the first byte, in ms.
         pub predicted_ms: f32,
     }
@@ -79,13 +81,21 @@
     bound: Bound,
     /// Sorted by name.
     services: Vec<Routed>,
+    /// What replicas have been sent lately, with the time.
+    cached: Vec<(u64, Cached)>,
 }
 
+/// For so long a part that a replica was sent is told to the other nodes, in
+/// ms: in two or three datagrams, as one may be lost.
+const TELL_MS: u64 = 700;
+/// Parts told in one datagram; at 20 bytes each they still fit.
+const TOLD: usize = 24;
+
 impl Fleet {
     /// Starts without replicas, in this data centre.
     pub fn open(data_centre: &str, bound: Bound) -> Fleet {
         let data_centre = data_centre.to_owned();
-        Fleet { data_centre, bound, services: Vec::new() }
+        Fleet { data_centre, bound, services: Vec::new(), cached: Vec::new() }
     }
 
     /// Takes over what the mesh knows now.
@@ -93,7 +103,7 @@
         let mut listed: Vec<(&str, &table::Replica)> = table
             .replicas()
             .iter()
-            .filter(|replica| replica.state == State::Ready)
+            .filter(|replica| replica.may_be_used(now))
             .map(|replica| (replica.says.service.as_str(), replica))
             .collect();
         listed.sort_by_key(|(service, _)| *service);
@@ -163,16 +173,67 @@
     ) -> Option<Target> {
         let routed = self.find(service)?;
         let choice: Choice = routed.pool.pick(now, ask)?;
-        let at = position(&routed.places, &choice.id, |one| &one.replica);
+        let address = routed.address(&choice.id)?;
+        let fetch_from = choice.fetch_from.and_then(|id| routed.address(&id));
         Some(Target {
             replica: choice.id,
-            address: routed.places[at.ok()?].address,
+            address,
+            fetch_from,
             ticket: choice.ticket,
             cached_tokens: choice.cached_tokens,
             predicted_ms: choice.predicted_ms,
         })
     }
 
+    /// Notes the parts of a prompt that a replica was sent and did not have.
+    ///
+    /// The last part is the request's own; nobody else will ask for it.
+    pub fn note_sent(
+        &mut self,
+        now: u64,
+        service: &str,
+        target: &Target,
+        parts: &[(u64, u32)],
+    ) {
+        let shared = parts.len().saturating_sub(1);
+        let mut tokens = 0;
+        for (path, part) in paths_of(parts).take(shared) {
+            tokens += part;
+            if tokens <= target.cached_tokens {
+                continue;
+            }
+            let cached = Cached {
+                service: name_hash(service),
+                replica: name_hash(&target.replica),
+                path,
+                blocks: blocks_in(part),
+            };
+            self.cached.push((now, cached));
+        }
+    }
+
+    /// The newest of what replicas have been sent, for the other nodes.
+    pub fn take_cached(&mut self, now: u64) -> Vec<Cached> {
+        self.cached.retain(|(at, _)| now < at + TELL_MS);
+        let newest = self.cached.iter().rev().take(TOLD);
+        newest.map(|(_, cached)| *cached).collect()
+    }
+
+    /// Takes note of what other nodes have sent to replicas.
+    pub fn note_cached(&mut self, cached: &[Cached]) {
+        for one in cached {
+            let routed = self
+                .services
+                .iter_mut()
+                .find(|routed| name_hash(&routed.name) == one.service);
+            if let Some(routed) = routed {
+                let blocks: Vec<u64> =
+                    (0..one.blocks).map(|at| block(one.path, at)).collect();
+                routed.pool.sent_elsewhere(one.replica, &blocks);
+            }
+        }
+    }
+
     /// Counts a first sending to a service.
     pub fn sent(&mut self, now: u64, service: &str) {
         if let Some(routed) = self.find(service) {
@@ -243,6 +304,18 @@
             .collect()
     }
 
+    /// The work of this node's requests since its start, by service.
+    pub fn work(&self) -> Vec<Work> {
+        self.services
+            .iter()
+            .map(|one| Work {
+                service: name_hash(&one.name),
+                ms: one.pool.work_ms(),
+            })
+            .filter(|work| work.ms > 0)
+            .collect()
+    }
+
     /// True when a replica of that id may be given work.
     pub fn has(&self, replica: &str) -> bool {
         self.services.iter().any(|service| {
@@ -282,6 +355,11 @@
 }
 
 impl Routed {
+    fn address(&self, replica: &str) -> Option<SocketAddrV4> {
+        let at = position(&self.places, replica, |one| one.replica.as_str());
+        at.ok().map(|at| self.places[at].address)
+    }
+
     fn refresh<'a>(
         &mut self,
         now: u64,
@@ -296,7 +374,7 @@
         // Where no heartbeat comes through at all, the fault is more likely
         // on this side of the cut than at every replica.
         let mut used: Vec<&table::Replica> = fresh.collect();
-        if used.is_empty() {
+        if used.iter().all(|replica| replica.state != State::Ready) {
             used = replicas.collect();
         }
         let identities: Vec<Identity> = used.iter().map(identity).collect();
@@ -336,6 +414,7 @@
         slots: says.slots,
         reclaimable: says.reclaimable,
         price: 0,
+        leaving: replica.state != State::Ready,
     }
 }
 
@@ -349,6 +428,7 @@
             batch_ms: BATCH_MS,
             reclaim_ms: 0.0,
             block_tokens: BLOCK_TOKENS,
+            fetch_ms: engine.fetch_ms,
             blocks: (engine.cache_tokens / u64::from(BLOCK_TOKENS)) as u32,
             ..defaults
         },
@@ -366,16 +446,27 @@
 /// Each block's hash covers all parts up to its own, so two prompts share a
 /// block exactly when they share everything before it too.
 pub fn blocks_of(parts: &[(u64, u32)]) -> Vec<u64> {
-    let mut blocks = Vec::new();
-    let mut path = 0u64;
-    for &(part, tokens) in parts {
-        path =
-            (path.rotate_left(17) ^ part).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        let count = u64::from((tokens + BLOCK_TOKENS / 2) / BLOCK_TOKENS);
-        for number in 0..count.max(1) {
-            let block = (path ^ number).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-            blocks.push(block ^ (block >> 29));
-        }
-    }
-    blocks
+    paths_of(parts)
+        .flat_map(|(path, tokens)| {
+            (0..blocks_in(tokens)).map(move |at| block(path, at))
+        })
+        .collect()
+}
+
+/// What stands for each part and all before it, with the part's tokens.
+fn paths_of(parts: &[(u64, u32)]) -> impl Iterator<Item = (u64, u32)> {
+    parts.iter().scan(0u64, |path, &(part, tokens)| {
+        let mixed = path.rotate_left(17) ^ part;
+        *path = mixed.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        Some((*path, tokens))
+    })
+}
+
+fn blocks_in(tokens: u32) -> u32 {
+    ((tokens + BLOCK_TOKENS / 2) / BLOCK_TOKENS).max(1)
+}
+
+fn block(path: u64, at: u32) -> u64 {
+    let mixed = (path ^ u64::from(at)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed ^ (mixed >> 29)
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -365,6 +365,12 @@
             if tried == 0 {
                 self.gateway.fleet().sent(self.now(), &self.service);
             }
+            self.gateway.fleet().note_sent(
+                self.now(),
+                &self.service,
+                &target,
+                &self.asked.parts,
+            );
             match self.attempt(&target, self.asked.last_event).await {
                 Ok(Reply::Whole(failure)) if is_failure(&failure) => {
                     self.attempts.note(&target.replica, Verdict::Ran);
@@ -577,6 +583,7 @@
             team: team.map(|team| team.name.as_str()),
             deadline_ms: left.as_millis() as u64,
             urgency: self.route.repeat.is_stream().then_some(urgency),
+            fetch_from: target.fetch_from,
             last_event,
         };
         self.gateway.dialect.write(&mut headers, &sending);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -45,7 +45,7 @@
     metrics::Metrics,
     timer::Timer,
     util::{common, name_hash, position, wall_ms},
-    wire::Spent,
+    wire::{Cached, Spent},
 };
 
 common! {
@@ -73,7 +73,7 @@
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) timer: Timer,
     /// Written by the node; versions only grow.
-    pub(crate) plan: Cell<Option<Plan>>,
+    pub(crate) plan: Arc<Cell<Option<Plan>>>,
     pub(crate) lines: Lines,
     pub(crate) metrics: Metrics,
     mesh: std::sync::OnceLock<mesh::Handle>,
@@ -99,7 +99,7 @@
         Gateway {
             dialect,
             timer,
-            plan: Cell::new(None),
+            plan: Arc::new(Cell::new(None)),
             lines: Lines::default(),
             metrics: Metrics::open(),
             mesh: std::sync::OnceLock::new(),
@@ -166,7 +166,14 @@
                 tokens: meter.own(),
             })
             .collect();
-        Own { under: self.fleet().under(), spent }
+        let mut fleet = self.fleet();
+        let cached = fleet.take_cached(self.timer.now());
+        Own { under: fleet.under(), spent, work: fleet.work(), cached }
+    }
+
+    /// Takes note of what other nodes have sent to replicas.
+    pub fn note_cached(&self, cached: &[Cached]) {
+        self.fleet().note_cached(cached);
     }
 
     pub(crate) fn fleet(&self) -> MutexGuard<'_, Fleet> {
--- a/src/gateway/plan.rs
+++ b/src/gateway/plan.rs
@@ -92,6 +92,9 @@
         pub cache_tokens: u64,
         /// Tokens that one event of a stream holds, as a rule.
         pub tokens_per_event: u32,
+        /// Milliseconds in which a replica fetches a cached token of a prompt
+        /// from another one; `None` where it can't.
+        pub fetch_ms: Option<f32>,
         /// Set where replicas are bought and released.
         pub scaling: Option<Scaling>,
     }
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -30,7 +30,7 @@
 use crate::{
     timer::Timer,
     util::wall_ms,
-    wire::{Gossip, Peer},
+    wire::{Cached, Gossip, Peer},
 };
 
 /// Between two datagrams to the same node.
@@ -62,6 +62,8 @@
 pub trait Host: Send + Sync + 'static {
     /// What goes into the next datagram besides the table.
     fn own(&self) -> Own;
+    /// Another node has sent parts of prompts to replicas.
+    fn cached(&self, cached: Vec<Cached>);
     /// Something has changed, or a period has passed.
     fn news(self: Arc<Self>, news: News);
 }
@@ -176,11 +178,15 @@
                 continue;
             }
         };
-        let Ok(gossip) = Gossip::decode(&buffer[..length]) else {
+        let Ok(mut gossip) = Gossip::decode(&buffer[..length]) else {
             warn!(target: "mesh", "Unreadable datagram from {from}.");
             continue;
         };
         let hello = gossip.hello;
+        let cached = std::mem::take(&mut gossip.cached);
+        if !cached.is_empty() {
+            host.cached(cached);
+        }
         let now = shared.timer.now();
         let news = shared.table().hear(now, wall_ms() as i64, gossip);
         if news != News::default() {
--- a/src/mesh/table.rs
+++ b/src/mesh/table.rs
@@ -11,7 +11,10 @@
 
 use crate::{
     util::{common, position, upsert},
-    wire::{Gossip, Peer, RecordUsage, Sighting, Spent, TeamCount, Under},
+    wire::{
+        Cached, Gossip, Peer, RecordUsage, Sighting, Spent, TeamCount, Under,
+        Work,
+    },
 };
 
 /// A node that was not heard for this long is not handed out, in ms.
@@ -29,6 +32,9 @@
 /// How long the mark of a replica that has left is kept, in ms: longer than a
 /// heartbeat can be late.
 const TOMBSTONE_MS: u64 = 60_000;
+/// For so long others may fetch from the cache of a replica that leaves, in
+/// ms: reclaimed ones are gone after two to three seconds.
+const FETCHABLE_MS: u64 = 2000;
 /// Usage windows that are passed on: late enough for a lost datagram, short
 /// enough for one.
 const WINDOWS: usize = 4;
@@ -74,6 +80,8 @@
         pub heard_at: u64,
         /// When it was first seen here.
         pub since: u64,
+        /// When it was first seen leaving.
+        pub left_at: u64,
         /// Its heartbeats come in here, or its state has changed: to be told.
         news: bool,
     }
@@ -92,6 +100,8 @@
         under: Vec<Under>,
         /// Its tokens admitted since its start, by team.
         spent: Vec<Spent>,
+        /// The work of its requests since its start, by service.
+        work: Vec<Work>,
         /// Its clock's lead over this node's, in ms.
         lead_ms: i64,
     }
@@ -112,6 +122,10 @@
     nodes: Vec<Node>,
     replicas: Vec<Replica>,
     began: Vec<Began>,
+    /// This node's requests under way, as last told to the others.
+    own_under: Vec<Under>,
+    /// The same of its work.
+    own_work: Vec<Work>,
     next_peer: usize,
     next_replica: usize,
 }
@@ -123,6 +137,10 @@
     pub under: Vec<Under>,
     /// Tokens admitted since the start, by team.
     pub spent: Vec<Spent>,
+    /// The work of the requests sent since the start, by service.
+    pub work: Vec<Work>,
+    /// Parts of prompts that replicas have been sent lately.
+    pub cached: Vec<Cached>,
 }
 
 /// What a datagram changed.
@@ -147,6 +165,8 @@
             nodes: Vec::new(),
             replicas: Vec::new(),
             began: Vec::new(),
+            own_under: Vec::new(),
+            own_work: Vec::new(),
             next_peer: 0,
             next_replica: 0,
         }
@@ -203,8 +223,14 @@
     }
 
     fn add(&mut self, now: u64, says: Sighting, state: State, heard_at: u64) {
-        let replica =
-            Replica { says, state, heard_at, since: now, news: true };
+        let replica = Replica {
+            says,
+            state,
+            heard_at,
+            since: now,
+            left_at: now,
+            news: true,
+        };
         upsert(&mut self.replicas, replica, |one| one.says.id.as_str());
     }
 
@@ -228,6 +254,7 @@
                 node.direct_at = now;
                 node.under = gossip.under;
                 node.spent = gossip.spent;
+                node.work = gossip.work;
                 node.lead_ms = gossip.wall_ms - wall_ms;
             }
         }
@@ -260,6 +287,7 @@
                 if restarted {
                     node.under.clear();
                     node.spent.clear();
+                    node.work.clear();
                 }
                 node.says = says;
                 restarted
@@ -271,6 +299,7 @@
                     direct_at: 0,
                     under: Vec::new(),
                     spent: Vec::new(),
+                    work: Vec::new(),
                     lead_ms: 0,
                 };
                 self.nodes.insert(at, node);
@@ -281,6 +310,8 @@
 
     /// The next datagram.
     pub fn compose(&mut self, now: u64, wall_ms: i64, own: Own) -> Gossip {
+        self.own_under.clone_from(&own.under);
+        self.own_work.clone_from(&own.work);
         self.me.beat = self.me.beat.max(wall_ms as u64) + 1;
         let usage = match self
             .began
@@ -299,6 +330,8 @@
             replicas: self.next_replicas(now),
             under: own.under,
             spent: own.spent,
+            work: own.work,
+            cached: own.cached,
             usage,
             wall_ms,
             hello: false,
@@ -356,6 +389,30 @@
             .sum()
     }
 
+    /// As [`Table::under`], with this node's own requests.
+    pub fn under_all(&self, now: u64, replica: u64) -> u32 {
+        let own = self.own_under.iter().filter(|one| one.replica == replica);
+        let own: u32 = own.map(|under| under.count).sum();
+        own + self.under(now, replica)
+    }
+
+    /// The work that each node has sent to a service since its start, in ms
+    /// of one replica, with the node's incarnation.
+    pub fn work(&self, service: u64) -> Vec<(u64, u64)> {
+        let others = self
+            .nodes
+            .iter()
+            .map(|node| (node.says.incarnation, node.work.as_slice()));
+        let own = (self.me.incarnation, self.own_work.as_slice());
+        std::iter::once(own)
+            .chain(others)
+            .flat_map(|(node, work)| {
+                let work = work.iter().filter(|one| one.service == service);
+                work.map(move |one| (node, one.ms))
+            })
+            .collect()
+    }
+
     /// Tokens that each other node has admitted for a team since its start,
     /// with the node's incarnation.
     pub fn spent(&self, team: u64) -> impl Iterator<Item = (u64, u64)> + '_ {
@@ -487,6 +544,16 @@
 }
 
 impl Replica {
+    /// True for one that takes requests, and for one that is leaving while
+    /// others can still fetch from its cache.
+    pub fn may_be_used(&self, now: u64) -> bool {
+        match self.state {
+            State::Ready => true,
+            State::Leaving => now < self.left_at + FETCHABLE_MS,
+            State::Gone => false,
+        }
+    }
+
     fn renew(
         &mut self,
         says: Sighting,
@@ -501,6 +568,7 @@
         let moved = state > self.state;
         if moved {
             self.state = state;
+            self.left_at = heard_at;
         }
         if newer && !says.service.is_empty() {
             self.says = says;
--- a/src/node.rs
+++ b/src/node.rs
@@ -59,7 +59,8 @@
     util::random_id,
     verdict::Verdict,
     wire::{
-        Change, Empty, Peer, PlanOutcome, PutPlan, Query, Sighting, change,
+        Cached, Change, Empty, Peer, PlanOutcome, PutPlan, Query, Sighting,
+        change,
         nodes_client::NodesClient,
         nodes_server::{Nodes, NodesServer},
         outcome, query, query_reply,
@@ -247,6 +248,7 @@
             seat: seat.clone(),
             control: node.control.clone(),
             mesh,
+            plan: gateway.plan.clone(),
             cloud: options.cloud.clone(),
             timer,
         };
@@ -483,6 +485,10 @@
         self.gateway.own()
     }
 
+    fn cached(&self, cached: Vec<Cached>) {
+        self.gateway.note_cached(&cached);
+    }
+
     fn news(self: Arc<Self>, _: News) {
         self.gateway.refresh();
         self.follow_mesh();
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -893,6 +893,15 @@
     #[prost(uint32, tag = "2")]
     pub count: u32,
 }
+/// Time that the prompts sent to a service since the sender's start will have
+/// taken to read, in ms of one replica.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Work {
+    #[prost(fixed64, tag = "1")]
+    pub service: u64,
+    #[prost(uint64, tag = "2")]
+    pub ms: u64,
+}
 /// Tokens that the sender has admitted for a team since it started.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Spent {
@@ -901,6 +910,20 @@
     #[prost(uint64, tag = "2")]
     pub tokens: u64,
 }
+/// A replica was sent a part of a prompt that it did not have.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Cached {
+    #[prost(fixed64, tag = "1")]
+    pub service: u64,
+    #[prost(fixed64, tag = "2")]
+    pub replica: u64,
+    /// Stands for the part and all parts before it.
+    #[prost(fixed64, tag = "3")]
+    pub path: u64,
+    /// Blocks in the part.
+    #[prost(uint32, tag = "4")]
+    pub blocks: u32,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Gossip {
     #[prost(message, optional, tag = "1")]
@@ -921,6 +944,10 @@
     /// The receiver should answer at once: the sender is new.
     #[prost(bool, tag = "8")]
     pub hello: bool,
+    #[prost(message, repeated, tag = "9")]
+    pub work: ::prost::alloc::vec::Vec<Work>,
+    #[prost(message, repeated, tag = "10")]
+    pub cached: ::prost::alloc::vec::Vec<Cached>,
 }
 /// Generated client implementations.
 pub mod members_client {
--- a/tests/all/decide.rs
+++ b/tests/all/decide.rs
@@ -20,6 +20,7 @@
             slots: 4,
             reclaimable: number % 3 == 0,
             price: 0,
+            leaving: false,
         })
         .collect()
 }
