Refuse streams that would begin far too late, and leave replicas at work

In-flight prompts of other nodes were unknown to the router.

Nodes tell each other how much each replica has yet to read; a stream that is foretold to begin later than 1.5 to 2.5 targets is refused at once; silence counts as a fault only of a replica that answers nobody; all members follow the load, so a new leader knows it.

--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -22,7 +22,7 @@
 /// The part of its time that a replica should spend on reading prompts. At a
 /// fifth, a prompt seldom meets another one before it; at a third, the 95th
 /// percentile of the first token doubles.
-const READING: f32 = 0.3;
+const READING: f32 = 0.4;
 /// Replicas kept at least after a loss, over all data centres: below this
 /// one replica's failure takes too large a part of the load with it.
 const LEAST: f32 = 8.0;
@@ -32,10 +32,10 @@
 /// How fast a past peak of the load is forgotten, in ms for half of it. Long
 /// against the time in which replicas boot, so that a wave's next crest finds
 /// them there.
-const FORGET_MS: f32 = 10_000.0;
+const FORGET_MS: f32 = 6_000.0;
 
 /// Over which the load of a moment is averaged, in ms.
-const RECENT_MS: f32 = 4000.0;
+const RECENT_MS: f32 = 6000.0;
 /// Less than this, in replicas that only read, is no load.
 const BUSY: f32 = 0.05;
 /// Ordinary replicas that are let go at a time under load, as a part of all:
--- a/src/decide/route/cost.rs
+++ b/src/decide/route/cost.rs
@@ -169,8 +169,9 @@
         let fetch =
             fetched as f32 * weights.fetch_ms.unwrap_or(weights.token_ms);
         let fresh = (fresh - fetched) as f32 * weights.recompute;
-        let compute =
-            (fresh + replica.pending_tokens) * weights.token_ms + fetch;
+        let pending =
+            replica.pending_tokens + self.others_pending(now, replica);
+        let compute = (fresh + pending) * weights.token_ms + fetch;
         let stall = match replica.quiet.iter().map(|(_, at)| *at).min() {
             Some(at) => {
                 let age = now.saturating_sub(at) as f32;
@@ -193,6 +194,36 @@
         cost + identity.price as f32 * weights.price_ms
     }
 
+    /// Prompt tokens that a replica has yet to read for other entries: as
+    /// reported, less what it has had the time to read since.
+    fn others_pending(&self, now: u64, replica: &Replica) -> f32 {
+        let (tokens, at) = replica.others_pending;
+        let passed = now.saturating_sub(at) as f32;
+        (tokens - passed / self.bare_token_ms).max(0.0)
+    }
+
+    /// The time to a first token, as far as it can be foretold.
+    ///
+    /// Unlike the cost it weighs nothing: it is what a caller would wait.
+    pub(super) fn first_token_ms(
+        &self,
+        now: u64,
+        replica: &Replica,
+        ask: &Ask<'_>,
+    ) -> f32 {
+        let weights = &self.weights;
+        let fresh = ask.tokens.saturating_sub(replica.matched);
+        let fetched = self.fetched(replica, ask);
+        let pending =
+            replica.pending_tokens + self.others_pending(now, replica);
+        let read = ((fresh - fetched) as f32 + pending) * self.bare_token_ms;
+        let fetch = fetched as f32 * weights.fetch_ms.unwrap_or(0.0);
+        let slots = replica.identity.slots as f32;
+        let load = self.estimate(replica);
+        let over = (load + 1.0 - slots).max(0.0);
+        read + fetch + over / slots * weights.hold_ms
+    }
+
     /// Tokens of the prompt that a replica would fetch from another.
     fn fetched(&self, replica: &Replica, ask: &Ask<'_>) -> u32 {
         if self.weights.fetch_ms.is_none() {
--- a/src/decide/route/mod.rs
+++ b/src/decide/route/mod.rs
@@ -169,6 +169,8 @@
     own: u32,
     /// Prompt tokens sent that have not led to a first piece yet.
     pending_tokens: f32,
+    /// The same of the other entries, as last reported, and when.
+    others_pending: (f32, u64),
     /// When each request without progress began or last moved.
     quiet: Vec<(u64, u64)>,
     failed_until: u64,
@@ -259,6 +261,8 @@
     picks: u32,
     /// Time that all prompts sent so far take to read, in ms.
     work_ms: f64,
+    /// Milliseconds to read one token when nothing else is in the way.
+    bare_token_ms: f32,
 }
 
 /// How long a replica that failed a request is passed over, in ms. Doubled
@@ -279,6 +283,12 @@
 const RECENT: usize = 256;
 /// Prompts with fewer fresh tokens say nothing about the speed.
 const LEARN_TOKENS: u32 = 256;
+/// From so many fresh tokens on the time to read them outweighs what every
+/// request takes anyhow.
+const BARE_TOKENS: u32 = 4096;
+/// The shortest time for a token is raised by this with every sample, so that
+/// it follows when all replicas have turned slower.
+const BARE_DRIFT: f32 = 1.002;
 /// The weight of one new holding time in the average.
 const HOLD_SHARE: f32 = 0.1;
 
@@ -306,6 +316,7 @@
             rate: 0.0,
             picks: 0,
             work_ms: 0.0,
+            bare_token_ms: weights.token_ms,
         }
     }
 
@@ -402,6 +413,14 @@
         replica.change = replica.recent.iter().map(|(_, one)| one).sum();
     }
 
+    /// Takes the prompt tokens that a replica has yet to read for the other
+    /// entries.
+    pub fn report_pending(&mut self, now: u64, id: &str, tokens: u32) {
+        if let Some(at) = self.find(id, 0) {
+            self.replicas[at].others_pending = (tokens as f32, now);
+        }
+    }
+
     /// Takes a cache event: blocks that a replica no longer has.
     pub fn evicted(&mut self, id: &str, incarnation: u64, blocks: &[u64]) {
         if let Some(at) = self.find(id, incarnation) {
@@ -462,6 +481,9 @@
         }
         let took = now.saturating_sub(ticket.begun_at) as f32;
         let sample = (took / ticket.tokens as f32).clamp(0.005, 5.0);
+        if ticket.tokens >= BARE_TOKENS {
+            self.bare_token_ms = sample.min(self.bare_token_ms * BARE_DRIFT);
+        }
         let known = &mut self.weights.token_ms;
         let share = if sample < *known { 0.3 } else { 0.02 };
         *known += (sample - *known) * share;
@@ -510,11 +532,13 @@
         self.work_ms as u64
     }
 
-    /// This entry's requests under way at each replica.
-    pub fn own(&self) -> impl Iterator<Item = (&str, u32)> {
-        self.replicas
-            .iter()
-            .map(|replica| (replica.identity.id.as_str(), replica.own))
+    /// This entry's requests under way at each replica, and the prompt tokens
+    /// that it has yet to read for them.
+    pub fn own(&self) -> impl Iterator<Item = (&str, u32, u32)> {
+        self.replicas.iter().map(|replica| {
+            let pending = replica.pending_tokens as u32;
+            (replica.identity.id.as_str(), replica.own, pending)
+        })
     }
 
     /// The cost of one replica, as [`Pool::pick`] sees it.
@@ -539,7 +563,7 @@
         if self.policy != Policy::Cost {
             self.match_prefix(ask);
         }
-        let predicted_ms = self.cost(now, &self.replicas[at], ask);
+        let predicted_ms = self.first_token_ms(now, &self.replicas[at], ask);
         let cached = self.replicas[at].matched.min(ask.tokens);
         let serial = self.next_serial;
         self.next_serial += 1;
@@ -550,7 +574,7 @@
         let fetch_from =
             source.map(|from| self.replicas[from].identity.id.clone());
         let tokens = ask.tokens - cached - fetched;
-        self.work_ms += f64::from(tokens as f32 * self.weights.token_ms);
+        self.work_ms += f64::from(tokens as f32 * self.bare_token_ms);
         let replica = &mut self.replicas[at];
         replica.own += 1;
         replica.note(now, 1.0);
@@ -590,6 +614,7 @@
             recent: Vec::new(),
             own: 0,
             pending_tokens: 0.0,
+            others_pending: (0.0, 0),
             quiet: Vec::new(),
             failed_until: 0,
             strikes: 0,
--- a/src/duty/mod.rs
+++ b/src/duty/mod.rs
@@ -169,9 +169,10 @@
         let mut scaler = scale::Scaler::default();
         loop {
             sleep(LOOK).await;
+            scaler.observe(&tools);
             if tools.badge(&options).await.is_none() {
                 reporter = usage::Reporter::default();
-                scaler = scale::Scaler::default();
+                scaler.forget_orders();
                 continue;
             }
             if options.reports_usage {
--- a/src/duty/scale.rs
+++ b/src/duty/scale.rs
@@ -41,6 +41,25 @@
 }
 
 impl Scaler {
+    /// Follows the load, whether or not this node leads: one that has just
+    /// begun to lead would otherwise order for a load that it can't know.
+    pub fn observe(&mut self, tools: &Tools) {
+        let held = tools.plan.read();
+        let Some(plan) = held.as_ref() else { return };
+        let now = tools.timer.now();
+        let table = tools.mesh.table();
+        for service in plan.services() {
+            if service.scaling.is_some() {
+                self.note_load(now, service, &table);
+            }
+        }
+    }
+
+    /// Forgets what was ordered, as somebody else may order since.
+    pub fn forget_orders(&mut self) {
+        self.given.clear();
+    }
+
     /// Orders what is due.
     pub async fn look(&mut self, options: &Options, tools: &Tools) {
         let held = tools.plan.read();
@@ -57,21 +76,14 @@
     }
 
     /// Orders that are new, or were not met, with what there is now.
-    fn due(
-        &mut self,
-        now: u64,
-        plan: &Plan,
-        table: &Table,
-    ) -> Vec<(Order, u32)> {
+    fn due(&self, now: u64, plan: &Plan, table: &Table) -> Vec<(Order, u32)> {
         let mut due = Vec::new();
         for service in plan.services() {
             let Some(scaling) = &service.scaling else { continue };
-            let ready: Vec<&Replica> = table
-                .replicas()
-                .iter()
-                .filter(|one| one.state == State::Ready)
-                .filter(|one| one.says.service == service.name)
-                .collect();
+            let known =
+                self.loads.iter().find(|(known, _)| *known == service.name);
+            let Some((_, load)) = known else { continue };
+            let ready = ready_of(table, &service.name);
             let mut sites = sites(scaling, &ready);
             for site in &mut sites {
                 let name = &site.data_centre;
@@ -83,9 +95,8 @@
                 most: scaling.most,
                 has_spot: scaling.spot_price.is_some(),
             };
-            let load = self.load(now, service, table, ready.len()).clone();
             for (wish, site) in
-                wishes(&sites, &bounds, &load).iter().zip(&sites)
+                wishes(&sites, &bounds, load).iter().zip(&sites)
             {
                 let kinds = [
                     (true, wish.spot, site.spot),
@@ -109,23 +120,19 @@
         due
     }
 
-    fn load(
-        &mut self,
-        now: u64,
-        service: &Service,
-        table: &Table,
-        found: usize,
-    ) -> &Load {
+    fn note_load(&mut self, now: u64, service: &Service, table: &Table) {
         let name = &service.name;
+        let found = ready_of(table, name).len();
+        if found == 0 {
+            return;
+        }
         let known = self.loads.iter().position(|(known, _)| known == name);
         let at = known.unwrap_or_else(|| {
             let load = Load::open(now, found as u32);
             self.loads.push((name.clone(), load));
             self.loads.len() - 1
         });
-        let load = &mut self.loads[at].1;
-        load.note(now, table.work(name_hash(name)));
-        load
+        self.loads[at].1.note(now, table.work(name_hash(name)));
     }
 
     fn is_due(&self, now: u64, order: &Order, there: u32) -> bool {
@@ -162,6 +169,16 @@
     }
 }
 
+/// The replicas of a service that take requests.
+fn ready_of<'a>(table: &'a Table, service: &str) -> Vec<&'a Replica> {
+    table
+        .replicas()
+        .iter()
+        .filter(|one| one.state == State::Ready)
+        .filter(|one| one.says.service == service)
+        .collect()
+}
+
 /// True while reclaimable replicas are leaving a data centre on notice.
 fn is_being_reclaimed(
     now: u64,
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -23,6 +23,9 @@
 const HEARTBEAT_LIMIT_MS: u64 = 4500;
 /// A replica that answered this recently is used without heartbeats, in ms.
 const ANSWERED_MS: u64 = 3000;
+/// A replica that answered some request this recently is at work, in ms, and
+/// another one that waits there may just stand in line.
+const ANSWERING_MS: u64 = 1000;
 /// Prompt tokens in a block of the router's index. Coarse: prompts here come
 /// in parts of hundreds to thousands of tokens.
 pub const BLOCK_TOKENS: u32 = 512;
@@ -296,10 +299,11 @@
     pub fn under(&self) -> Vec<Under> {
         let pools = self.services.iter().flat_map(|one| one.pool.own());
         pools
-            .filter(|(_, count)| *count > 0)
-            .map(|(id, count)| Under {
+            .filter(|(_, count, _)| *count > 0)
+            .map(|(id, count, pending)| Under {
                 replica: table::replica_hash(id),
                 count,
+                pending,
             })
             .collect()
     }
@@ -316,6 +320,20 @@
             .collect()
     }
 
+    /// True when a replica has answered this node lately, whatever request.
+    pub fn is_answering(
+        &self,
+        now: u64,
+        service: &str,
+        replica: &str,
+    ) -> bool {
+        let at = position(&self.services, service, |one| one.name.as_str());
+        let Ok(at) = at else { return false };
+        let places = &self.services[at].places;
+        position(places, replica, |one| one.replica.as_str())
+            .is_ok_and(|at| now < places[at].answered_at + ANSWERING_MS)
+    }
+
     /// True when a replica of that id may be given work.
     pub fn has(&self, replica: &str) -> bool {
         self.services.iter().any(|service| {
@@ -391,9 +409,11 @@
                 ),
                 answered_at: at.map_or(0, |at| old[at].answered_at),
             });
-            let others = table.under(now, table::replica_hash(&says.id));
-            let own = self.pool.own().find(|(id, _)| *id == says.id);
-            let load = others + own.map_or(0, |(_, own)| own);
+            let hash = table::replica_hash(&says.id);
+            let (others, pending) = table.under(now, hash);
+            let own = self.pool.own().find(|(id, _, _)| *id == says.id);
+            let load = others + own.map_or(0, |(_, own, _)| own);
+            self.pool.report_pending(now, &says.id, pending);
             self.pool.report(now, &says.id, 0, load, 0);
         }
         self.places.sort_by(|one, other| one.replica.cmp(&other.replica));
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -50,6 +50,10 @@
 const NO_PLAN_MS: u64 = 300;
 /// Requests that stand in line are a second's worth at most.
 const LATER_MS: u64 = 400;
+/// Times a route's target that a first token may be foretold to take, for the
+/// three highest ranks. Late answers are worth a tenth, so waiting for twice
+/// the target pays only where nobody else is kept waiting.
+const LATE_TARGETS: [f32; 3] = [2.5, 2.0, 1.5];
 /// The least urgent level there is.
 const LEAST_URGENT: u32 = 9;
 
@@ -362,6 +366,10 @@
                 return self.settle(answer, last);
             };
             let tried = self.attempts.ran + self.attempts.turned_away;
+            if let Some(refusal) = self.overload(&target, tried) {
+                self.forget(&target);
+                return self.settle(answer, refusal);
+            }
             if tried == 0 {
                 self.gateway.fleet().sent(self.now(), &self.service);
             }
@@ -449,14 +457,49 @@
         let had = self.attempts.avoid.iter();
         let had = had.filter(|(id, _)| *id == target.replica).count() > 0;
         if had {
-            let ticket = target.ticket;
-            let mut fleet = self.gateway.fleet();
-            fleet.end(now, &self.service, ticket, false, End::Left);
+            self.forget(&target);
             return None;
         }
         Some(target)
     }
 
+    /// Takes back a choice that is not made use of.
+    fn forget(&self, target: &Target) {
+        let now = self.now();
+        let mut fleet = self.gateway.fleet();
+        fleet.end(now, &self.service, target.ticket, false, End::Left);
+    }
+
+    /// Refuses a stream that would begin far too late at the best replica.
+    ///
+    /// When more comes than can be read, those that wait all wait longer
+    /// still, until every answer is late and clients leave with their
+    /// prompts half read. Refusing at once what would be late keeps the
+    /// others on time; the more urgent a request, the longer it may wait,
+    /// as replicas let it overtake.
+    fn overload(&self, target: &Target, tried: u32) -> Option<Refusal> {
+        if tried > 0 || !self.route.repeat.is_stream() {
+            return None;
+        }
+        let target_ms = self.route.target_ms as f32;
+        let patience = match self.priority() {
+            0 => LATE_TARGETS[0],
+            1 => LATE_TARGETS[1],
+            _ => LATE_TARGETS[2],
+        };
+        let late = target.predicted_ms - target_ms * patience;
+        (late > 0.0).then(|| {
+            let wait = (target.predicted_ms - target_ms / 2.0) as u64;
+            Refusal::later("the replicas have too much to read", wait)
+        })
+    }
+
+    /// The team's rank before the route's.
+    fn priority(&self) -> u32 {
+        let team = self.team.as_ref().and_then(|team| team.priority);
+        team.unwrap_or(self.route.priority)
+    }
+
     /// Asks one replica.
     pub async fn attempt(
         &self,
@@ -469,7 +512,7 @@
             lines.take(&target.replica, target.address, self.deadline).await;
         let mut line = taken.inspect_err(|_| flight.end = End::Failed)?;
         let request = self.request(target, last_event)?;
-        let silence = self.silence();
+        let silence = self.silence(target);
         let sent = line.send(request, self.body.len(), silence).await;
         let response = sent.inspect_err(|failed| {
             let due = Instant::now() < self.deadline;
@@ -574,10 +617,8 @@
         let left = self.deadline.saturating_duration_since(Instant::now());
         let mut headers = self.headers.clone();
         let team = self.team.as_ref();
-        let priority =
-            team.and_then(|team| team.priority).unwrap_or(self.route.priority);
         // Room is left between two ranks for what is served first within one.
-        let urgency = (2 * priority).min(LEAST_URGENT) as u8;
+        let urgency = (2 * self.priority()).min(LEAST_URGENT) as u8;
         let sending = Sending {
             replica: &target.replica,
             team: team.map(|team| team.name.as_str()),
@@ -601,16 +642,24 @@
     }
 
     /// How long a replica may be silent before its answer begins.
-    fn silence(&self) -> Duration {
+    ///
+    /// One that answers others is at work: leaving it would only begin the
+    /// same wait elsewhere, and its reading would be in vain.
+    fn silence(&self, target: &Target) -> Duration {
         let left = self.deadline.saturating_duration_since(Instant::now());
         let mut next = self.attempts.clone();
         next.ran += 1;
         if !next.may_go_on(self.route.repeat, self.route.attempts) {
             return left;
         }
-        let target = Duration::from_millis(self.route.target_ms);
+        let aim = Duration::from_millis(self.route.target_ms);
         let least = Duration::from_millis(LEAST_SILENCE_MS);
-        left.min((target * SILENT_TARGETS).max(least))
+        let short = (aim * SILENT_TARGETS).max(least);
+        let fleet = self.gateway.fleet();
+        match fleet.is_answering(self.now(), &self.service, &target.replica) {
+            true => left.min(short.max(left / 2)),
+            false => left.min(short),
+        }
     }
 
     fn give_back(&self) {
--- a/src/mesh/table.rs
+++ b/src/mesh/table.rs
@@ -122,9 +122,7 @@
     nodes: Vec<Node>,
     replicas: Vec<Replica>,
     began: Vec<Began>,
-    /// This node's requests under way, as last told to the others.
-    own_under: Vec<Under>,
-    /// The same of its work.
+    /// This node's work, as last told to the others.
     own_work: Vec<Work>,
     next_peer: usize,
     next_replica: usize,
@@ -165,7 +163,6 @@
             nodes: Vec::new(),
             replicas: Vec::new(),
             began: Vec::new(),
-            own_under: Vec::new(),
             own_work: Vec::new(),
             next_peer: 0,
             next_replica: 0,
@@ -310,7 +307,6 @@
 
     /// The next datagram.
     pub fn compose(&mut self, now: u64, wall_ms: i64, own: Own) -> Gossip {
-        self.own_under.clone_from(&own.under);
         self.own_work.clone_from(&own.work);
         self.me.beat = self.me.beat.max(wall_ms as u64) + 1;
         let usage = match self
@@ -380,20 +376,15 @@
 
     // ---- Sums -------------------------------------------------------------
 
-    /// Requests of other live nodes under way at a replica.
-    pub fn under(&self, now: u64, replica: u64) -> u32 {
+    /// Requests of other live nodes under way at a replica, and the prompt
+    /// tokens that it has yet to read for them.
+    pub fn under(&self, now: u64, replica: u64) -> (u32, u32) {
         self.live(now)
             .flat_map(|node| &node.under)
             .filter(|under| under.replica == replica)
-            .map(|under| under.count)
-            .sum()
-    }
-
-    /// As [`Table::under`], with this node's own requests.
-    pub fn under_all(&self, now: u64, replica: u64) -> u32 {
-        let own = self.own_under.iter().filter(|one| one.replica == replica);
-        let own: u32 = own.map(|under| under.count).sum();
-        own + self.under(now, replica)
+            .fold((0, 0), |sum, under| {
+                (sum.0 + under.count, sum.1 + under.pending)
+            })
     }
 
     /// The work that each node has sent to a service since its start, in ms
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -892,6 +892,9 @@
     pub replica: u64,
     #[prost(uint32, tag = "2")]
     pub count: u32,
+    /// Prompt tokens that it has yet to read for them.
+    #[prost(uint32, tag = "3")]
+    pub pending: u32,
 }
 /// Time that the prompts sent to a service since the sender's start will have
 /// taken to read, in ms of one replica.
