Keep as many replicas as were found until a load was seen

Now the need stays at 0.85 of the replicas found until there is load, and one replica more than needed is kept rather than let go and booted again.

--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -27,8 +27,9 @@
 /// one replica's failure takes too large a part of the load with it.
 const LEAST: f32 = 8.0;
 /// The part of the replicas found at the start that is taken to be needed
-/// before any load was seen: their operators sized them with some room.
-const FOUND: f32 = 0.6;
+/// until a load was seen: their operators sized them with a little room. A
+/// system that starts often starts into a rush, with cold caches besides.
+const FOUND: f32 = 0.85;
 /// How fast a past peak of the load is forgotten, in ms for half of it. Long
 /// against the time in which replicas boot, so that a wave's next crest finds
 /// them there.
@@ -92,6 +93,8 @@
     at: u64,
     recent: f32,
     peak: f32,
+    /// Whether there ever was a load.
+    has_begun: bool,
 }
 
 impl Load {
@@ -101,7 +104,7 @@
     /// traffic for which they were bought.
     pub fn open(now: u64, found: u32) -> Load {
         let peak = found as f32 * FOUND * READING;
-        Load { sent: Vec::new(), at: now, recent: 0.0, peak }
+        Load { sent: Vec::new(), at: now, recent: 0.0, peak, has_begun: false }
     }
 
     /// Takes what each node has sent since its start, in ms.
@@ -118,8 +121,11 @@
             .sum();
         let share = 1.0 - (-passed / RECENT_MS).exp();
         self.recent += (new as f32 / passed - self.recent) * share;
-        let kept = (-passed / FORGET_MS * std::f32::consts::LN_2).exp();
-        self.peak = (self.peak * kept).max(self.recent);
+        self.has_begun |= self.recent > BUSY;
+        if self.has_begun {
+            let kept = (-passed / FORGET_MS * std::f32::consts::LN_2).exp();
+            self.peak = (self.peak * kept).max(self.recent);
+        }
         self.sent = sent;
         self.at = now;
     }
@@ -153,7 +159,11 @@
             // Where some are missing, the load has moved to the others: they
             // keep what they have.
             let missing = sites.iter().any(|other| other.spot < each);
-            let kept = if missing { site.spot.min(bounds.most) } else { 0 };
+            // One more than needed is kept: the need goes up and down by one
+            // all the time, and each new replica starts with a cold cache.
+            let spare = site.spot == each + 1;
+            let keeps = missing || spare;
+            let kept = if keeps { site.spot.min(bounds.most) } else { 0 };
             wish(site, each.max(kept), 0)
         })
         .collect();
