--- a/examples/quickstart/main.rs
+++ b/examples/quickstart/main.rs
@@ -99,9 +99,13 @@
 }
 
 fn build() -> Result<()> {
-    let built = Command::new(env!("CARGO"))
-        .args(["build", "--quiet", "--bins", "--example", "standin"])
-        .status()?;
+    let mut build = Command::new(env!("CARGO"));
+    build.args(["build", "--quiet", "--bins", "--example", "standin"]);
+    // The programs are looked for beside this one.
+    if programs()?.ends_with("release") {
+        build.arg("--release");
+    }
+    let built = build.status()?;
     if built.success() { Ok(()) } else { Err("the build failed".into()) }
 }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -17,7 +17,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Incoming};
 use tokio::time::{Instant, timeout_at};
-use tracing::{debug, info};
+use tracing::info;
 
 use super::{
     Gateway,
@@ -72,6 +72,8 @@
     pub began: Instant,
     pub deadline: Instant,
     pub attempts: Attempts,
+    /// The router's latest choice, for the log.
+    pub chosen: Option<Target>,
 }
 
 /// Which replicas had a request, and whether it may go to one more.
@@ -197,6 +199,7 @@
         began,
         deadline,
         attempts: Attempts::default(),
+        chosen: None,
     })
 }
 
@@ -379,6 +382,7 @@
                 &target,
                 &self.asked.parts,
             );
+            self.chosen = Some(target.clone());
             match self.attempt(&target, self.asked.last_event).await {
                 Ok(Reply::Whole(failure)) if is_failure(&failure) => {
                     self.attempts.note(&target.replica, Verdict::Ran);
@@ -386,11 +390,12 @@
                 }
                 Ok(reply) => return Ok(reply),
                 Err(failed) => {
-                    debug!(
+                    info!(
                         target: "gateway",
                         request = shown(self.asked.id.as_ref()),
                         replica = target.replica,
                         verdict = failed.verdict.as_str(),
+                        after_ms = self.began.elapsed().as_millis() as u64,
                         "Attempt failed: {}.", failed.text
                     );
                     self.attempts.note(&target.replica, failed.verdict);
@@ -671,14 +676,21 @@
         }
     }
 
+    /// One line for the decision and what came of it.
     fn log(&self, status: StatusCode, how: &'static str) {
+        let chosen = self.chosen.as_ref();
         info!(
             target: "gateway",
             request = shown(self.asked.id.as_ref()),
+            team = self.team.as_ref().map_or("", |team| &team.name),
             route = self.route.name,
             plan = self.gateway.plan_version(),
-            replica = self.attempts.avoid.last().map_or("", |last| &last.0),
-            tried = self.attempts.avoid.len(),
+            replica = chosen.map_or("", |target| &target.replica),
+            foretold_ms = chosen.map_or(0, |one| one.predicted_ms as u64),
+            cached = chosen.map_or(0, |target| target.cached_tokens),
+            fetches = chosen.is_some_and(|one| one.fetch_from.is_some()),
+            ran = self.attempts.ran,
+            turned_away = self.attempts.turned_away,
             status = status.as_u16(),
             after_ms = self.began.elapsed().as_millis() as u64,
             "Request {how}."
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -135,6 +135,13 @@
 
     fn finish(&mut self) {
         self.over = true;
+        info!(
+            target: "gateway",
+            request = self.shown(),
+            last_event = self.splitter.last().unwrap_or(0),
+            after_ms = self.work.began.elapsed().as_millis() as u64,
+            "Stream ended."
+        );
         if let Some(mut source) = self.source.take() {
             source.flight.finish(false);
             let keep = source.keep.map(Duration::from_millis);
@@ -174,6 +181,7 @@
         while Instant::now() < self.work.deadline && self.work.may_repeat() {
             let Some(target) = self.work.pick() else { return false };
             let last = self.splitter.last();
+            self.work.chosen = Some(target.clone());
             info!(
                 target: "gateway",
                 request = self.shown(),
