--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -103,8 +103,24 @@
     /// Starting from none would let nearly all of them go, right before the
     /// traffic for which they were bought.
     pub fn open(now: u64, found: u32) -> Load {
-        let peak = found as f32 * FOUND * READING;
-        Load { sent: Vec::new(), at: now, recent: 0.0, peak, has_begun: false }
+        let mut load = Load {
+            sent: Vec::new(),
+            at: now,
+            recent: 0.0,
+            peak: 0.0,
+            has_begun: false,
+        };
+        load.find(found);
+        load
+    }
+
+    /// Takes the number of replicas that are there and were not ordered by
+    /// this policy. It counts until there is a load: at the start they
+    /// announce themselves one after the other.
+    pub fn find(&mut self, found: u32) {
+        if !self.has_begun {
+            self.peak = self.peak.max(found as f32 * FOUND * READING);
+        }
     }
 
     /// Takes what each node has sent since its start, in ms.
--- a/src/duty/scale.rs
+++ b/src/duty/scale.rs
@@ -122,8 +122,11 @@
 
     fn note_load(&mut self, now: u64, service: &Service, table: &Table) {
         let name = &service.name;
-        let found = ready_of(table, name).len();
-        if found == 0 {
+        // Those that may be reclaimed are there because they were ordered.
+        let ready = ready_of(table, name);
+        let ordinary = ready.iter().filter(|one| !one.says.reclaimable);
+        let found = ordinary.count();
+        if ready.is_empty() {
             return;
         }
         let known = self.loads.iter().position(|(known, _)| known == name);
@@ -132,7 +135,9 @@
             self.loads.push((name.clone(), load));
             self.loads.len() - 1
         });
-        self.loads[at].1.note(now, table.work(name_hash(name)));
+        let load = &mut self.loads[at].1;
+        load.find(found as u32);
+        load.note(now, table.work(name_hash(name)));
     }
 
     fn is_due(&self, now: u64, order: &Order, there: u32) -> bool {
--- a/tests/all/limits.rs
+++ b/tests/all/limits.rs
@@ -274,6 +274,17 @@
     assert!(spots(&wishes).iter().sum::<u32>() >= 18, "{wishes:?}");
 }
 
+/// Symptom: four replicas of eighteen meet the first rush. Sequence: the
+/// first look comes when a fifth of them has announced itself.
+#[test]
+fn replicas_that_announce_themselves_late_count_too() {
+    let mut load = Load::open(0, 3);
+    load.note(500, Vec::new());
+    load.find(18);
+    load.note(1000, Vec::new());
+    assert!((load.peak() - Load::open(0, 18).peak()).abs() < 0.01);
+}
+
 #[test]
 fn no_data_centre_gets_more_than_it_may_have() {
     for spot in 0..=10 {
