--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -26,6 +26,9 @@
 /// Replicas kept at least after a loss, over all data centres: below this
 /// one replica's failure takes too large a part of the load with it.
 const LEAST: f32 = 8.0;
+/// The part of the replicas found at the start that is always taken to be
+/// needed: their caches together hold the prompts that are asked for.
+const FOUND_AT_LEAST: f32 = 0.4;
 /// The part of the replicas found at the start that is taken to be needed
 /// until a load was seen: their operators sized them with a little room. A
 /// system that starts often starts into a rush, with cold caches besides.
@@ -95,6 +98,8 @@
     peak: f32,
     /// Whether there ever was a load.
     has_begun: bool,
+    /// Replicas that were there before that.
+    found: u32,
 }
 
 impl Load {
@@ -109,6 +114,7 @@
             recent: 0.0,
             peak: 0.0,
             has_begun: false,
+            found: 0,
         };
         load.find(found);
         load
@@ -119,6 +125,7 @@
     /// announce themselves one after the other.
     pub fn find(&mut self, found: u32) {
         if !self.has_begun {
+            self.found = self.found.max(found);
             self.peak = self.peak.max(found as f32 * FOUND * READING);
         }
     }
@@ -232,5 +239,6 @@
 }
 
 fn needed(load: &Load) -> u32 {
-    (load.peak() / READING).max(LEAST).ceil() as u32
+    let cached = load.found as f32 * FOUND_AT_LEAST;
+    (load.peak() / READING).max(LEAST).max(cached).ceil() as u32
 }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -89,8 +89,9 @@
 }
 
 /// For so long a part that a replica was sent is told to the other nodes, in
-/// ms: in two or three datagrams, as one may be lost.
-const TELL_MS: u64 = 700;
+/// ms: in several datagrams, as one may be lost and as not all nodes are told
+/// in each round where there are many.
+const TELL_MS: u64 = 1300;
 /// Parts told in one datagram; at 20 bytes each they still fit.
 const TOLD: usize = 24;
 
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -221,22 +221,28 @@
             shared.table().expire(shared.timer.now());
             host.clone().news(News::default());
         }
-        tell_all(&shared, &*host, round).await;
+        // What is urgent goes to all at once, also where many take turns.
+        let most = if regular { FANOUT } else { usize::MAX };
+        tell_all(&shared, &*host, round, most).await;
     }
 }
 
-async fn tell_all(shared: &Shared, host: &dyn Host, round: u64) {
+async fn tell_all(shared: &Shared, host: &dyn Host, round: u64, most: usize) {
     let now = shared.timer.now();
     let own = host.own();
     let mut gossip = shared.table().compose(now, wall_ms() as i64, own);
     let (mut live, silent) = split_nodes(shared, now);
-    if live.len() > FANOUT {
-        let from = (round as usize * FANOUT) % live.len();
+    let disks = disks(shared, now);
+    if live.len() > most {
+        let from = (round as usize * most) % live.len();
         live.rotate_left(from);
-        live.truncate(FANOUT);
+        live.truncate(most);
     }
-    for to in live {
-        shared.send(&gossip, to).await;
+    let slim = without_usage(&gossip);
+    let witness = round as usize % live.len().max(1);
+    for (at, to) in live.into_iter().enumerate() {
+        let whole = at == witness || disks.contains(&to);
+        shared.send(if whole { &gossip } else { &slim }, to).await;
     }
     if round % SILENT_ROUNDS == 1 || silent.len() <= 3 {
         gossip.hello = true;
@@ -246,6 +252,20 @@
     }
 }
 
+/// Nodes that can lead: only they make reports of usage.
+fn disks(shared: &Shared, now: u64) -> Vec<Ipv4Addr> {
+    let table = shared.table();
+    let disks = table.live(now).filter(|node| node.says.has_disk);
+    disks.map(|node| node.ip()).collect()
+}
+
+/// A datagram without counts, which are half of it where there are many
+/// teams. Besides those that can lead, one node in turn gets them as well, so
+/// that they outlast the loss of all that can lead.
+fn without_usage(gossip: &Gossip) -> Gossip {
+    Gossip { usage: Vec::new(), relayed: Vec::new(), ..gossip.clone() }
+}
+
 /// Nodes that are heard, and nodes and seeds that are not.
 fn split_nodes(shared: &Shared, now: u64) -> (Vec<Ipv4Addr>, Vec<Ipv4Addr>) {
     let table = shared.table();
--- a/src/mesh/table.rs
+++ b/src/mesh/table.rs
@@ -4,6 +4,10 @@
 //! or a replica's `sequence`. A statement with a lower counter is old and
 //! changes nothing, however late it comes and whoever passes it on.
 //!
+//! That a replica leaves is the one thing that all nodes must know within a
+//! second or two. So it goes into every datagram for a while, in eight bytes:
+//! when a data centre is reclaimed, dozens leave at once.
+//!
 //! A replica's state only moves from ready to leaving to gone. Its next start
 //! has a new id; so a late heartbeat can't bring back one that has left.
 
@@ -42,10 +46,15 @@
 const RELAYED: usize = 3;
 /// Usage windows remembered; all reports are due within fewer.
 const REMEMBERED_WINDOWS: u64 = 8;
+/// For so long every datagram names a replica that has left, in ms: long
+/// enough for several to reach each node, also where many nodes take turns.
+const TELL_LEFT_MS: u64 = 2500;
+/// Replicas that have left and are named in one datagram, the newest first.
+const LEFT_PER_DATAGRAM: usize = 64;
 /// Replicas named in one datagram, so that it fits an Ethernet frame.
 const REPLICAS_PER_DATAGRAM: usize = 12;
 /// Nodes named in one datagram besides the sender, for the same reason.
-const PEERS_PER_DATAGRAM: usize = 6;
+const PEERS_PER_DATAGRAM: usize = 3;
 /// Replicas in each datagram that the receiver probably knows, in turn, so
 /// that every gap is filled within seconds.
 const REPEATED_PER_DATAGRAM: usize = 3;
@@ -120,6 +129,9 @@
     nodes: Vec<Node>,
     replicas: Vec<Replica>,
     began: Vec<Began>,
+    /// Replicas that have left, by the hash of their ids, and when that was
+    /// first known here; sorted.
+    left: Vec<(u64, u64)>,
     /// This node's work, as last told to the others.
     own_work: Vec<Work>,
     next_peer: usize,
@@ -161,6 +173,7 @@
             nodes: Vec::new(),
             replicas: Vec::new(),
             began: Vec::new(),
+            left: Vec::new(),
             own_work: Vec::new(),
             next_peer: 0,
             next_replica: 0,
@@ -197,7 +210,15 @@
     /// Takes a replica's statement; true when it is news to others.
     pub fn sight(&mut self, now: u64, says: Sighting, direct: bool) -> bool {
         let heard_at = now.saturating_sub(u64::from(says.age_ms));
-        let state = State::from_u32(says.state);
+        let mut state = State::from_u32(says.state);
+        let hash = replica_hash(&says.id);
+        let left = position(&self.left, &hash, |(hash, _)| hash).is_ok();
+        if state != State::Ready {
+            self.note_left(now, hash);
+        } else if left {
+            // Others have said so; this is from before.
+            state = State::Leaving;
+        }
         let found = position(&self.replicas, says.id.as_str(), |one| {
             one.says.id.as_str()
         });
@@ -217,6 +238,45 @@
         }
     }
 
+    /// Notes that a replica has left; true when that is new.
+    fn note_left(&mut self, now: u64, hash: u64) -> bool {
+        match position(&self.left, &hash, |(hash, _)| hash) {
+            Ok(_) => false,
+            Err(at) => {
+                self.left.insert(at, (hash, now));
+                true
+            }
+        }
+    }
+
+    /// Takes word of a replica that has left; true when it was ready here.
+    fn hear_left(&mut self, now: u64, hash: u64) -> bool {
+        if !self.note_left(now, hash) {
+            return false;
+        }
+        let ready = self.replicas.iter_mut().find(|one| {
+            one.state == State::Ready && replica_hash(&one.says.id) == hash
+        });
+        let Some(replica) = ready else { return false };
+        replica.state = State::Leaving;
+        replica.says.state = State::Leaving as u32;
+        replica.left_at = now;
+        true
+    }
+
+    /// Replicas that have left lately, for a datagram.
+    fn lately_left(&self, now: u64) -> Vec<u64> {
+        let mut lately: Vec<(u64, u64)> = self
+            .left
+            .iter()
+            .filter(|(_, at)| now < at + TELL_LEFT_MS)
+            .map(|(hash, at)| (*at, *hash))
+            .collect();
+        lately.sort_unstable_by(|one, other| other.cmp(one));
+        lately.truncate(LEFT_PER_DATAGRAM);
+        lately.into_iter().map(|(_, hash)| hash).collect()
+    }
+
     fn add(&mut self, now: u64, says: Sighting, state: State, heard_at: u64) {
         let replica = Replica {
             says,
@@ -261,6 +321,9 @@
         if !began.windows.is_empty() {
             self.note_began(began);
         }
+        for hash in gossip.left {
+            news.replicas |= self.hear_left(now, hash);
+        }
         for relayed in gossip.relayed {
             self.note_began(relayed);
         }
@@ -325,6 +388,7 @@
             cached: own.cached,
             usage,
             wall_ms,
+            left: self.lately_left(now),
             relayed: self.relayed(now),
             unheard: self.unheard(now).map(|node| node.says.ip).collect(),
             hello: false,
@@ -369,6 +433,7 @@
             };
             now < replica.heard_at + keep
         });
+        self.left.retain(|(_, at)| now < at + TOMBSTONE_MS);
         let windows = self.began.iter().flat_map(|began| &began.windows);
         if let Some(newest) = windows.map(|one| one.window).max() {
             self.forget_usage(newest.saturating_sub(REMEMBERED_WINDOWS));
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -968,6 +968,9 @@
     /// Nodes that the sender does not hear.
     #[prost(fixed32, repeated, tag = "12")]
     pub unheard: ::prost::alloc::vec::Vec<u32>,
+    /// Replicas that have left lately, by the hash of their ids.
+    #[prost(fixed64, repeated, tag = "13")]
+    pub left: ::prost::alloc::vec::Vec<u64>,
 }
 /// Generated client implementations.
 pub mod members_client {
--- a/tests/all/mesh.rs
+++ b/tests/all/mesh.rs
@@ -177,6 +177,30 @@
     assert_eq!(known, [(2001, 70, true)]);
 }
 
+/// Symptom: when a data centre is reclaimed, some nodes go on sending work
+/// there. Sequence: forty replicas leave at once, and a datagram has room for
+/// a dozen. Cause: that they leave was told like everything else.
+#[test]
+fn one_datagram_says_of_forty_that_they_leave() {
+    let (mut from, mut to) = (table(), Table::open(peer(2, 0)));
+    for number in 0..40 {
+        let id = format!("r{number}");
+        from.sight(0, says(&id, 0, 1), false);
+        // One half is known here already, the other is heard of later.
+        if number % 2 == 0 {
+            to.sight(0, says(&id, 0, 1), false);
+        }
+        from.sight(5, says(&id, 1, 2), true);
+    }
+    let news = to.hear(6, 0, from.compose(6, 0, Own::default()));
+    assert!(news.replicas);
+    for number in 0..40 {
+        to.sight(7, says(&format!("r{number}"), 0, 1), false);
+    }
+    let ready = to.replicas().iter().filter(|one| one.state == State::Ready);
+    assert_eq!(ready.count(), 0);
+}
+
 /// Every replica that one node knows reaches another within some datagrams,
 /// although each has room for a few only.
 #[test]
