Split forwarding, the mesh's table, the node and its tests' surroundings

What is checked of a request before any replica is asked, a request under way, counts for usage, what a node does with its member, and what nodes ask each other each have a file of their own. No behaviour changes.

--- a/src/control/seat.rs
+++ b/src/control/seat.rs
@@ -1,7 +1,7 @@
 //! A control member whose peers are not in its settings.
 //!
-//! [`Member`](super::raft) rules and thread are those of every member; what
-//! differs is how it meets the others. Its id is its address, so that ids
+//! The [rules](super::raft) and the [thread](super::member) are those of every
+//! member; what differs is how it meets the others. Its id is its address, so that ids
 //! need no list; links are opened to whoever the log's member list names; and
 //! it asks to be taken in while no leader talks to it.
 //!
@@ -10,7 +10,7 @@
 //! A failed write ends the member's thread: going on could acknowledge what
 //! is not on the disk. A full disk fails for minutes, and ending the process
 //! each time would take the requests with it that the same process serves. So
-//! only the member ends here, and is opened anew after [`REOPEN`], from what
+//! only the member ends here, and is opened anew after half a second, from what
 //! the disk then holds.
 
 use std::{
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -4,7 +4,7 @@
 //! Reclaimable replicas cost a fraction of the others, and all of one data
 //! centre can be taken away at once, on seconds of notice, while none are to
 //! be had anywhere else for a long while. So there are as many of them that
-//! those of [`LOST_AT_ONCE`] data centres can go before anybody acts, and the
+//! those of two data centres can go before anybody acts, and the
 //! rest still carries the load. What is missing beyond that is replaced by
 //! ordinary ones as soon as a notice comes or an order is refused, until
 //! reclaimable ones serve in their place.
--- /dev/null
+++ b/src/gateway/accept.rs
@@ -0,0 +1,192 @@
+//! What is checked of a request before any replica is asked.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, Method, Request, StatusCode, header};
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
+use tokio::time::{Instant, timeout_at};
+
+use super::{
+    Gateway,
+    dialect::Asked,
+    forward::{Attempts, Work},
+    plan::{Limits, Plan, Route, Team},
+    refusal::Refusal,
+};
+
+/// The longest that a client may pause within a body.
+const BODY_PAUSE: Duration = Duration::from_millis(3000);
+/// When to come back to an entry that has no plan yet, in ms.
+const NO_PLAN_MS: u64 = 300;
+
+/// Checks a request, reads its body and counts it towards its team's quota.
+///
+/// # Errors
+///
+/// A refusal, at the first thing that is wrong. Nothing was sent anywhere.
+pub(super) async fn accept(
+    gateway: &Arc<Gateway>,
+    request: Request<Incoming>,
+    asked: Asked,
+    began: Instant,
+) -> Result<Work, Refusal> {
+    let host = host_of(&request)?;
+    let held = gateway.plan.read();
+    let Some(plan) = held.as_ref() else {
+        return Err(Refusal::later("no plan here yet", NO_PLAN_MS));
+    };
+    let path = request.uri().path();
+    let Some(route) = plan.route(&host, path) else {
+        let status = StatusCode::NOT_FOUND;
+        return Err(Refusal::wrong(status, "no route leads there"));
+    };
+    let team = team_of(plan, route, &asked)?;
+    let limit = Duration::from_millis(
+        asked.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms),
+    );
+    let deadline = began + limit;
+    let service = gateway.draw_service(route);
+    let (route, team) = (route.clone(), team.cloned());
+    let limits = plan.limits();
+    let (head, body) = request.into_parts();
+    let body = read_body(body, limits, deadline).await?;
+    if let Some(team) = &team
+        && let Some(quota) = team.quota
+    {
+        let cost = cost_of(&asked, quota.plain_tokens);
+        let admitted = gateway.admit(&team.name, quota, cost);
+        admitted.map_err(Refusal::quota)?;
+    }
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    Ok(Work {
+        gateway: gateway.clone(),
+        route,
+        service,
+        team,
+        asked,
+        method: head.method,
+        path: path.to_owned(),
+        headers: passed_on(head.headers),
+        body,
+        began,
+        deadline,
+        attempts: Attempts::default(),
+        chosen: None,
+    })
+}
+
+/// The host, in lower case and without a port.
+///
+/// Two hosts, or one in the request line that differs, are refused: which of
+/// them counts would be decided differently here and further on.
+fn host_of(request: &Request<Incoming>) -> Result<String, Refusal> {
+    let wrong = |text| Refusal::broken(StatusCode::BAD_REQUEST, text);
+    let mut named = request.headers().get_all(header::HOST).iter();
+    let (Some(host), None) = (named.next(), named.next()) else {
+        return Err(wrong("needs one Host header"));
+    };
+    let host = host.to_str().map_err(|_| wrong("unreadable Host"))?;
+    if let Some(authority) = request.uri().authority()
+        && !authority.as_str().eq_ignore_ascii_case(host)
+    {
+        return Err(wrong("Host differs from the request line"));
+    }
+    if request.uri().path().is_empty() || request.method() == Method::CONNECT {
+        return Err(wrong("needs a path"));
+    }
+    let name = host.split(':').next().unwrap_or(host);
+    Ok(name.to_ascii_lowercase())
+}
+
+fn team_of<'a>(
+    plan: &'a Plan,
+    route: &Route,
+    asked: &Asked,
+) -> Result<Option<&'a Team>, Refusal> {
+    if route.public || !plan.asks_for_keys() {
+        return Ok(None);
+    }
+    let team = asked.key.as_deref().and_then(|key| plan.team(key));
+    let status = StatusCode::UNAUTHORIZED;
+    team.map(Some).ok_or(Refusal::wrong(status, "unknown key"))
+}
+
+/// What a request counts for towards a quota: tokens, or one.
+pub(super) fn cost_of(asked: &Asked, plain_tokens: Option<u64>) -> u64 {
+    match (plain_tokens, asked.tokens) {
+        (None, _) => 1,
+        (Some(_), Some((prompt, answer))) => prompt + answer,
+        (Some(plain), None) => plain,
+    }
+}
+
+/// Reads a body to the end, within the limits.
+async fn read_body(
+    mut body: Incoming,
+    limits: Limits,
+    deadline: Instant,
+) -> Result<Bytes, Refusal> {
+    let too_long =
+        || Refusal::broken(StatusCode::PAYLOAD_TOO_LARGE, "body too long");
+    if body.size_hint().lower() > limits.body_bytes as u64 {
+        return Err(too_long());
+    }
+    let mut read = BytesMut::new();
+    while !body.is_end_stream() {
+        let until = deadline.min(Instant::now() + BODY_PAUSE);
+        let frame = match timeout_at(until, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(None) => break,
+            Ok(Some(Err(_))) => {
+                let status = StatusCode::BAD_REQUEST;
+                return Err(Refusal::broken(status, "broken body"));
+            }
+            Err(_) => {
+                let status = StatusCode::REQUEST_TIMEOUT;
+                return Err(Refusal::broken(status, "the body stalled"));
+            }
+        };
+        if let Ok(data) = frame.into_data() {
+            if read.len() + data.len() > limits.body_bytes {
+                return Err(too_long());
+            }
+            read.extend_from_slice(&data);
+        }
+    }
+    Ok(read.freeze())
+}
+
+/// Headers that concern one connection only are left out.
+pub(super) fn passed_on(mut headers: HeaderMap) -> HeaderMap {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in named {
+        // One may not name away what routing and framing go by.
+        if name != "host" {
+            headers.remove(name.as_str());
+        }
+    }
+    for name in [
+        header::CONNECTION,
+        header::TRANSFER_ENCODING,
+        header::CONTENT_LENGTH,
+        header::TE,
+        header::TRAILER,
+        header::UPGRADE,
+        header::EXPECT,
+        header::PROXY_AUTHORIZATION,
+        header::PROXY_AUTHENTICATE,
+    ] {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+    headers.remove("proxy-connection");
+    headers
+}
--- /dev/null
+++ b/src/gateway/flight.rs
@@ -0,0 +1,75 @@
+//! A request under way at a replica, as the router counts it.
+
+use std::sync::Arc;
+
+use super::{
+    Gateway,
+    dialect::Answered,
+    fleet::{End, Target},
+    forward::Work,
+};
+
+/// A request under way at a replica; counted until dropped.
+pub(super) struct Flight {
+    gateway: Arc<Gateway>,
+    service: String,
+    target: Target,
+    began_at: u64,
+    started: bool,
+    /// What it will have ended as when it is dropped.
+    pub end: End,
+}
+
+impl Flight {
+    /// Counts it from here on.
+    pub fn begin(work: &Work, target: &Target) -> Flight {
+        Flight {
+            gateway: work.gateway.clone(),
+            service: work.service.clone(),
+            target: target.clone(),
+            began_at: work.now(),
+            started: false,
+            // Dropped on the way when the client has left.
+            end: End::Left,
+        }
+    }
+
+    /// The answer began.
+    pub fn began(&mut self, answered: &Answered) {
+        self.started = true;
+        let now = self.gateway.timer.now();
+        let mut fleet = self.gateway.fleet();
+        fleet.began(now, &self.service, &self.target, answered.load);
+    }
+
+    /// The answer was read to its end.
+    pub fn finish(&mut self, failure: bool) {
+        let now = self.gateway.timer.now();
+        let held_ms = now.saturating_sub(self.began_at) as u32;
+        self.end = match failure {
+            true => End::Failed,
+            false => End::Well { held_ms },
+        };
+    }
+
+    /// Something came.
+    pub fn progress(&self) {
+        let now = self.gateway.timer.now();
+        let ticket = self.target.ticket;
+        self.gateway.fleet().progress(now, &self.service, ticket);
+    }
+
+    /// The replica.
+    pub fn replica(&self) -> &str {
+        &self.target.replica
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        let now = self.gateway.timer.now();
+        let ticket = self.target.ticket;
+        let mut fleet = self.gateway.fleet();
+        fleet.end(now, &self.service, ticket, self.started, self.end);
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,8 +5,10 @@
 //! | [`server`] | connections with clients |
 //! | [`plan`] | routes, services, teams and limits, checked |
 //! | [`dialect`] | the headers that mean something here |
-//! | [`forward`] | one request, from its head to the answer |
-//! | [`relay`] | answers that are passed on as they come |
+//! | `accept` | what is checked before any replica is asked |
+//! | [`forward`] | one request at the replicas |
+//! | `flight` | a request under way, as the router counts it |
+//! | `relay` | answers that are passed on as they come |
 //! | [`events`] | streams cut where an event ends |
 //! | [`fleet`] | the replicas of each service, with a router for each |
 //! | [`upstream`] | connections with replicas |
@@ -14,9 +16,11 @@
 //!
 //! What it decides by stands in [`crate::decide`].
 
+mod accept;
 pub mod dialect;
 pub mod events;
 pub mod fleet;
+mod flight;
 pub mod forward;
 pub mod plan;
 pub mod refusal;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -18,7 +18,8 @@
 
 use super::{
     events::Splitter,
-    forward::{Flight, Reply, Work},
+    flight::Flight,
+    forward::{Reply, Work},
     plan::Repeat,
     server::{Body, Broken},
     upstream::Line,
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -8,7 +8,7 @@
 //!
 //! # Slow and idle clients
 //!
-//! [`Guard`] wraps each connection and ends it when a head takes too long or
+//! `Guard` wraps each connection and ends it when a head takes too long or
 //! no request comes for too long. hyper's own limit for heads starts with the
 //! end of the last answer, and so would close connections that are just idle.
 
--- /dev/null
+++ b/src/mesh/counts.rs
@@ -0,0 +1,135 @@
+//! How many requests began at each node, for reports of usage.
+//!
+//! A node counts its own requests by window and team and tells the sums; they
+//! only grow. So whatever is doubled, late or passed on by others changes
+//! nothing, and the sum over all incarnations of all nodes is the truth.
+
+use crate::{
+    util::position,
+    wire::{Began, RecordUsage, TeamCount},
+};
+
+/// Windows that are passed on: enough for datagrams that were lost, few
+/// enough for one.
+const TOLD_WINDOWS: usize = 4;
+/// Windows remembered; all reports are due within fewer.
+const REMEMBERED_WINDOWS: u64 = 8;
+/// Other nodes whose counts are passed on in one datagram.
+const RELAYED: usize = 3;
+
+/// Counts of all nodes, by incarnation.
+#[derive(Debug, Default)]
+pub struct Counts {
+    /// Sorted by node.
+    began: Vec<Began>,
+}
+
+impl Counts {
+    /// Counts one request that began at `node`.
+    pub fn count(&mut self, node: u64, window: u64, team: &str) {
+        let at = match position(&self.began, &node, |one| &one.node) {
+            Ok(at) => at,
+            Err(at) => {
+                self.began.insert(at, Began { node, windows: Vec::new() });
+                at
+            }
+        };
+        let windows = &mut self.began[at].windows;
+        let at = match position(windows, &window, |one| &one.window) {
+            Ok(at) => at,
+            Err(at) => {
+                windows.insert(at, RecordUsage { window, counts: Vec::new() });
+                at
+            }
+        };
+        add(&mut windows[at].counts, team, 1);
+    }
+
+    /// Takes what a node has counted.
+    pub fn note(&mut self, new: Began) {
+        if new.windows.is_empty() {
+            return;
+        }
+        let at = match position(&self.began, &new.node, |one| &one.node) {
+            Ok(at) => at,
+            Err(at) => {
+                self.began.insert(at, new);
+                return;
+            }
+        };
+        for window in new.windows {
+            // What was overtaken by a later datagram shows by its lower sum.
+            let windows = &mut self.began[at].windows;
+            let found = position(windows, &window.window, |one| &one.window);
+            match found {
+                Ok(at) if total(&windows[at]) < total(&window) => {
+                    windows[at] = window;
+                }
+                Ok(_) => {}
+                Err(at) => windows.insert(at, window),
+            }
+        }
+    }
+
+    /// Requests that began in a window, anywhere, by team.
+    pub fn sum(&self, window: u64) -> RecordUsage {
+        let mut counts: Vec<TeamCount> = Vec::new();
+        let windows = self.began.iter().flat_map(|began| &began.windows);
+        for count in windows
+            .filter(|one| one.window == window)
+            .flat_map(|one| &one.counts)
+        {
+            add(&mut counts, &count.team, count.count);
+        }
+        RecordUsage { window, counts }
+    }
+
+    /// The newest windows of one node.
+    pub fn latest_of(&self, node: u64) -> Vec<RecordUsage> {
+        let at = position(&self.began, &node, |one| &one.node);
+        at.map(|at| latest(&self.began[at])).unwrap_or_default()
+    }
+
+    /// The newest windows of some nodes besides `own`.
+    pub fn others(
+        &self,
+        own: u64,
+        wanted: impl Fn(u64) -> bool,
+    ) -> Vec<Began> {
+        self.began
+            .iter()
+            .filter(|began| began.node != own && wanted(began.node))
+            .take(RELAYED)
+            .map(|began| Began { node: began.node, windows: latest(began) })
+            .collect()
+    }
+
+    /// Forgets windows that all reports are past.
+    pub fn expire(&mut self) {
+        let windows = self.began.iter().flat_map(|began| &began.windows);
+        let newest = windows.map(|one| one.window).max().unwrap_or(0);
+        let oldest = newest.saturating_sub(REMEMBERED_WINDOWS);
+        for began in &mut self.began {
+            began.windows.retain(|one| one.window >= oldest);
+        }
+        self.began.retain(|began| !began.windows.is_empty());
+    }
+}
+
+fn add(counts: &mut Vec<TeamCount>, team: &str, count: u64) {
+    match position(counts, team, |one| one.team.as_str()) {
+        Ok(at) => counts[at].count += count,
+        Err(at) => {
+            counts.insert(at, TeamCount { team: team.to_owned(), count });
+        }
+    }
+}
+
+fn latest(began: &Began) -> Vec<RecordUsage> {
+    let skip = began.windows.len().saturating_sub(TOLD_WINDOWS);
+    began.windows[skip..].to_vec()
+}
+
+fn total(window: &RecordUsage) -> u64 {
+    window.counts.iter().map(|one| one.count).sum()
+}
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -8,6 +8,7 @@
 //! What is urgent (a replica leaves, a node stops) goes out at once, and in
 //! the regular datagrams after that.
 
+pub mod counts;
 pub mod table;
 
 use std::{
--- a/src/mesh/table.rs
+++ b/src/mesh/table.rs
@@ -13,11 +13,11 @@
 
 use std::net::Ipv4Addr;
 
+use super::counts::Counts;
 use crate::{
     util::{common, position, upsert},
     wire::{
-        Began, Cached, Gossip, Peer, RecordUsage, Sighting, Spent, TeamCount,
-        Under, Work,
+        Began, Cached, Gossip, Peer, RecordUsage, Sighting, Spent, Under, Work,
     },
 };
 
@@ -39,13 +39,6 @@
 /// For so long others may fetch from the cache of a replica that leaves, in
 /// ms: reclaimed ones are gone after two to three seconds.
 const FETCHABLE_MS: u64 = 2000;
-/// Usage windows that are passed on: late enough for a lost datagram, short
-/// enough for one.
-const WINDOWS: usize = 4;
-/// Nodes whose counts are passed on in one datagram.
-const RELAYED: usize = 3;
-/// Usage windows remembered; all reports are due within fewer.
-const REMEMBERED_WINDOWS: u64 = 8;
 /// For so long every datagram names a replica that has left, in ms: long
 /// enough for several to reach each node, also where many nodes take turns.
 const TELL_LEFT_MS: u64 = 2500;
@@ -128,7 +121,8 @@
     me: Peer,
     nodes: Vec<Node>,
     replicas: Vec<Replica>,
-    began: Vec<Began>,
+    /// Requests that began at each node.
+    counts: Counts,
     /// Replicas that have left, by the hash of their ids, and when that was
     /// first known here; sorted.
     left: Vec<(u64, u64)>,
@@ -172,7 +166,7 @@
             me,
             nodes: Vec::new(),
             replicas: Vec::new(),
-            began: Vec::new(),
+            counts: Counts::default(),
             left: Vec::new(),
             own_work: Vec::new(),
             next_peer: 0,
@@ -317,15 +311,12 @@
         for says in gossip.replicas {
             news.replicas |= self.sight(now, says, false);
         }
-        let began = Began { node: incarnation, windows: gossip.usage };
-        if !began.windows.is_empty() {
-            self.note_began(began);
-        }
+        self.counts.note(Began { node: incarnation, windows: gossip.usage });
         for hash in gossip.left {
             news.replicas |= self.hear_left(now, hash);
         }
         for relayed in gossip.relayed {
-            self.note_began(relayed);
+            self.counts.note(relayed);
         }
         news
     }
@@ -375,9 +366,7 @@
     pub fn compose(&mut self, now: u64, wall_ms: i64, own: Own) -> Gossip {
         self.own_work.clone_from(&own.work);
         self.me.beat = self.me.beat.max(wall_ms as u64) + 1;
-        let own_began =
-            self.began.iter().find(|one| one.node == self.me.incarnation);
-        let usage = own_began.map(latest).unwrap_or_default();
+        let usage = self.counts.latest_of(self.me.incarnation);
         Gossip {
             from: Some(self.me.clone()),
             peers: self.next_peers(now),
@@ -434,10 +423,7 @@
             now < replica.heard_at + keep
         });
         self.left.retain(|(_, at)| now < at + TOMBSTONE_MS);
-        let windows = self.began.iter().flat_map(|began| &began.windows);
-        if let Some(newest) = windows.map(|one| one.window).max() {
-            self.forget_usage(newest.saturating_sub(REMEMBERED_WINDOWS));
-        }
+        self.counts.expire();
     }
 
     // ---- Sums -------------------------------------------------------------
@@ -509,30 +495,17 @@
 
     /// Counts a request that began here.
     pub fn count_began(&mut self, window: u64, team: &str) {
-        let node = self.me.incarnation;
-        let at = match position(&self.began, &node, |one| &one.node) {
-            Ok(at) => at,
-            Err(at) => {
-                self.began.insert(at, Began { node, windows: Vec::new() });
-                at
-            }
-        };
-        let windows = &mut self.began[at].windows;
-        let at = match position(windows, &window, |one| &one.window) {
-            Ok(at) => at,
-            Err(at) => {
-                windows.insert(at, RecordUsage { window, counts: Vec::new() });
-                at
-            }
-        };
-        let counts = &mut windows[at].counts;
-        match position(counts, team, |one| one.team.as_str()) {
-            Ok(at) => counts[at].count += 1,
-            Err(at) => {
-                let team = team.to_owned();
-                counts.insert(at, TeamCount { team, count: 1 });
-            }
-        }
+        self.counts.count(self.me.incarnation, window, team);
+    }
+
+    /// Requests that began in a window, anywhere, by team.
+    pub fn usage(&self, window: u64) -> RecordUsage {
+        self.counts.sum(window)
+    }
+
+    /// True when every node that may serve is heard.
+    pub fn hears_all(&self, now: u64) -> bool {
+        self.unheard(now).next().is_none()
     }
 
     /// Nodes that may well serve although they are not heard directly.
@@ -549,14 +522,11 @@
     /// And behind a cut a node tells those that hear it, but not the leader.
     /// Without this the report would lack all of it.
     fn relayed(&self, now: u64) -> Vec<Began> {
-        let relayed = self.began.iter().filter(|began| {
-            if began.node == self.me.incarnation {
-                return false;
-            }
+        self.counts.others(self.me.incarnation, |incarnation| {
             let speaker = self
                 .nodes
                 .iter()
-                .find(|node| node.says.incarnation == began.node);
+                .find(|node| node.says.incarnation == incarnation);
             match speaker {
                 None => true,
                 Some(node) if !node.is_live(now) => true,
@@ -564,78 +534,10 @@
                     .live(now)
                     .any(|other| other.unheard.contains(&node.says.ip)),
             }
-        });
-        relayed
-            .take(RELAYED)
-            .map(|began| Began { node: began.node, windows: latest(began) })
-            .collect()
-    }
-
-    /// True when every node that may serve is heard.
-    pub fn hears_all(&self, now: u64) -> bool {
-        self.unheard(now).next().is_none()
-    }
-
-    fn note_began(&mut self, new: Began) {
-        let at = match position(&self.began, &new.node, |one| &one.node) {
-            Ok(at) => at,
-            Err(at) => {
-                self.began.insert(at, new);
-                return;
-            }
-        };
-        for window in new.windows {
-            // Counts of one incarnation only grow; a datagram that was
-            // overtaken by a later one is recognised by its lower sum.
-            let windows = &mut self.began[at].windows;
-            let found = position(windows, &window.window, |one| &one.window);
-            match found {
-                Ok(at) if sum(&windows[at]) < sum(&window) => {
-                    windows[at] = window;
-                }
-                Ok(_) => {}
-                Err(at) => windows.insert(at, window),
-            }
-        }
-    }
-
-    /// Requests that began in a window, anywhere, by team.
-    pub fn usage(&self, window: u64) -> RecordUsage {
-        let mut counts: Vec<TeamCount> = Vec::new();
-        let windows = self.began.iter().flat_map(|began| &began.windows);
-        for count in windows
-            .filter(|one| one.window == window)
-            .flat_map(|one| &one.counts)
-        {
-            match position(&counts, count.team.as_str(), |one| {
-                one.team.as_str()
-            }) {
-                Ok(at) => counts[at].count += count.count,
-                Err(at) => counts.insert(at, count.clone()),
-            }
-        }
-        RecordUsage { window, counts }
-    }
-
-    /// Forgets windows before this one.
-    fn forget_usage(&mut self, before: u64) {
-        for began in &mut self.began {
-            began.windows.retain(|one| one.window >= before);
-        }
-        self.began.retain(|began| !began.windows.is_empty());
+        })
     }
 }
 
-/// The newest windows of one node.
-fn latest(began: &Began) -> Vec<RecordUsage> {
-    let skip = began.windows.len().saturating_sub(WINDOWS);
-    began.windows[skip..].to_vec()
-}
-
-fn sum(window: &RecordUsage) -> u64 {
-    window.counts.iter().map(|one| one.count).sum()
-}
-
 impl Node {
     /// True while the node was heard lately.
     pub fn is_live(&self, now: u64) -> bool {
--- a/src/node.rs
+++ b/src/node/mod.rs
@@ -18,6 +18,9 @@
 //! while, as clients keep addresses for some seconds; all that runs is
 //! finished.
 
+mod member;
+mod peers;
+
 use std::{
     fmt, io,
     net::{Ipv4Addr, SocketAddr, SocketAddrV4},
@@ -36,17 +39,12 @@
     task::JoinHandle,
     time::{Instant, sleep, timeout},
 };
-use tonic::{
-    Request, Response, Status, codec::CompressionEncoding,
-    transport::server::TcpIncoming,
-};
 use tracing::{info, warn};
 
 use crate::{
     control::{
         client::{Client, Error},
         seat,
-        server::{MESSAGE_LIMIT, Service, connect},
     },
     duty::{self, Cloud},
     gateway::{
@@ -65,10 +63,7 @@
     verdict::Verdict,
     wire::{
         Cached, Change, Empty, Peer, PlanOutcome, PutPlan, Query, Sighting,
-        change,
-        nodes_client::NodesClient,
-        nodes_server::{Nodes, NodesServer},
-        outcome, query, query_reply,
+        change, outcome, query, query_reply,
     },
 };
 
@@ -77,10 +72,6 @@
 const PUT_LIMIT: Duration = Duration::from_millis(2500);
 /// How long a read through the quorum may take, for the same reason.
 const READ_LIMIT: Duration = Duration::from_millis(800);
-/// How long fetching a plan from a peer may take.
-const FETCH_LIMIT: Duration = Duration::from_millis(1000);
-/// How often a member asks to be taken in while nobody leads it.
-const JOIN: Duration = Duration::from_millis(500);
 /// How long a stopping node goes on taking requests: clients keep an address
 /// for twice the time they are told, or a little more.
 const LINGER: Duration = Duration::from_millis(3200);
@@ -250,10 +241,13 @@
         forward::serve(serving.clone(), request)
     })?;
     *lock(&node.server) = Some(server);
-    let mut tasks = vec![tokio::spawn(serve_peers(node.clone(), listener))];
+    let mut tasks = vec![tokio::spawn(peers::serve(node.clone(), listener))];
     if let Some(seat) = &seat {
-        tasks.push(tokio::spawn(follow(node.clone(), seat.clone())));
-        tasks.push(tokio::spawn(ask_to_join(node.clone(), seat.clone())));
+        tasks.push(tokio::spawn(member::follow(node.clone(), seat.clone())));
+        tasks.push(tokio::spawn(member::ask_to_join(
+            node.clone(),
+            seat.clone(),
+        )));
         let tools = duty::Tools {
             seat: seat.clone(),
             control: node.control.clone(),
@@ -501,7 +495,7 @@
         if let Some(from) = newer.choose(&mut rand::rng())
             && !self.fetching.swap(true, Ordering::Relaxed)
         {
-            tokio::spawn(fetch(self.clone(), *from));
+            tokio::spawn(peers::fetch(self.clone(), *from));
         }
     }
 }
@@ -520,103 +514,3 @@
         self.follow_mesh();
     }
 }
-
-/// Fetches a newer plan from a peer.
-async fn fetch(node: Arc<Node>, from: Ipv4Addr) {
-    let address = SocketAddr::from((from, node.peer_port));
-    let mut client = NodesClient::new(connect(address))
-        .accept_compressed(CompressionEncoding::Gzip)
-        .max_decoding_message_size(MESSAGE_LIMIT);
-    match timeout(FETCH_LIMIT, client.fetch(Empty {})).await {
-        Ok(Ok(reply)) => node.adopt(Arc::new(reply.into_inner())),
-        Ok(Err(status)) => {
-            let text = status.message();
-            warn!(target: "node", "No plan from {from}: {text}.");
-        }
-        Err(_) => warn!(target: "node", "No plan from {from}: silent."),
-    }
-    node.fetching.store(false, Ordering::Relaxed);
-}
-
-/// Takes over what this node's own member sees.
-async fn follow(node: Arc<Node>, seat: seat::Handle) {
-    let mut view = seat.view();
-    while view.changed().await.is_ok() {
-        if node.has_stopped() {
-            return;
-        }
-        let seen = view.borrow_and_update().clone();
-        if let (Some(mesh), Some(leader)) = (node.mesh.get(), seen.leader) {
-            let mut table = mesh.table();
-            let me = table.me();
-            if seen.hears_leader
-                && (seen.term, leader) > (me.leader_term, me.leader)
-            {
-                (me.leader_term, me.leader) = (seen.term, leader);
-            }
-        }
-        if let Some(plan) = seen.plan {
-            node.adopt(plan);
-        }
-    }
-}
-
-async fn ask_to_join(node: Arc<Node>, seat: seat::Handle) {
-    while !node.has_stopped() {
-        sleep(JOIN).await;
-        let leader = match node.mesh.get() {
-            Some(mesh) => mesh.table().own().leader,
-            None => 0,
-        };
-        if leader != 0 {
-            seat.join(leader);
-        }
-    }
-}
-
-async fn serve_peers(node: Arc<Node>, listener: TcpListener) {
-    // A plan of some thousand routes is a tenth as long compressed; dozens of
-    // nodes fetch it at once over links of ten megabits.
-    let nodes = NodesServer::new(PeerService { node: node.clone() })
-        .send_compressed(CompressionEncoding::Gzip)
-        .max_encoding_message_size(MESSAGE_LIMIT);
-    let seat = node.seat.clone().map(Service::of_seat);
-    let mut last = node.last.subscribe();
-    let stop = async move {
-        // The sender lives as long as the node.
-        let _ = last.wait_for(|last| *last).await;
-    };
-    let served = tonic::transport::Server::builder()
-        .http2_keepalive_interval(Some(Duration::from_secs(5)))
-        .http2_keepalive_timeout(Some(Duration::from_secs(2)))
-        .add_service(nodes)
-        .add_optional_service(seat.clone().map(Service::members))
-        .add_optional_service(seat.map(Service::control))
-        .serve_with_incoming_shutdown(
-            TcpIncoming::from(listener).with_nodelay(Some(true)),
-            stop,
-        )
-        .await;
-    if let Err(error) = served {
-        warn!(target: "node", "The server for peers ended: {error}.");
-    }
-}
-
-/// What other nodes may ask.
-struct PeerService {
-    node: Arc<Node>,
-}
-
-#[tonic::async_trait]
-impl Nodes for PeerService {
-    async fn fetch(
-        &self,
-        _: Request<Empty>,
-    ) -> Result<Response<PutPlan>, Status> {
-        let held = lock(&self.node.source).clone();
-        match held {
-            Some(plan) => Ok(Response::new(PutPlan::clone(&plan))),
-            None => Err(Status::not_found("no plan here yet")),
-        }
-    }
-}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -18,6 +18,7 @@
 mod requests;
 mod scenario;
 mod steps;
+mod world;
 
 /// Runs a property with the same seeds every time.
 ///
--- a/tests/all/nodes.rs
+++ b/tests/all/nodes.rs
@@ -9,7 +9,7 @@
 use azuremount::node::{self, PutError};
 use tokio::time::{sleep, timeout};
 
-use crate::gateway::{Folder, options, put};
+use crate::world::{Folder, options, put};
 
 /// Long beyond anything that a passing test waits for.
 const PATIENCE: Duration = Duration::from_secs(30);
--- /dev/null
+++ b/tests/all/world.rs
@@ -0,0 +1,432 @@
+//! A gateway's surroundings: raw clients, raw replicas, and a platform of the
+//! test's own.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    sync::{
+        Arc,
+        atomic::{AtomicU32, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use azuremount::{
+    decide::retry::Bound,
+    duty::{self, Badge, Cloud, Order},
+    gateway::{
+        self, Windows,
+        dialect::{Answered, Asked, Dialect, Sending},
+        plan::{Draft, Invalid, Limits, Quota, Repeat, Route, Service, Team},
+    },
+    node,
+    wire::{RecordUsage, Sighting},
+};
+use http::{HeaderMap, HeaderValue, StatusCode};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::mpsc,
+    time::{sleep, timeout},
+};
+
+/// Long beyond anything that a passing test waits for.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Headers with names of the test's own.
+pub struct Plain;
+
+impl Dialect for Plain {
+    fn read(&self, headers: &HeaderMap) -> Asked {
+        let text = |name: &str| headers.get(name)?.to_str().ok();
+        Asked {
+            id: headers.get("id").cloned(),
+            deadline_ms: text("deadline").and_then(|one| one.parse().ok()),
+            key: text("key").map(str::to_owned),
+            tokens: text("tokens")
+                .and_then(|one| Some((one.parse().ok()?, 0))),
+            parts: Vec::new(),
+            last_event: text("last").and_then(|one| one.parse().ok()),
+        }
+    }
+
+    fn write(&self, headers: &mut HeaderMap, sending: &Sending<'_>) {
+        headers.remove("key");
+        headers.remove("team");
+        let mut set = |name, value: &str| {
+            headers.insert(name, HeaderValue::from_str(value).unwrap());
+        };
+        set("replica", sending.replica);
+        if let Some(team) = sending.team {
+            set("team", team);
+        }
+        if let Some(last) = sending.last_event {
+            set("last", &last.to_string());
+        }
+    }
+
+    fn judge(
+        &self,
+        asked: Option<&HeaderValue>,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> Answered {
+        let echoed = headers.get("id");
+        Answered {
+            not_run: headers.contains_key("not-run"),
+            wrong_replica: status == StatusCode::MISDIRECTED_REQUEST,
+            matches: echoed.is_none() || echoed == asked,
+            load: None,
+            keep_ms: None,
+        }
+    }
+}
+
+/// A platform that takes everything.
+pub struct Nobody;
+
+#[tonic::async_trait]
+impl Cloud for Nobody {
+    async fn report(
+        &self,
+        _: &Badge,
+        _: &RecordUsage,
+    ) -> Result<(), duty::Error> {
+        Ok(())
+    }
+
+    async fn order(&self, _: &Badge, _: &Order) -> Result<(), duty::Error> {
+        Ok(())
+    }
+}
+
+/// A plan with a route for each kind of request, all to one service.
+pub fn draft(version: u64) -> Draft {
+    let route = |prefix: &str, repeat| Route {
+        name: prefix.to_owned(),
+        host: "here".to_owned(),
+        prefix: prefix.to_owned(),
+        repeat,
+        timeout_ms: 15_000,
+        target_ms: 1000,
+        priority: 0,
+        split: vec![("app".to_owned(), 1)],
+        attempts: 2,
+        public: prefix != "/team/",
+    };
+    Draft {
+        version,
+        routes: vec![
+            route("/again/", Repeat::Idempotent),
+            route("/once/", Repeat::Once),
+            route("/stream/", Repeat::Stream),
+            route("/resume/", Repeat::Resumable),
+            route("/team/", Repeat::Idempotent),
+        ],
+        services: vec![Service {
+            name: "app".to_owned(),
+            connections: 0,
+            batch: None,
+            cache_tokens: 0,
+            tokens_per_event: 1,
+            fetch_ms: None,
+            scaling: None,
+        }],
+        teams: vec![Team {
+            name: "blue".to_owned(),
+            keys: vec!["sesame".to_owned()],
+            priority: None,
+            quota: Some(Quota { rate: 1, burst: 3, plain_tokens: None }),
+        }],
+        limits: Limits {
+            head_bytes: 8192,
+            body_bytes: 10_000,
+            head_ms: 400,
+            idle_ms: 1500,
+        },
+    }
+}
+
+/// Plans here are just their version in digits.
+pub fn read_plan(bytes: &[u8]) -> Result<Draft, Invalid> {
+    let text = std::str::from_utf8(bytes).map_err(Invalid::unreadable)?;
+    text.parse().map(draft).map_err(Invalid::unreadable)
+}
+
+/// Options of a node on a loopback address of its own.
+pub fn options(ip: Ipv4Addr, port: u16, seeds: &[Ipv4Addr]) -> node::Options {
+    node::Options {
+        front: SocketAddrV4::new(ip, 0),
+        peers: SocketAddrV4::new(ip, port),
+        seeds: seeds.to_vec(),
+        data_centre: "one".to_owned(),
+        folder: None,
+        founds: false,
+        tolerance: 0,
+        gateway: gateway::Options {
+            data_centre: "one".to_owned(),
+            repeats: Bound { ratio: 0.2, slack: 20.0, window_ms: 10_000 },
+            windows: Windows { length_ms: 5000 },
+        },
+        duties: duty::Options {
+            holder: ip.to_string(),
+            lease_ms: 1000,
+            window_ms: 5000,
+            reports_usage: false,
+            orders_replicas: false,
+        },
+        dialect: Arc::new(Plain),
+        read_plan,
+        cloud: Arc::new(Nobody),
+    }
+}
+
+/// A folder that is removed when the test ends.
+pub struct Folder(pub std::path::PathBuf);
+
+impl Folder {
+    pub fn new() -> Folder {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let name = format!("azuremount-{}-{number}", std::process::id());
+        Folder(std::env::temp_dir().join(name))
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// A node alone, with a plan in force and the given replicas.
+pub struct World {
+    pub node: node::Handle,
+    pub front: SocketAddr,
+    _folder: Folder,
+}
+
+impl World {
+    pub async fn open(replicas: &[(&str, SocketAddr)]) -> World {
+        static NEXT: AtomicU32 = AtomicU32::new(1);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let ip = Ipv4Addr::from(0x7f4d_0000 + number);
+        let folder = Folder::new();
+        let options = node::Options {
+            folder: Some(folder.0.clone()),
+            founds: true,
+            ..options(ip, 7700, &[ip])
+        };
+        let node = node::spawn(options).await.unwrap();
+        put(&node, 1).await;
+        while !node.is_ready() {
+            sleep(Duration::from_millis(10)).await;
+        }
+        for (id, address) in replicas {
+            node.sight(sighting(id, *address, 0));
+        }
+        let front = node.front().unwrap();
+        World { node, front, _folder: folder }
+    }
+
+    /// Sends bytes and reads until the server closes or the answer is whole.
+    pub async fn exchange(&self, bytes: &str) -> String {
+        let mut stream = TcpStream::connect(self.front).await.unwrap();
+        stream.write_all(bytes.as_bytes()).await.unwrap();
+        read_answer(&mut stream).await
+    }
+
+    pub async fn get(&self, path: &str) -> String {
+        self.exchange(&format!("GET {path} HTTP/1.1\r\nHost: here\r\n\r\n"))
+            .await
+    }
+}
+
+/// Puts a plan in force, however long it takes the first leader to stand.
+pub async fn put(node: &node::Handle, version: u64) {
+    let put = async {
+        while node.put_plan(version.to_string().as_bytes()).await.is_err() {
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(PATIENCE, put).await.expect("nobody took the plan");
+}
+
+pub fn sighting(id: &str, address: SocketAddr, state: u32) -> Sighting {
+    let SocketAddr::V4(address) = address else { panic!("IPv4 only") };
+    Sighting {
+        id: id.to_owned(),
+        service: "app".to_owned(),
+        ip: (*address.ip()).into(),
+        port: address.port().into(),
+        data_centre: "one".to_owned(),
+        slots: 8,
+        state,
+        sequence: 1,
+        ..Sighting::default()
+    }
+}
+
+/// Reads an answer: to its end by length or chunks, or to the close.
+pub async fn read_answer(stream: &mut TcpStream) -> String {
+    let mut read = Vec::new();
+    let mut buffer = [0; 4096];
+    let done = async {
+        loop {
+            let text = String::from_utf8_lossy(&read).into_owned();
+            if is_whole(&text) {
+                return text;
+            }
+            match stream.read(&mut buffer).await {
+                Ok(0) | Err(_) => return text,
+                Ok(count) => read.extend_from_slice(&buffer[..count]),
+            }
+        }
+    };
+    timeout(PATIENCE, done).await.expect("no answer, and no close")
+}
+
+pub fn is_whole(text: &str) -> bool {
+    let Some((head, body)) = text.split_once("\r\n\r\n") else {
+        return false;
+    };
+    let head = head.to_ascii_lowercase();
+    if head.contains("transfer-encoding: chunked") {
+        return body.ends_with("0\r\n\r\n");
+    }
+    let length = head.split("content-length: ").nth(1);
+    let length = length.and_then(|rest| rest.lines().next()?.parse().ok());
+    length.is_some_and(|length: usize| body.len() >= length)
+}
+
+/// A replica that hands each request's head to the test, and answers with
+/// what `respond` makes of it; an empty answer closes the connection.
+pub struct Replica {
+    pub address: SocketAddr,
+    heads: mpsc::UnboundedReceiver<String>,
+    /// Connections whose other end has closed.
+    pub closed: Arc<AtomicUsize>,
+}
+
+impl Replica {
+    pub async fn spawn(
+        respond: impl Fn(&str) -> Vec<String> + Send + Sync + 'static,
+    ) -> Replica {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (send, heads) = mpsc::unbounded_channel();
+        let closed = Arc::new(AtomicUsize::new(0));
+        let respond = Arc::new(respond);
+        let count = closed.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (send, respond) = (send.clone(), respond.clone());
+                let count = count.clone();
+                tokio::spawn(async move {
+                    serve(stream, &send, &*respond).await;
+                    count.fetch_add(1, Ordering::Relaxed);
+                });
+            }
+        });
+        Replica { address, heads, closed }
+    }
+
+    /// The heads that have come so far.
+    pub fn seen(&mut self) -> Vec<String> {
+        std::iter::from_fn(|| self.heads.try_recv().ok()).collect()
+    }
+
+    pub async fn next(&mut self) -> String {
+        let next = timeout(PATIENCE, self.heads.recv()).await;
+        next.expect("no request came").unwrap()
+    }
+}
+
+pub async fn serve(
+    mut stream: TcpStream,
+    send: &mpsc::UnboundedSender<String>,
+    respond: &(dyn Fn(&str) -> Vec<String> + Send + Sync),
+) {
+    let mut read = Vec::new();
+    let mut buffer = [0; 4096];
+    loop {
+        while !is_request(&read) {
+            match stream.read(&mut buffer).await {
+                Ok(0) | Err(_) => return,
+                Ok(count) => read.extend_from_slice(&buffer[..count]),
+            }
+        }
+        let text = String::from_utf8_lossy(&read).into_owned();
+        read.clear();
+        let _ = send.send(text.clone());
+        let pieces = respond(&text);
+        if pieces.is_empty() {
+            return;
+        }
+        for piece in pieces {
+            match piece.as_str() {
+                CLOSE => return,
+                WAIT => sleep(Duration::from_millis(300)).await,
+                // Silent until the other end closes.
+                HANG => {
+                    let _ = stream.read(&mut buffer).await;
+                    return;
+                }
+                _ => {
+                    if stream.write_all(piece.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+}
+
+pub const CLOSE: &str = "(close)";
+pub const HANG: &str = "(hang)";
+pub const WAIT: &str = "(wait)";
+
+pub fn is_request(read: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(read);
+    let Some((head, body)) = text.split_once("\r\n\r\n") else {
+        return false;
+    };
+    let head = head.to_ascii_lowercase();
+    let length = head.split("content-length: ").nth(1);
+    let length = length.and_then(|rest| rest.lines().next()?.parse().ok());
+    body.len() >= length.unwrap_or(0)
+}
+
+pub fn ok(body: &str) -> Vec<String> {
+    let length = body.len();
+    vec![format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}")]
+}
+
+pub fn full() -> Vec<String> {
+    vec!["HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n".into()]
+}
+
+/// A chunked stream of the events `ids`, without its end.
+pub fn events(ids: std::ops::RangeInclusive<u64>) -> Vec<String> {
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let mut pieces = vec![head.to_owned()];
+    pieces.extend(ids.map(|id| {
+        let event = format!("id: {id}\ndata: piece {id}\n\n");
+        format!("{:x}\r\n{event}\r\n", event.len())
+    }));
+    pieces
+}
+
+pub fn ended(mut pieces: Vec<String>) -> Vec<String> {
+    pieces.push("0\r\n\r\n".to_owned());
+    pieces
+}
+
+pub fn status(answer: &str) -> &str {
+    answer.split(' ').nth(1).unwrap_or("no answer")
+}
+
+/// The ids of the events in an answer, in order.
+pub fn ids(answer: &str) -> Vec<u64> {
+    let lines = answer.lines().filter_map(|line| line.strip_prefix("id: "));
+    lines.map(|id| id.parse().unwrap()).collect()
+}
