--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -385,6 +385,7 @@
         World::open(&[("one", one.address), ("two", two.address)]).await;
     let answer = world.get("/resume/x").await;
     assert_eq!(ids(&answer), [1, 2], "{answer}");
+    assert!(answer.contains("data: two"), "{answer}");
     assert!(is_whole(&answer), "{answer}");
 }
 
