--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -10,6 +10,7 @@
 
 use super::{
     Gateway,
+    bodies::Share,
     dialect::Asked,
     forward::{Attempts, Work},
     plan::{Limits, Plan, Route, Team},
@@ -18,6 +19,9 @@
 
 /// The longest that a client may pause within a body.
 const BODY_PAUSE: Duration = Duration::from_millis(3000);
+/// When to come back to an entry whose memory for bodies is taken, in ms:
+/// about what the requests that have it take.
+const NO_ROOM_MS: u64 = 500;
 /// When to come back to an entry that has no plan yet, in ms.
 const NO_PLAN_MS: u64 = 300;
 
@@ -51,7 +55,8 @@
     let (route, team) = (route.clone(), team.cloned());
     let limits = plan.limits();
     let (head, body) = request.into_parts();
-    let body = read_body(body, limits, deadline).await?;
+    let mut room = gateway.bodies.share();
+    let body = read_body(body, limits, deadline, &mut room).await?;
     if let Some(team) = &team
         && let Some(quota) = team.quota
     {
@@ -70,10 +75,12 @@
         path: path.to_owned(),
         headers: passed_on(head.headers),
         body,
+        _room: room,
         began,
         deadline,
         attempts: Attempts::default(),
         chosen: None,
+        _running: gateway.metrics.run(),
     })
 }
 
@@ -122,11 +129,12 @@
     }
 }
 
-/// Reads a body to the end, within the limits.
+/// Reads a body to the end, within the limits and the memory for all bodies.
 async fn read_body(
     mut body: Incoming,
     limits: Limits,
     deadline: Instant,
+    room: &mut Share,
 ) -> Result<Bytes, Refusal> {
     let too_long =
         || Refusal::broken(StatusCode::PAYLOAD_TOO_LARGE, "body too long");
@@ -152,6 +160,11 @@
             if read.len() + data.len() > limits.body_bytes {
                 return Err(too_long());
             }
+            if !room.grow(read.len() + data.len()) {
+                let text = "too many bodies at once";
+                let refusal = Refusal::later(text, NO_ROOM_MS);
+                return Err(Refusal { close: true, ..refusal });
+            }
             read.extend_from_slice(&data);
         }
     }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -22,6 +22,7 @@
 use super::{
     Gateway,
     accept::{accept, cost_of, passed_on},
+    bodies::Share,
     dialect::{Answered, Asked, Sending},
     fleet::{End, Target, blocks_of},
     flight::Flight,
@@ -31,7 +32,11 @@
     server::{Body, full},
     upstream::{Failed, Line},
 };
-use crate::{decide::route::Ask, verdict::Verdict};
+use crate::{
+    decide::route::Ask,
+    metrics::{Labels, Outcome, Running},
+    verdict::Verdict,
+};
 
 /// Answers up to this many bytes are read to the end before any of it goes
 /// on, so that one that breaks off can still be asked for elsewhere.
@@ -67,11 +72,13 @@
     pub path: String,
     pub headers: HeaderMap,
     pub body: Bytes,
+    pub _room: Share,
     pub began: Instant,
     pub deadline: Instant,
     pub attempts: Attempts,
     /// The router's latest choice, for the log.
     pub chosen: Option<Target>,
+    pub _running: Running,
 }
 
 /// Which replicas had a request, and whether it may go to one more.
@@ -127,7 +134,7 @@
     began: Instant,
     refusal: &Refusal,
 ) {
-    let outcome = crate::metrics::Outcome {
+    let outcome = Outcome {
         status: refusal.status.as_u16(),
         verdict: refusal.verdict.as_str(),
     };
@@ -167,10 +174,13 @@
     match result {
         Ok(Reply::Whole(answer)) => {
             work.log(answer.status(), "answered");
+            work.note_first_token();
+            work.note_end();
             answer.map(full)
         }
         Ok(Reply::Streams(source, head)) => {
             work.log(head.status(), "streams");
+            work.note_first_token();
             relay::open(work, *source, head)
         }
         Err(refusal) => {
@@ -369,7 +379,8 @@
         if streams && response.status().is_success() {
             let (head, body) = response.into_parts();
             let keep = answered.keep_ms;
-            let source = relay::Source { body, line, flight, keep };
+            let read = Bytes::new();
+            let source = relay::Source { read, body, line, flight, keep };
             let head = answer_head(head, &Method::GET);
             return Ok(Reply::Streams(Box::new(source), head));
         }
@@ -409,13 +420,16 @@
     ) -> Result<Reply, Failed> {
         let (head, mut body) = response.into_parts();
         let failure = head.status.is_server_error();
-        if body.size_hint().lower() > WHOLE_ANSWER {
-            let source = relay::Source { body, line, flight, keep };
-            let head = answer_head(head, &self.method);
-            return Ok(Reply::Streams(Box::new(source), head));
-        }
         let mut read = BytesMut::new();
         loop {
+            // One that comes in chunks shows its length only as it comes.
+            let length = read.len() as u64 + body.size_hint().lower();
+            if length > WHOLE_ANSWER {
+                let read = read.freeze();
+                let source = relay::Source { read, body, line, flight, keep };
+                let head = answer_head(head, &self.method);
+                return Ok(Reply::Streams(Box::new(source), head));
+            }
             match timeout_at(self.deadline, body.frame()).await {
                 Ok(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
@@ -508,6 +522,28 @@
         }
     }
 
+    /// Counts the time until the answer began.
+    fn note_first_token(&self) {
+        let metrics = &self.gateway.metrics;
+        let first = metrics.first_token.get_or_create(&self.labels());
+        first.observe(self.began.elapsed().as_secs_f64());
+    }
+
+    /// Counts the time until the answer ended, whole.
+    pub fn note_end(&self) {
+        let metrics = &self.gateway.metrics;
+        let latency = metrics.latency.get_or_create(&self.labels());
+        latency.observe(self.began.elapsed().as_secs_f64());
+    }
+
+    fn labels(&self) -> Labels {
+        let team = self.team.as_ref();
+        Labels {
+            team: team.map_or_else(String::new, |team| team.name.clone()),
+            service: self.service.clone(),
+        }
+    }
+
     /// One line for the decision and what came of it.
     fn log(&self, status: StatusCode, how: &'static str) {
         let chosen = self.chosen.as_ref();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! | [`server`] | connections with clients |
 //! | [`plan`] | routes, services, teams and limits, checked |
 //! | [`dialect`] | the headers that mean something here |
+//! | `bodies` | memory for the bodies of all requests |
 //! | `accept` | what is checked before any replica is asked |
 //! | [`forward`] | one request at the replicas |
 //! | `flight` | a request under way, as the router counts it |
@@ -17,6 +18,7 @@
 //! What it decides by stands in [`crate::decide`].
 
 mod accept;
+mod bodies;
 pub mod dialect;
 pub mod events;
 pub mod fleet;
@@ -34,6 +36,7 @@
 use tracing::info;
 
 use self::{
+    bodies::Bodies,
     dialect::Dialect,
     fleet::Fleet,
     plan::{Plan, Quota, Route, Team},
@@ -70,6 +73,8 @@
     pub repeats: Bound,
     /// How usage is counted.
     pub windows: Windows,
+    /// Memory for the bodies of all requests under way, in bytes.
+    pub body_memory: usize,
 }
 
 /// The data path of one node.
@@ -80,6 +85,7 @@
     pub(crate) plan: Arc<Cell<Option<Plan>>>,
     pub(crate) lines: Lines,
     pub(crate) metrics: Metrics,
+    bodies: Bodies,
     mesh: std::sync::OnceLock<mesh::Handle>,
     fleet: Mutex<Fleet>,
     /// Sorted by team.
@@ -106,6 +112,7 @@
             plan: Arc::new(Cell::new(None)),
             lines: Lines::default(),
             metrics: Metrics::open(),
+            bodies: Bodies::open(options.body_memory),
             mesh: std::sync::OnceLock::new(),
             fleet: Mutex::new(Fleet::open(
                 &options.data_centre,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -33,6 +33,8 @@
 
 /// Where an answer comes from.
 pub(super) struct Source {
+    /// What has been read of it already.
+    pub read: Bytes,
     pub body: Incoming,
     pub line: Line,
     pub flight: Flight,
@@ -106,6 +108,9 @@
         let Some(source) = &mut self.source else {
             return Piece::Broken("no replica");
         };
+        if !source.read.is_empty() {
+            return Piece::Data(std::mem::take(&mut source.read));
+        }
         let until = match resumable {
             true => deadline.min(Instant::now() + SILENCE),
             false => deadline,
@@ -136,6 +141,7 @@
 
     fn finish(&mut self) {
         self.over = true;
+        self.work.note_end();
         info!(
             target: "gateway",
             request = self.shown(),
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -69,6 +69,16 @@
     Histogram::new(exponential_buckets(16.0, 2.0, 14))
 }
 
+/// One request under way, for as long as this lives.
+#[derive(Debug)]
+pub struct Running(Gauge);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
 impl Metrics {
     /// Starts at zero.
     pub fn open() -> Metrics {
@@ -140,6 +150,12 @@
         Metrics { registry, ..metrics }
     }
 
+    /// Counts a request as under way until what is returned is dropped.
+    pub fn run(&self) -> Running {
+        self.running.inc();
+        Running(self.running.clone())
+    }
+
     /// Everything, in the text format that Prometheus reads.
     pub fn encode(&self) -> String {
         let mut out = String::new();
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -93,6 +93,65 @@
     assert_eq!(status(&answer), "413");
 }
 
+/// Symptom: the process is killed for its memory, with all its requests.
+/// Sequence: many clients send long bodies at the same time, each within the
+/// limit. Cause: only each body by itself was bounded.
+#[tokio::test]
+async fn bodies_are_bounded_together_and_room_is_given_back() {
+    let replica = Replica::spawn(|_| ok("fine")).await;
+    let world = World::open(&[("r", replica.address)]).await;
+    let head = "POST /again/x HTTP/1.1\r\nHost: here\r\n\
+                Content-Length: 10000\r\n\r\n";
+    let mut held = Vec::new();
+    for _ in 0..3 {
+        let mut client = TcpStream::connect(world.front).await.unwrap();
+        let part = format!("{head}{}", "x".repeat(9900));
+        client.write_all(part.as_bytes()).await.unwrap();
+        held.push(client);
+    }
+    let whole = format!("{head}{}", "x".repeat(10_000));
+    let refused = async {
+        loop {
+            let answer = world.exchange(&whole).await;
+            if status(&answer) == "503" {
+                return answer;
+            }
+        }
+    };
+    let answer = timeout(PATIENCE, refused).await.expect("all were taken");
+    assert!(answer.to_lowercase().contains("retry-after"), "{answer}");
+    drop(held);
+    let served = async {
+        while status(&world.exchange(&whole).await) != "200" {
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    timeout(PATIENCE, served).await.expect("room was never given back");
+}
+
+/// Symptom: memory grows with a replica's answer, and the client waits for
+/// all of it. Sequence: a long answer comes in chunks, without a length.
+/// Cause: only the length in the head was compared to what is kept whole.
+#[tokio::test]
+async fn a_long_answer_in_chunks_is_passed_on_as_it_comes() {
+    let replica = Replica::spawn(|_| {
+        let chunk = format!("{:x}\r\n{}\r\n", 50_000, "y".repeat(50_000));
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let mut pieces = vec![head.to_owned()];
+        pieces.extend(std::iter::repeat_n(chunk, 8));
+        pieces.push(HANG.to_owned());
+        pieces
+    })
+    .await;
+    let world = World::open(&[("r", replica.address)]).await;
+    let mut client = TcpStream::connect(world.front).await.unwrap();
+    let request = "GET /again/x HTTP/1.1\r\nHost: here\r\n\r\n";
+    client.write_all(request.as_bytes()).await.unwrap();
+    let mut read = vec![0; 400_000];
+    let all = timeout(PATIENCE, client.read_exact(&mut read)).await;
+    assert!(all.is_ok_and(|read| read.is_ok()), "not passed on");
+}
+
 #[tokio::test]
 async fn a_head_beyond_the_limit_is_refused() {
     let replica = Replica::spawn(|_| ok("fine")).await;
--- a/tests/all/world.rs
+++ b/tests/all/world.rs
@@ -166,6 +166,7 @@
             data_centre: "one".to_owned(),
             repeats: Bound { ratio: 0.2, slack: 20.0, window_ms: 10_000 },
             windows: Windows { length_ms: 5000 },
+            body_memory: 30 * 1024,
         },
         duties: duty::Options {
             holder: ip.to_string(),
