Tell nodes that start what replicas have cached, and keep it on disks

Cause: what replicas have cached was told to the other nodes once, when it was sent, and known only in memory.

Ruled out: asking replicas for their lists of what they keep (it delays their work, and all nodes would ask at once); telling everything again over UDP (some hundred kB to each node).

Now all notes of 30 s are kept beside the routers, handed to a node that starts (one call, without compression: hashes do not get shorter), and nodes with a disk write them every 2 s. A replica that becomes known later is given its notes then. The test failed first with the asking left out.

--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -28,6 +28,13 @@
     }
 }
 
+impl Asked {
+    /// Names what the prompt may share with others: all but its own part.
+    pub fn prefix(&self) -> u64 {
+        self.parts.iter().rev().nth(1).map_or(0, |(part, _)| *part)
+    }
+}
+
 common! {
     /// What a gateway tells a replica beside the client's own headers.
     pub struct Sending<'a> {
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -7,7 +7,10 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use super::plan::{Plan, Service};
+use super::{
+    memory::Memory,
+    plan::{Plan, Service},
+};
 use crate::{
     decide::{
         retry::{Bound, Window},
@@ -86,8 +89,10 @@
     bound: Bound,
     /// Sorted by name.
     services: Vec<Routed>,
-    /// What replicas have been sent lately, with the time.
+    /// What this node has sent to replicas lately, to be told, with the time.
     cached: Vec<(u64, Cached)>,
+    /// What all nodes have.
+    memory: Memory,
 }
 
 /// For so long a part that a replica was sent is told to the other nodes, in
@@ -101,7 +106,13 @@
     /// Starts without replicas, in this data centre.
     pub fn open(data_centre: &str, bound: Bound) -> Fleet {
         let data_centre = data_centre.to_owned();
-        Fleet { data_centre, bound, services: Vec::new(), cached: Vec::new() }
+        Fleet {
+            data_centre,
+            bound,
+            services: Vec::new(),
+            cached: Vec::new(),
+            memory: Memory::default(),
+        }
     }
 
     /// Takes over what the mesh knows now.
@@ -119,8 +130,10 @@
             let at = self.service_or_new(name, planned);
             let replicas = group.iter().map(|(_, replica)| *replica);
             let near = &self.data_centre;
-            self.services[at].refresh(now, near, replicas, table);
+            let memory = &self.memory;
+            self.services[at].refresh(now, near, replicas, table, memory);
         }
+        self.memory.expire(now);
         for service in &mut self.services {
             let listed = listed.iter().any(|(name, _)| *name == service.name);
             if !listed {
@@ -215,6 +228,7 @@
                 blocks: blocks_in(part),
             };
             self.cached.push((now, cached));
+            self.memory.note(now, cached);
         }
     }
 
@@ -226,20 +240,24 @@
     }
 
     /// Takes note of what other nodes have sent to replicas.
-    pub fn note_cached(&mut self, cached: &[Cached]) {
+    pub fn note_cached(&mut self, now: u64, cached: &[Cached]) {
         for one in cached {
+            self.memory.note(now, *one);
             let routed = self
                 .services
                 .iter_mut()
                 .find(|routed| name_hash(&routed.name) == one.service);
             if let Some(routed) = routed {
-                let blocks: Vec<u64> =
-                    (0..one.blocks).map(|at| block(one.path, at)).collect();
-                routed.pool.sent_elsewhere(one.replica, &blocks);
+                routed.pool.sent_elsewhere(one.replica, &blocks_of_part(one));
             }
         }
     }
 
+    /// What replicas have been sent lately, by all nodes.
+    pub fn cached(&self) -> Vec<Cached> {
+        self.memory.all()
+    }
+
     /// Counts a first sending to a service.
     pub fn sent(&mut self, now: u64, service: &str) {
         if let Some(routed) = self.find(service) {
@@ -387,6 +405,7 @@
         near: &str,
         replicas: impl Iterator<Item = &'a table::Replica> + Clone,
         table: &Table,
+        memory: &Memory,
     ) {
         let is_fresh = |replica: &&table::Replica| {
             let heard = now < replica.heard_at + HEARTBEAT_LIMIT_MS;
@@ -414,6 +433,11 @@
                 answered_at: at.map_or(0, |at| old[at].answered_at),
             });
             let hash = table::replica_hash(&says.id);
+            if at.is_err() {
+                for cached in memory.of(hash) {
+                    self.pool.sent_elsewhere(hash, &blocks_of_part(cached));
+                }
+            }
             let (others, pending) = table.under(now, hash);
             let own = self.pool.own().find(|(id, _, _)| *id == says.id);
             let load = others + own.map_or(0, |(_, own, _)| own);
@@ -482,6 +506,10 @@
         .collect()
 }
 
+fn blocks_of_part(cached: &Cached) -> Vec<u64> {
+    (0..cached.blocks).map(|at| block(cached.path, at)).collect()
+}
+
 /// What stands for each part and all before it, with the part's tokens.
 fn paths_of(parts: &[(u64, u32)]) -> impl Iterator<Item = (u64, u32)> {
     parts.iter().scan(0u64, |path, &(part, tokens)| {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -554,6 +554,8 @@
             route = self.route.name,
             plan = self.gateway.plan_version(),
             replica = chosen.map_or("", |target| &target.replica),
+            prompt_tokens = self.asked.tokens.map_or(0, |(prompt, _)| prompt),
+            prefix = self.asked.prefix(),
             foretold_ms = chosen.map_or(0, |one| one.predicted_ms as u64),
             cached = chosen.map_or(0, |target| target.cached_tokens),
             fetches = chosen.is_some_and(|one| one.fetch_from.is_some()),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 //! | `flight` | a request under way, as the router counts it |
 //! | `relay` | answers that are passed on as they come |
 //! | [`events`] | streams cut where an event ends |
+//! | `memory` | what replicas have been sent lately |
 //! | [`fleet`] | the replicas of each service, with a router for each |
 //! | [`upstream`] | connections with replicas |
 //! | [`refusal`] | answers of the gateway's own |
@@ -24,6 +25,7 @@
 pub mod fleet;
 mod flight;
 pub mod forward;
+mod memory;
 pub mod plan;
 pub mod refusal;
 mod relay;
@@ -184,7 +186,12 @@
 
     /// Takes note of what other nodes have sent to replicas.
     pub fn note_cached(&self, cached: &[Cached]) {
-        self.fleet().note_cached(cached);
+        self.fleet().note_cached(self.timer.now(), cached);
+    }
+
+    /// What replicas have been sent lately, as far as known here.
+    pub fn cached(&self) -> Vec<Cached> {
+        self.fleet().cached()
     }
 
     pub(crate) fn fleet(&self) -> MutexGuard<'_, Fleet> {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -20,6 +20,7 @@
 
 mod member;
 mod peers;
+mod recall;
 
 use std::{
     fmt, io,
@@ -130,6 +131,8 @@
     /// As the operator sent it; written with the gateway's plan.
     source: Mutex<Option<Arc<PutPlan>>>,
     fetching: AtomicBool,
+    /// It can tell others what replicas have cached.
+    knows_caches: AtomicBool,
     stopping: AtomicBool,
     /// Ends the server for other nodes, its open connections too.
     last: watch::Sender<bool>,
@@ -203,6 +206,7 @@
         read_plan: options.read_plan,
         source: Mutex::new(None),
         fetching: AtomicBool::new(false),
+        knows_caches: AtomicBool::new(false),
         stopping: AtomicBool::new(false),
         last: watch::Sender::new(false),
         front: options.front,
@@ -241,7 +245,14 @@
         forward::serve(serving.clone(), request)
     })?;
     *lock(&node.server) = Some(server);
-    let mut tasks = vec![tokio::spawn(peers::serve(node.clone(), listener))];
+    let folder = options.folder;
+    let mut tasks = vec![
+        tokio::spawn(peers::serve(node.clone(), listener)),
+        tokio::spawn(recall::learn(node.clone(), folder.clone())),
+    ];
+    if let Some(folder) = folder {
+        tasks.push(tokio::spawn(recall::save(node.clone(), folder)));
+    }
     if let Some(seat) = &seat {
         tasks.push(tokio::spawn(member::follow(node.clone(), seat.clone())));
         tasks.push(tokio::spawn(member::ask_to_join(
@@ -331,9 +342,13 @@
         let Some(mesh) = node.mesh.get() else { return };
         let now = node.gateway.timer.now();
         let id = says.id.clone();
-        let state = says.state;
+        let (state, leaves_ms) = (says.state, says.leaves_ms);
         if mesh.table().sight(now, says, true) {
-            info!(target: "node", replica = id, state, "Replica changed.");
+            info!(
+                target: "node",
+                replica = id, state, leaves_ms,
+                "Replica changed."
+            );
             // Refreshed before the replica has its answer: from then on it
             // counts on getting no new work if it said that it leaves.
             node.gateway.refresh();
@@ -349,6 +364,11 @@
         }
     }
 
+    /// Parts of prompts that replicas are known to have cached.
+    pub fn cached_parts(&self) -> usize {
+        self.node.gateway.cached().len()
+    }
+
     /// What the node has counted, for Prometheus.
     pub fn metrics(&self) -> String {
         self.node.gateway.metrics.encode()
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -8,7 +8,8 @@
 
 use tokio::{net::TcpListener, time::timeout};
 use tonic::{
-    Request, Response, Status, codec::CompressionEncoding,
+    Request, Response, Status,
+    codec::{CompressionEncoding, SingleMessageCompressionOverride},
     transport::server::TcpIncoming,
 };
 use tracing::warn;
@@ -17,7 +18,7 @@
 use crate::{
     control::server::{MESSAGE_LIMIT, Service, connect},
     wire::{
-        Empty, PutPlan,
+        Caches, Empty, PutPlan,
         nodes_client::NodesClient,
         nodes_server::{Nodes, NodesServer},
     },
@@ -89,4 +90,20 @@
             None => Err(Status::not_found("no plan here yet")),
         }
     }
+
+    async fn recall(
+        &self,
+        _: Request<Empty>,
+    ) -> Result<Response<Caches>, Status> {
+        let whole = self.node.knows_caches.load(Ordering::Relaxed);
+        let cached =
+            if whole { self.node.gateway.cached() } else { Vec::new() };
+        let mut reply = Response::new(Caches { whole, cached });
+        // Hashes don't get shorter, and trying costs a VM with an eighth of a
+        // core a tenth of a second while all others ask too.
+        reply
+            .extensions_mut()
+            .insert(SingleMessageCompressionOverride::Disable);
+        Ok(reply)
+    }
 }
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -930,6 +930,15 @@
     #[prost(uint32, tag = "4")]
     pub blocks: u32,
 }
+/// What replicas have been sent lately, by all nodes.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Caches {
+    /// The sender has been told itself, or nobody could tell it.
+    #[prost(bool, tag = "1")]
+    pub whole: bool,
+    #[prost(message, repeated, tag = "2")]
+    pub cached: ::prost::alloc::vec::Vec<Cached>,
+}
 /// Requests that began at one incarnation of a node, by window.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Began {
@@ -2293,6 +2302,28 @@
             req.extensions_mut().insert(GrpcMethod::new("azuremount.v1.Nodes", "Fetch"));
             self.inner.unary(req, path, codec).await
         }
+        /// What the receiver knows of the replicas' caches.
+        pub async fn recall(
+            &mut self,
+            request: impl tonic::IntoRequest<super::Empty>,
+        ) -> std::result::Result<tonic::Response<super::Caches>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/azuremount.v1.Nodes/Recall",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("azuremount.v1.Nodes", "Recall"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -2313,6 +2344,11 @@
             &self,
             request: tonic::Request<super::Empty>,
         ) -> std::result::Result<tonic::Response<super::PutPlan>, tonic::Status>;
+        /// What the receiver knows of the replicas' caches.
+        async fn recall(
+            &self,
+            request: tonic::Request<super::Empty>,
+        ) -> std::result::Result<tonic::Response<super::Caches>, tonic::Status>;
     }
     #[derive(Debug)]
     pub struct NodesServer<T> {
@@ -2433,6 +2469,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/azuremount.v1.Nodes/Recall" => {
+                    #[allow(non_camel_case_types)]
+                    struct RecallSvc<T: Nodes>(pub Arc<T>);
+                    impl<T: Nodes> tonic::server::UnaryService<super::Empty>
+                    for RecallSvc<T> {
+                        type Response = super::Caches;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::Empty>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Nodes>::recall(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = RecallSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
--- a/tests/all/nodes.rs
+++ b/tests/all/nodes.rs
@@ -9,7 +9,9 @@
 use azuremount::node::{self, PutError};
 use tokio::time::{sleep, timeout};
 
-use crate::world::{Folder, options, put};
+use tokio::{io::AsyncWriteExt, net::TcpStream};
+
+use crate::world::{Folder, Replica, ok, options, put, read_answer, sighting};
 
 /// Long beyond anything that a passing test waits for.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -94,6 +96,20 @@
         timeout(PATIENCE, read).await.expect("no majority answers")
     }
 
+    async fn all_know_caches(&self, when: &str) {
+        let known = async {
+            while self
+                .nodes
+                .iter()
+                .flatten()
+                .any(|one| one.cached_parts() == 0)
+            {
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(PATIENCE, known).await.expect(when);
+    }
+
     async fn all_serve(&self) {
         let serve = async {
             let running = || self.nodes.iter().flatten();
@@ -197,3 +213,41 @@
     put(site.node(3), 3).await;
     assert_eq!(site.read(3).await, 3);
 }
+
+/// Symptom: after a restart prompts are read again that replicas have cached,
+/// and the replicas are overloaded by it. Sequence: one node restarts; then
+/// all do at once. Cause: what has been cached where was known only in the
+/// memory of the nodes, and told once.
+#[tokio::test]
+async fn what_is_cached_is_known_after_one_or_all_have_restarted() {
+    let mut site = Site::open(3, 1).await;
+    put(site.node(3), 1).await;
+    site.all_serve().await;
+    let replica = Replica::spawn(|_| ok("fine")).await;
+    site.node(3).sight(sighting("r", replica.address, 0));
+    let front = site.node(3).front().unwrap();
+    let mut client = TcpStream::connect(front).await.unwrap();
+    let request = "GET /again/x HTTP/1.1\r\nHost: here\r\n\
+                   Tokens: 1500\r\nParts: 7:900,8:600\r\n\r\n";
+    client.write_all(request.as_bytes()).await.unwrap();
+    read_answer(&mut client).await;
+    site.all_know_caches("told").await;
+    site.stop(3).await;
+    site.start(3, false).await;
+    site.all_know_caches("one restarted").await;
+    let saved = site.folders[0].as_ref().unwrap().0.join("caches");
+    let written = async {
+        // With a part in it, the file is longer than its sum and a flag.
+        while std::fs::metadata(&saved).map_or(0, |file| file.len()) < 20 {
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(PATIENCE, written).await.expect("never written");
+    for at in 0..4 {
+        site.stop(at).await;
+    }
+    for at in 0..4 {
+        site.start(at, false).await;
+    }
+    site.all_know_caches("all restarted").await;
+}
--- a/tests/all/world.rs
+++ b/tests/all/world.rs
@@ -44,7 +44,7 @@
             key: text("key").map(str::to_owned),
             tokens: text("tokens")
                 .and_then(|one| Some((one.parse().ok()?, 0))),
-            parts: Vec::new(),
+            parts: text("parts").map(parts).unwrap_or_default(),
             last_event: text("last").and_then(|one| one.parse().ok()),
         }
     }
@@ -81,6 +81,12 @@
     }
 }
 
+/// Parts of a prompt, as in "7:900,8:600".
+fn parts(text: &str) -> Vec<(u64, u32)> {
+    let pairs = text.split(',').filter_map(|part| part.split_once(':'));
+    pairs.map(|(id, n)| (id.parse().unwrap(), n.parse().unwrap())).collect()
+}
+
 /// A platform that takes everything.
 pub struct Nobody;
 
