--- a/src/node/recall.rs
+++ b/src/node/recall.rs
@@ -101,7 +101,7 @@
         // Not on the thread that serves requests: a disk may hang for seconds.
         let written =
             tokio::task::spawn_blocking(move || write(&folder, &caches));
-        let result = written.await.unwrap_or_else(|_| Ok(()));
+        let result = written.await.map_err(io::Error::other).flatten();
         if let (Err(error), false) = (&result, fails) {
             warn!(target: "node", "Caches not written: {error}.");
         }
