Take late word of others' requests for late, and small parts for what they are

Cause: what other entries have under way was taken for measured now, though it is 0.75 s old on average where 68 entries take turns, and a replica nobody had told of for idle. A prompt that comes in parts of 180 tokens was counted as cached by whole blocks of 512, so that a fetch of 350 tokens looked like one of 1,024 (1,227 of 1,400 short prompts were told to fetch).

Now the word carries its age, what it says of unread prompts is drawn towards the average over 0.3 s, a new replica counts as the average until others can have told of it, and blocks know at which token they end.

The test of small parts failed first.

--- a/benches/decide.rs
+++ b/benches/decide.rs
@@ -87,7 +87,7 @@
         pool.set_peers(10);
         let route = time(|number| {
             let blocks = &prompts[number as usize % prompts.len()];
-            let ask = Ask { tokens: 3600, blocks, avoid: &[] };
+            let ask = Ask { tokens: 3600, blocks, ends: &[], avoid: &[] };
             let now = number / 100;
             if let Some(choice) = pool.pick(now, &ask) {
                 pool.end(now, choice.ticket, true, Some(900.0));
@@ -115,7 +115,7 @@
         let name = format!("route, 3,600 tokens, {count} replicas");
         println!("{name:36} {route:10.0} {slow:10.0}");
         let short = time(|number| {
-            let ask = Ask { tokens: 30, blocks: &[], avoid: &[] };
+            let ask = Ask { tokens: 30, blocks: &[], ends: &[], avoid: &[] };
             let now = number / 100;
             if let Some(choice) = pool.pick(now, &ask) {
                 pool.end(now, choice.ticket, true, Some(900.0));
--- a/src/decide/route/cost.rs
+++ b/src/decide/route/cost.rs
@@ -8,6 +8,9 @@
 const LEVEL_MS: u64 = 50;
 /// The weight of one stretch of time in the average rate.
 const RATE_SHARE: f32 = 0.05;
+/// How long a prompt that waits to be read stays that, in ms: what was known
+/// of the other entries' prompts says less and less over that time.
+const PENDING_MS: f32 = 300.0;
 /// Reports are never taken for older than this, in ms.
 const OLDEST_MS: f32 = 5000.0;
 /// The block whose hash decides where a prompt's home is: deep enough to
@@ -80,13 +83,16 @@
         self.level_at = now;
         let mut age = 0.0;
         let mut others = 0.0;
+        let mut pending = 0.0;
         for replica in &mut self.replicas {
             let old = now.saturating_sub(replica.measured_at) as f32;
             // Of the requests that a report counted, so many still run.
             replica.trust = (-old / self.weights.hold_ms).exp();
             age += old;
             others += replica.others();
+            pending += replica.others_pending.0;
         }
+        self.usual_pending = pending / self.replicas.len().max(1) as f32;
         age = (age / self.replicas.len().max(1) as f32).min(OLDEST_MS);
         self.usual_others = others / (self.slots().max(1) as f32);
         let mut slots: Vec<(f32, f32)> = Vec::new();
@@ -109,9 +115,12 @@
         let Pool { index, replicas, places, matched, known, .. } = self;
         index.holders(ask.blocks, HOLDERS, |number, count| {
             if let Some(&Some(at)) = places.get(number as usize) {
-                replicas[at].matched = count * block;
+                let uniform = count * block;
+                let end = ask.ends.get(count as usize - 1);
+                let tokens = end.copied().unwrap_or(uniform);
+                replicas[at].matched = tokens;
                 matched.push(at);
-                known.push((at, count * block));
+                known.push((at, tokens));
             }
         });
         self.match_home(ask);
@@ -195,11 +204,12 @@
     }
 
     /// Prompt tokens that a replica has yet to read for other entries: as
-    /// reported, less what it has had the time to read since.
+    /// reported, drawn towards the average by the age of the report.
     fn others_pending(&self, now: u64, replica: &Replica) -> f32 {
         let (tokens, at) = replica.others_pending;
-        let passed = now.saturating_sub(at) as f32;
-        (tokens - passed / self.bare_token_ms).max(0.0)
+        let age = now.saturating_sub(at) as f32;
+        let trust = (-age / PENDING_MS).exp();
+        self.usual_pending + (tokens - self.usual_pending) * trust
     }
 
     /// The time to a first token, as far as it can be foretold.
--- a/src/decide/route/mod.rs
+++ b/src/decide/route/mod.rs
@@ -184,7 +184,7 @@
     own: u32,
     /// Prompt tokens sent that have not led to a first piece yet.
     pending_tokens: f32,
-    /// The same of the other entries, as last reported, and when.
+    /// The same of the other entries, and when it was so.
     others_pending: (f32, u64),
     /// When each request without progress began or last moved.
     quiet: Vec<(u64, u64)>,
@@ -209,6 +209,10 @@
         pub tokens: u32,
         /// The prompt's block hashes.
         pub blocks: &'a [u64],
+        /// Tokens up to the end of each block; empty when all blocks are of
+        /// the same size. A prompt that comes in small parts has blocks that
+        /// are far from full.
+        pub ends: &'a [u32],
         /// Endpoints that it must not go to: id and incarnation.
         pub avoid: &'a [(String, u64)],
     }
@@ -271,6 +275,9 @@
     level_at: u64,
     /// Requests of other entries for each slot, on average.
     usual_others: f32,
+    /// Prompt tokens that a replica has yet to read for other entries, on
+    /// average.
+    usual_pending: f32,
     /// Requests of this entry in a millisecond, on average.
     rate: f32,
     picks: u32,
@@ -328,6 +335,7 @@
             level: 0.0,
             level_at: 0,
             usual_others: 0.0,
+            usual_pending: 0.0,
             rate: 0.0,
             picks: 0,
             work_ms: 0.0,
@@ -428,12 +436,35 @@
         replica.change = replica.recent.iter().map(|(_, one)| one).sum();
     }
 
-    /// Takes the prompt tokens that a replica has yet to read for the other
-    /// entries.
-    pub fn report_pending(&mut self, now: u64, id: &str, tokens: u32) {
-        if let Some(at) = self.find(id, 0) {
-            self.replicas[at].others_pending = (tokens as f32, now);
+    /// Takes what the other entries have told of their own requests at a
+    /// replica: how many there are, and the prompt tokens that it has yet to
+    /// read for them.
+    ///
+    /// `age_ms` is how old their word is on average. Taken for fresh, it
+    /// sends all entries to whichever replica had little to do a moment ago,
+    /// and to each new one at once: of seventy entries' requests, a fifth met
+    /// six others or more on their replica within 0.3 s where one in a
+    /// hundred would by chance.
+    pub fn report_others(
+        &mut self,
+        now: u64,
+        id: &str,
+        load: u32,
+        pending: u32,
+        age_ms: u64,
+    ) {
+        let Some(at) = self.find(id, 0) else { return };
+        let replica = &mut self.replicas[at];
+        let measured_at = now.saturating_sub(age_ms);
+        replica.others_pending = (pending as f32, measured_at);
+        if measured_at < replica.measured_at {
+            return;
         }
+        replica.measured_at = measured_at;
+        replica.recent.retain(|(at, _)| *at >= measured_at);
+        replica.change = replica.recent.iter().map(|(_, one)| one).sum();
+        let own_then = replica.own as f32 - replica.change;
+        replica.reported = load as f32 + own_then;
     }
 
     /// Takes a cache event: blocks that a replica no longer has.
--- a/src/entry/model.rs
+++ b/src/entry/model.rs
@@ -287,6 +287,7 @@
     fn pick(&self) -> Option<(Endpoint, Choice)> {
         let ask = Ask {
             tokens: self.chat.prompt_tokens(),
+            ends: &[],
             blocks: &self.blocks,
             avoid: &self.avoid,
         };
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -434,7 +434,7 @@
     work: &Work,
     avoid: &[(String, u64)],
 ) -> Option<(Endpoint, Choice)> {
-    let ask = Ask { tokens: 0, blocks: &[], avoid };
+    let ask = Ask { tokens: 0, blocks: &[], ends: &[], avoid };
     state.fleet().pick(state.now(), &work.service.name, &ask)
 }
 
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -18,7 +18,10 @@
             Ask, Choice, Identity, Policy, Pool, Standing, Ticket, Weights,
         },
     },
-    mesh::table::{self, State, Table},
+    mesh::{
+        mean_lag_ms,
+        table::{self, State, Table},
+    },
     util::{common, name_hash, position, random_id},
     wire::{Cached, Under, Work},
 };
@@ -421,6 +424,7 @@
             .collect();
         self.pool.set_replicas(near, &identities);
         let old = std::mem::take(&mut self.places);
+        let lag_ms = mean_lag_ms(table.reach(now).0) as u64;
         for replica in replicas {
             let says = &replica.says;
             let at = position(&old, &says.id, |one| &one.replica);
@@ -438,11 +442,12 @@
                     self.pool.sent_elsewhere(hash, &blocks_of_part(cached));
                 }
             }
-            let (others, pending) = table.under(now, hash);
-            let own = self.pool.own().find(|(id, _, _)| *id == says.id);
-            let load = others + own.map_or(0, |(_, own, _)| own);
-            self.pool.report_pending(now, &says.id, pending);
-            self.pool.report(now, &says.id, 0, load, 0);
+            // What others have sent to one that is new is not known yet.
+            if now >= replica.since + lag_ms {
+                let (load, pending) = table.under(now, hash);
+                let id = &says.id;
+                self.pool.report_others(now, id, load, pending, lag_ms);
+            }
         }
         self.places.sort_by(|one, other| one.replica.cmp(&other.replica));
     }
@@ -506,6 +511,22 @@
         .collect()
 }
 
+/// Tokens up to the end of each of the blocks that [`blocks_of`] gives.
+pub fn ends_of(parts: &[(u64, u32)]) -> Vec<u32> {
+    let mut ends = Vec::new();
+    let mut before = 0;
+    for &(_, tokens) in parts {
+        let count = blocks_in(tokens);
+        let within = (1..=count).map(|at| (at * BLOCK_TOKENS).min(tokens));
+        ends.extend(within.map(|end| before + end));
+        before += tokens;
+        if let Some(last) = ends.last_mut() {
+            *last = before;
+        }
+    }
+    ends
+}
+
 fn blocks_of_part(cached: &Cached) -> Vec<u64> {
     (0..cached.blocks).map(|at| block(cached.path, at)).collect()
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -24,7 +24,7 @@
     accept::{accept, cost_of, passed_on},
     bodies::Share,
     dialect::{Answered, Asked, Sending},
-    fleet::{End, Target, blocks_of},
+    fleet::{End, Target, blocks_of, ends_of},
     flight::Flight,
     plan::{Repeat, Route, Team},
     refusal::Refusal,
@@ -297,6 +297,7 @@
         let ask = Ask {
             tokens: tokens as u32,
             blocks: &blocks,
+            ends: &ends_of(&self.asked.parts),
             avoid: &self.attempts.avoid,
         };
         let now = self.now();
--- a/tests/all/decide.rs
+++ b/tests/all/decide.rs
@@ -9,6 +9,7 @@
     retry::Budget,
     route::{Ask, Identity, Policy, Pool, Standing, Weights},
 };
+use azuremount::gateway::fleet::{blocks_of, ends_of};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 fn identities(count: usize) -> Vec<Identity> {
@@ -34,7 +35,7 @@
 
 fn ask<'a>(blocks: &'a [u64], avoid: &'a [(String, u64)]) -> Ask<'a> {
     let tokens = blocks.len() as u32 * BLOCK_TOKENS + 20;
-    Ask { tokens, blocks, avoid }
+    Ask { tokens, blocks, ends: &[], avoid }
 }
 
 /// The fast scan with its reused buffers chooses what a plain comparison of
@@ -375,3 +376,178 @@
     });
     assert_eq!(best.unwrap().id, first.id);
 }
+
+/// Symptom: a replica is told to fetch a few hundred tokens, and a first
+/// token is foretold far too early. Sequence: a short prompt comes in small
+/// parts, of which another replica has two. Cause: each part was counted as
+/// a whole block.
+#[test]
+fn small_parts_count_as_the_tokens_that_they_are() {
+    let parts = [(1, 180), (2, 170), (3, 1110)];
+    let blocks = blocks_of(&parts);
+    let ends = ends_of(&parts);
+    assert_eq!(ends, [180, 350, 862, 1460]);
+    assert_eq!(blocks.len(), ends.len());
+    let weights = Weights {
+        block_tokens: 512,
+        fetch_ms: Some(0.002),
+        token_ms: 0.02,
+        ..Weights::default()
+    };
+    let mut pool = Pool::open(Policy::Cost, weights, 1);
+    pool.set_replicas("a", &identities(2));
+    let ask =
+        Ask { tokens: 1460, blocks: &blocks[..2], ends: &ends, avoid: &[] };
+    let first = pool.pick(0, &ask).unwrap();
+    let avoid = [(first.id.clone(), 1)];
+    let ask = Ask { blocks: &blocks, avoid: &avoid, ..ask };
+    let second = pool.pick(1, &ask).unwrap();
+    assert_eq!(second.fetch_from, None);
+    assert!((second.predicted_ms - 1460.0 * 0.02).abs() < 1.0, "{second:?}");
+}
+
+/// Many entries, which know of each other's requests late.
+struct Crowd {
+    pools: Vec<Pool>,
+    identities: Vec<Identity>,
+    /// When each replica will have read what it was sent.
+    read_at: Vec<f32>,
+    /// What each entry has told last: requests and tokens at each replica.
+    told: Vec<Vec<(u32, u32)>>,
+    /// When requests were sent to each replica.
+    sent: Vec<Vec<u64>>,
+}
+
+impl Crowd {
+    const ENTRIES: usize = 68;
+    const REPLICAS: usize = 130;
+    const LAG_MS: u64 = 650;
+
+    fn open() -> Crowd {
+        let weights = Weights {
+            token_ms: 0.02,
+            hold_ms: 1000.0,
+            batch_ms: 1.5,
+            ..Weights::default()
+        };
+        let mut identities: Vec<Identity> = identities(Crowd::REPLICAS)
+            .into_iter()
+            .map(|one| Identity { incarnation: 0, slots: 16, ..one })
+            .collect();
+        identities.sort_by(|one, other| one.id.cmp(&other.id));
+        let pools = (0..Crowd::ENTRIES).map(|seed| {
+            let mut pool = Pool::open(Policy::Cost, weights, seed as u64);
+            pool.set_replicas("a", &identities);
+            pool.set_peers(Crowd::ENTRIES - 1);
+            pool
+        });
+        Crowd {
+            pools: pools.collect(),
+            read_at: vec![0.0; Crowd::REPLICAS],
+            told: vec![vec![(0, 0); Crowd::REPLICAS]; Crowd::ENTRIES],
+            sent: vec![Vec::new(); Crowd::REPLICAS],
+            identities,
+        }
+    }
+
+    fn at(&self, id: &str) -> usize {
+        self.identities.iter().position(|one| one.id == id).unwrap()
+    }
+
+    fn tell(&mut self, entry: usize) {
+        let own = self.pools[entry].own();
+        self.told[entry] = own.map(|(_, n, left)| (n, left)).collect();
+    }
+
+    fn hear(&mut self, now: u64, entry: usize) {
+        for replica in 0..Crowd::REPLICAS {
+            let others = self.told.iter().enumerate();
+            let others = others.filter(|(other, _)| *other != entry);
+            let sum = others.fold((0, 0), |sum, (_, told)| {
+                (sum.0 + told[replica].0, sum.1 + told[replica].1)
+            });
+            let id = self.identities[replica].id.clone();
+            self.pools[entry].report_others(
+                now,
+                &id,
+                sum.0,
+                sum.1,
+                Crowd::LAG_MS,
+            );
+        }
+    }
+
+    /// Another replica in the place of one: it has nothing to do.
+    fn replace(&mut self, now: u64, at: usize) {
+        self.read_at[at] = now as f32;
+        self.identities[at].id = format!("gpu-{at:02}-{now}");
+        self.identities.sort_by(|one, other| one.id.cmp(&other.id));
+        for (entry, pool) in self.pools.iter_mut().enumerate() {
+            pool.set_replicas("a", &self.identities);
+            self.told[entry][at] = (0, 0);
+        }
+    }
+}
+
+/// Symptom: a fifth of all requests find six others that came to their
+/// replica in the same third of a second; the other replicas idle. Sequence:
+/// replicas are replaced one after the other under load; each new one looks
+/// idle to sixty-eight entries, which learn 0.65 s later what the others have
+/// sent there. Cause: late word was taken for fresh, and no word for idle.
+#[test]
+fn new_replicas_draw_no_herd_of_many_entries() {
+    let mut rng = StdRng::seed_from_u64(3);
+    let mut crowd = Crowd::open();
+    let mut ends: Vec<(u64, bool, usize, azuremount::decide::route::Ticket)> =
+        Vec::new();
+    let (mut all, mut crowded) = (0, 0);
+    for now in 0..6000u64 {
+        if now % 20 == 0 {
+            // Each entry has its turn every 1.36 s, and sums up what it was
+            // told every 0.3 s.
+            crowd.tell((now / 20) as usize % Crowd::ENTRIES);
+        }
+        for entry in 0..Crowd::ENTRIES {
+            if (now + entry as u64 * 5) % 300 == 0 {
+                crowd.hear(now, entry);
+            }
+        }
+        if now > 2000 && now % 160 == 0 {
+            crowd.replace(now, rng.random_range(0..Crowd::REPLICAS));
+        }
+        ends.retain(|(at, first, entry, ticket)| {
+            let due = *at <= now;
+            match (due, first) {
+                (true, true) => {
+                    crowd.pools[*entry].progress(now, *ticket, true);
+                }
+                (true, false) => {
+                    crowd.pools[*entry].end(now, *ticket, true, Some(900.0));
+                }
+                _ => {}
+            }
+            !due
+        });
+        if !rng.random_bool(0.5) {
+            continue;
+        }
+        let entry = rng.random_range(0..Crowd::ENTRIES);
+        let tokens = [200, 2000, 8000][rng.random_range(0..3)];
+        let ask = Ask { tokens, blocks: &[], ends: &[], avoid: &[] };
+        let choice = crowd.pools[entry].pick(now, &ask).unwrap();
+        let at = crowd.at(&choice.id);
+        let begins = crowd.read_at[at].max(now as f32);
+        crowd.read_at[at] = begins + tokens as f32 / 51.0;
+        let first = crowd.read_at[at] as u64 + 50;
+        ends.push((first, true, entry, choice.ticket));
+        ends.push((first + 500, false, entry, choice.ticket));
+        if now > 2500 {
+            let lately = crowd.sent[at].iter();
+            let lately = lately.filter(|sent| now < **sent + 300).count();
+            all += 1;
+            crowded += usize::from(lately >= 6);
+        }
+        crowd.sent[at].push(now);
+    }
+    assert!(crowded * 50 <= all, "{crowded} of {all}");
+}
