Size reclaimable replicas by how late entries know of each other

Found in the logs besides: replicas that had crashed counted as there for 30 s (65 of 206, replaced 26 s late); no replica says for how long it stays after a notice, so that a reclaim was only seen by the next refused order, 2.5 s late; at the start more were ordered than a data centre may have beside its ordinary ones, and the rest was ordered again 6 s later, after the first rush.

--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -27,10 +27,16 @@
 
 use crate::util::common;
 
-/// The part of its time that a replica should spend on reading prompts. At a
-/// fifth, a prompt seldom meets another one before it; at a third, the 95th
-/// percentile of the first token doubles.
+/// The part of its time that a replica should spend on reading prompts, where
+/// all entries know at once what the others send. At a fifth, a prompt seldom
+/// meets another one before it; at a third, the 95th percentile of the first
+/// token doubles.
 const READING: f32 = 0.4;
+/// The same where that takes a second or more: entries then choose replicas
+/// nearly blindly, and prompts meet although other replicas are idle.
+const READING_BLIND: f32 = 0.1;
+/// How late others' requests are known when [`READING_BLIND`] holds, in ms.
+const BLIND_MS: f32 = 1000.0;
 /// Replicas kept at least after a loss, over all data centres: below this
 /// one replica's failure takes too large a part of the load with it.
 const LEAST: f32 = 8.0;
@@ -92,6 +98,8 @@
         pub most: u32,
         /// Whether there are reclaimable replicas at all.
         pub has_spot: bool,
+        /// How late entries know on average what others have sent, in ms.
+        pub lag_ms: f32,
     }
 }
 
@@ -213,7 +221,12 @@
     }
     let left = (count - 1).max(1);
     let kept = (load.found as f32 * KEPT).ceil() as u32;
-    let each = need.max(kept).div_ceil(left).clamp(bounds.least, bounds.most);
+    let at_ease = (load.peak() / reading(bounds.lag_ms)).ceil() as u32;
+    let each = need
+        .max(kept)
+        .max(at_ease)
+        .div_ceil(left)
+        .clamp(bounds.least, bounds.most);
     // While reclaimable ones are not to be had: enough for one more loss.
     let total = (need * count).div_ceil(left).min(each * count);
     let spare = each + ((each as f32 * SPARE) as u32).max(1);
@@ -225,7 +238,10 @@
             let missing = sites.iter().any(|other| other.spot < each);
             let keeps = missing || site.spot <= spare || !load.is_known();
             let kept = if keeps { site.spot.min(bounds.most) } else { 0 };
-            wish(site, each.max(kept), 0)
+            // Both kinds share the bound: what is wished beyond it would not
+            // be given, and is wished again once ordinary ones have gone.
+            let room = bounds.most.saturating_sub(site.ordinary).max(1);
+            wish(site, each.min(room).max(kept), 0)
         })
         .collect();
     // What will be there soon, as far as known.
@@ -245,6 +261,15 @@
     wishes
 }
 
+/// The part of its time that a reclaimable replica should spend on reading.
+///
+/// Those are cheap enough to keep the waits short that late knowledge costs.
+/// Ordinary ones that stand in for them are not.
+fn reading(lag_ms: f32) -> f32 {
+    let blind = (lag_ms / BLIND_MS).min(1.0);
+    READING + (READING_BLIND - READING) * blind
+}
+
 fn wish(site: &Site, spot: u32, ordinary: u32) -> Wish {
     Wish { data_centre: site.data_centre.clone(), spot, ordinary }
 }
--- a/src/duty/scale.rs
+++ b/src/duty/scale.rs
@@ -6,7 +6,10 @@
 use crate::{
     decide::place::{Bounds, Load, Site, found, wishes},
     gateway::plan::{Plan, Scaling, Service},
-    mesh::table::{Replica, State, Table},
+    mesh::{
+        mean_lag_ms,
+        table::{Replica, State, Table},
+    },
     util::{common, name_hash},
 };
 
@@ -22,6 +25,10 @@
 /// none, in ms: until one more order there has been decided.
 const DRY_MS: u64 = 3000;
 
+/// A replica that was not heard for this long does not count, in ms: four
+/// heartbeats, and what they take to get round where there are many nodes.
+const SILENT_MS: u64 = 6000;
+
 common! {
     struct Given {
         order: Order,
@@ -83,7 +90,7 @@
             let known =
                 self.loads.iter().find(|(known, _)| *known == service.name);
             let Some((_, load)) = known else { continue };
-            let ready = ready_of(table, &service.name);
+            let ready = ready_of(now, table, &service.name);
             let mut sites = sites(scaling, &ready);
             for site in &mut sites {
                 let name = &site.data_centre;
@@ -94,6 +101,7 @@
                 least: scaling.least,
                 most: scaling.most,
                 has_spot: scaling.spot_price.is_some(),
+                lag_ms: mean_lag_ms(table.reach(now).0) as f32,
             };
             for (wish, site) in
                 wishes(&sites, &bounds, load).iter().zip(&sites)
@@ -122,7 +130,7 @@
 
     fn note_load(&mut self, now: u64, service: &Service, table: &Table) {
         let name = &service.name;
-        let ready = ready_of(table, name);
+        let ready = ready_of(now, table, name);
         if ready.is_empty() {
             return;
         }
@@ -176,30 +184,48 @@
 }
 
 /// The replicas of a service that take requests.
-fn ready_of<'a>(table: &'a Table, service: &str) -> Vec<&'a Replica> {
+///
+/// One that has crashed says nothing. Counted for as long as it is remembered
+/// it would not be replaced for half a minute.
+fn ready_of<'a>(
+    now: u64,
+    table: &'a Table,
+    service: &str,
+) -> Vec<&'a Replica> {
     table
         .replicas()
         .iter()
         .filter(|one| one.state == State::Ready)
+        .filter(|one| now < one.heard_at + SILENT_MS)
         .filter(|one| one.says.service == service)
         .collect()
 }
 
-/// True while reclaimable replicas are leaving a data centre on notice.
+/// True while a data centre's reclaimable replicas are being taken away: as
+/// many are leaving as stay, or more.
+///
+/// Replicas do not always say that they leave for good, and orders of this
+/// node take away a few at a time.
 fn is_being_reclaimed(
     now: u64,
     table: &Table,
     service: &Service,
     data_centre: &str,
 ) -> bool {
-    table.replicas().iter().any(|one| {
-        one.state == State::Leaving
-            && one.says.reclaimable
+    let there = table.replicas().iter().filter(|one| {
+        one.says.reclaimable
             && one.says.service == service.name
             && one.says.data_centre == data_centre
-            && one.says.leaves_ms > 0
-            && now < one.heard_at + DRY_MS
-    })
+    });
+    let (mut leaving, mut ready) = (0, 0);
+    for replica in there {
+        match replica.state {
+            State::Ready => ready += 1,
+            _ if now < replica.left_at + DRY_MS => leaving += 1,
+            _ => {}
+        }
+    }
+    leaving > 0 && leaving >= ready
 }
 
 fn sites(scaling: &Scaling, ready: &[&Replica]) -> Vec<Site> {
