--- a/src/decide/route/mod.rs
+++ b/src/decide/route/mod.rs
@@ -27,12 +27,14 @@
 
 mod baseline;
 mod cost;
-
-use std::hash::{DefaultHasher, Hash, Hasher};
+mod replica;
+mod weights;
 
 use rand::{SeedableRng, rngs::StdRng};
 
-use super::prefix::{BLOCK_TOKENS, BLOCKS_PER_REPLICA, Index};
+pub use self::weights::Weights;
+use self::{replica::Replica, weights::LEAST_FETCH};
+use super::prefix::Index;
 use crate::util::{common, position};
 
 common! {
@@ -69,67 +71,6 @@
     }
 }
 
-/// What the parts of the cost are worth.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Weights {
-    /// Milliseconds to compute one token of a prompt, at first.
-    ///
-    /// A pool learns it from the requests that it sends.
-    pub token_ms: f32,
-    /// What recomputing is worth beyond the time that it takes, as a factor.
-    pub recompute: f32,
-    /// Milliseconds that a request holds its slot, at first; learned.
-    ///
-    /// One for the whole pool: a replica that happens to have had short
-    /// requests would else draw more than its part.
-    pub hold_ms: f32,
-    /// Milliseconds that each running request adds to the next one's.
-    pub batch_ms: f32,
-    /// Milliseconds that a reclaimable VM costs more.
-    pub reclaim_ms: f32,
-    /// Milliseconds for each thousandth of a cent an hour.
-    pub price_ms: f32,
-    /// Milliseconds for another data centre.
-    pub distance_ms: f32,
-    /// Costs that differ by less count as equal.
-    pub tolerance_ms: f32,
-    /// How much of a prompt that nobody is known to hold its home is assumed
-    /// to hold, from 0 to 1.
-    pub home: f32,
-    /// Tokens of prompt in a block.
-    pub block_tokens: u32,
-    /// Blocks remembered for one replica.
-    pub blocks: u32,
-    /// Milliseconds that a replica costs more that fails all its requests.
-    pub failing_ms: f32,
-    /// Milliseconds to fetch one token of a cached prompt from another
-    /// replica; `None` where replicas can't.
-    pub fetch_ms: Option<f32>,
-}
-
-/// Tokens that are not worth a fetch: it takes some milliseconds by itself.
-const LEAST_FETCH: u32 = 1024;
-
-impl Default for Weights {
-    fn default() -> Weights {
-        Weights {
-            token_ms: 0.2,
-            recompute: 1.0,
-            hold_ms: 2000.0,
-            batch_ms: 10.0,
-            reclaim_ms: 2.0,
-            price_ms: 0.0,
-            distance_ms: 1.0,
-            tolerance_ms: 5.0,
-            home: 0.5,
-            block_tokens: BLOCK_TOKENS,
-            blocks: BLOCKS_PER_REPLICA,
-            failing_ms: 3000.0,
-            fetch_ms: None,
-        }
-    }
-}
-
 common! {
     /// What stays the same while a replica lives.
     pub struct Identity {
@@ -166,42 +107,6 @@
     }
 }
 
-#[derive(Clone, Debug)]
-struct Replica {
-    identity: Identity,
-    /// Stands for it in the prefix index; never used twice.
-    number: u32,
-    near: bool,
-    /// Running and waiting, as last reported.
-    reported: f32,
-    /// When that was measured.
-    measured_at: u64,
-    /// Of this entry's requests, those begun since that report, less those
-    /// ended.
-    change: f32,
-    /// When this entry's latest requests began (+1) and ended (-1).
-    recent: Vec<(u64, f32)>,
-    own: u32,
-    /// Prompt tokens sent that have not led to a first piece yet.
-    pending_tokens: f32,
-    /// The same of the other entries, and when it was so.
-    others_pending: (f32, u64),
-    /// When each request without progress began or last moved.
-    quiet: Vec<(u64, u64)>,
-    failed_until: u64,
-    /// Times in a row that it failed after it had been let back in.
-    strikes: u32,
-    /// The part of its requests that failed lately, from 0 to 1.
-    failing: f32,
-    /// When `failing` last changed.
-    failing_at: u64,
-    /// How much of what the last report said still holds, from 0 to 1.
-    trust: f32,
-    matched: u32,
-    /// Of its id; the same at every entry.
-    hash: u64,
-}
-
 common! {
     /// A request, as far as routing goes.
     pub struct Ask<'a> {
@@ -287,22 +192,6 @@
     bare_token_ms: f32,
 }
 
-/// How long a replica that failed a request is passed over, in ms. Doubled
-/// with each failure after it was let back in, up to eight times that: each
-/// try costs a request its time.
-const FAILED_MS: u64 = 1000;
-/// Doublings of [`FAILED_MS`] at most.
-const STRIKES: u32 = 3;
-/// The weight of one more failure in the part that fails.
-const FAILURE_SHARE: f32 = 0.3;
-/// The weight of one more success. Lower, so that a replica that fails one
-/// request in three keeps standing out among those that fail none.
-const SUCCESS_SHARE: f32 = 0.1;
-/// In so many ms half of what is held against a replica is forgotten: one
-/// that gets no requests could not show otherwise that it has recovered.
-const FORGIVE_MS: f32 = 3000.0;
-/// How many beginnings and ends are remembered to correct a late report.
-const RECENT: usize = 256;
 /// Prompts with fewer fresh tokens say nothing about the speed.
 const LEARN_TOKENS: u32 = 256;
 /// From so many fresh tokens on the time to read them outweighs what every
@@ -657,26 +546,7 @@
     fn new_replica(&mut self, near: &str, identity: &Identity) -> Replica {
         let number = self.next_number;
         self.next_number += 1;
-        Replica {
-            identity: identity.clone(),
-            number,
-            near: identity.data_centre == near,
-            reported: 0.0,
-            measured_at: 0,
-            change: 0.0,
-            recent: Vec::new(),
-            own: 0,
-            pending_tokens: 0.0,
-            others_pending: (0.0, 0),
-            quiet: Vec::new(),
-            failed_until: 0,
-            strikes: 0,
-            failing: 0.0,
-            failing_at: 0,
-            trust: 1.0,
-            matched: 0,
-            hash: hash_of(&identity.id),
-        }
+        Replica::new(number, near, identity)
     }
 
     fn find(&self, id: &str, incarnation: u64) -> Option<usize> {
@@ -694,58 +564,6 @@
     }
 }
 
-impl Replica {
-    fn is_serving(&self) -> bool {
-        self.identity.standing == Standing::Serving
-    }
-
-    /// Requests of other entries, as the last report had them.
-    fn others(&self) -> f32 {
-        let own_then = self.own as f32 - self.change;
-        (self.reported - own_then).max(0.0)
-    }
-
-    /// Notes how a request ended.
-    fn judge(&mut self, now: u64, failed: bool) {
-        self.failing = self.failing(now);
-        self.failing_at = now;
-        if !failed {
-            self.failing -= self.failing * SUCCESS_SHARE;
-            self.strikes = 0;
-            return;
-        }
-        self.failing += (1.0 - self.failing) * FAILURE_SHARE;
-        // Requests that were under way together fail together: one strike.
-        if now >= self.failed_until {
-            self.failed_until = now + (FAILED_MS << self.strikes);
-            self.strikes = (self.strikes + 1).min(STRIKES);
-        }
-    }
-
-    /// The part of its requests that fails, with time's forgiveness.
-    fn failing(&self, now: u64) -> f32 {
-        if self.failing == 0.0 {
-            return 0.0;
-        }
-        let passed = now.saturating_sub(self.failing_at) as f32;
-        self.failing * (-passed / FORGIVE_MS * std::f32::consts::LN_2).exp()
-    }
-
-    fn note(&mut self, now: u64, change: f32) {
-        self.change += change;
-        if self.recent.len() == RECENT {
-            self.recent.remove(0);
-        }
-        self.recent.push((now, change));
-    }
-}
-
-fn hash_of(id: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    id.hash(&mut hasher);
-    hasher.finish()
-}
-
 fn avoided(replica: &Replica, ask: &Ask<'_>) -> bool {
     let identity = &replica.identity;
     ask.avoid.iter().any(|(id, incarnation)| {
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -9,6 +9,7 @@
 //! the regular datagrams after that.
 
 pub mod counts;
+mod replica;
 pub mod table;
 
 use std::{
--- /dev/null
+++ b/src/mesh/replica.rs
@@ -0,0 +1,94 @@
+//! A replica, as its heartbeats and other nodes tell of it.
+
+use crate::{util::common, wire::Sighting};
+
+/// For so long others may fetch from the cache of a replica that leaves, in
+/// ms: reclaimed ones are gone after two to three seconds.
+const FETCHABLE_MS: u64 = 2000;
+
+common! {
+    copy
+    /// Whether a replica may be given work.
+    pub enum State {
+        /// It may.
+        Ready,
+        /// It finishes what it has.
+        Leaving,
+        /// It said goodbye.
+        Gone,
+    }
+}
+
+impl State {
+    pub(super) fn from_u32(number: u32) -> State {
+        match number {
+            0 => State::Ready,
+            1 => State::Leaving,
+            _ => State::Gone,
+        }
+    }
+}
+
+common! {
+    /// One incarnation of a replica.
+    pub struct Replica {
+        /// What it says of itself, as it goes over the wire.
+        pub says: Sighting,
+        /// Whether it may be given work.
+        pub state: State,
+        /// When its last heartbeat came in anywhere, by this node's clock.
+        pub heard_at: u64,
+        /// When it was first seen here.
+        pub since: u64,
+        /// When it was first seen leaving.
+        pub left_at: u64,
+        /// In so many more datagrams it is told first: its heartbeats come in
+        /// here, or its state has changed.
+        pub(super) tell: u32,
+    }
+}
+
+impl Replica {
+    /// True for one that takes requests, and for one that is leaving while
+    /// others can still fetch from its cache.
+    pub fn may_be_used(&self, now: u64) -> bool {
+        match self.state {
+            State::Ready => true,
+            State::Leaving => now < self.left_at + FETCHABLE_MS,
+            State::Gone => false,
+        }
+    }
+
+    /// Takes a newer statement; true when its state has changed.
+    pub(super) fn renew(
+        &mut self,
+        says: Sighting,
+        state: State,
+        heard_at: u64,
+        direct: bool,
+    ) -> bool {
+        let newer = says.sequence > self.says.sequence;
+        if newer {
+            self.heard_at = self.heard_at.max(heard_at);
+        }
+        let moved = state > self.state;
+        if moved {
+            self.state = state;
+            self.left_at = heard_at;
+        }
+        if newer && !says.service.is_empty() {
+            self.says = says;
+        }
+        self.says.state = self.state as u32;
+        if moved || (newer && direct) {
+            self.tell = u32::MAX;
+        }
+        moved
+    }
+
+    /// As it is told to others now.
+    pub(super) fn aged(&self, now: u64) -> Sighting {
+        let age = now.saturating_sub(self.heard_at);
+        Sighting { age_ms: age as u32, ..self.says.clone() }
+    }
+}
