Refuse a team no more than one bucket would, and long prompts like others

A model of the same load without network shows why: each entry paced itself by a part of the quota that no long prompt fits (0.27 refused at twice the quota, 0.11 by one bucket), and a bucket that admits what its level covers lets hardly any long prompt in (0.66 to 0.97 of the largest refused).

Use may exceed a quota by a stated tolerance; that is read from the settings, four fifths of it may be used, and entries pace themselves only where late word could exceed it. Requests are admitted while there is any level, and start a debt; the smallest and the most urgent are admitted further into it. An entry that stood still no longer counts against a team what the others admitted meanwhile (traced: 871,439 tokens of debt at a thawed node, 4.6 s of refusals). A refusal's line says team, cost, level, need, what is unseen, the age of word.

--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -61,8 +61,12 @@
         && let Some(quota) = team.quota
     {
         let cost = cost_of(&asked, quota.plain_tokens);
-        let admitted = gateway.admit(&team.name, quota, cost);
-        admitted.map_err(Refusal::quota)?;
+        let urgent = route.priority == 0;
+        let admitted = gateway.admit(&team.name, quota, cost, urgent);
+        admitted.map_err(|refusal| Refusal {
+            route: route.name.clone(),
+            ..refusal
+        })?;
     }
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     Ok(Work {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -27,7 +27,7 @@
     fleet::{End, Target, blocks_of, ends_of},
     flight::Flight,
     plan::{Repeat, Route, Team},
-    refusal::Refusal,
+    refusal::{Cause, Refusal},
     relay,
     server::{Body, full},
     upstream::{Failed, Line},
@@ -120,7 +120,7 @@
     match accept(&gateway, request, asked, began).await {
         Ok(work) => run(work).await,
         Err(refusal) => {
-            refuse(&gateway, id.as_ref(), "", began, &refusal);
+            refuse(&gateway, id.as_ref(), began, &refusal);
             refusal.into_response()
         }
     }
@@ -130,25 +130,42 @@
 fn refuse(
     gateway: &Gateway,
     id: Option<&HeaderValue>,
-    route: &str,
     began: Instant,
     refusal: &Refusal,
 ) {
-    let outcome = Outcome {
-        status: refusal.status.as_u16(),
-        verdict: refusal.verdict.as_str(),
-    };
+    let status = refusal.status.as_u16();
+    let verdict = refusal.verdict.as_str();
+    let outcome = Outcome { status, verdict };
     gateway.metrics.outcomes.get_or_create(&outcome).inc();
-    info!(
-        target: "gateway",
-        request = shown(id),
-        route,
-        status = refusal.status.as_u16(),
-        verdict = refusal.verdict.as_str(),
-        after_ms = began.elapsed().as_millis() as u64,
-        retry_after_ms = refusal.retry_after_ms.unwrap_or(0),
-        "Refused: {}.", refusal.text
-    );
+    let request = shown(id);
+    let after_ms = began.elapsed().as_millis() as u64;
+    let retry_after_ms = refusal.retry_after_ms.unwrap_or(0);
+    let text = refusal.text;
+    let route = refusal.route.as_str();
+    match refusal.cause.as_deref() {
+        None => info!(
+            target: "gateway",
+            request, route, status, verdict, after_ms, retry_after_ms,
+            "Refused: {text}."
+        ),
+        Some(Cause::Quota { team, cost, shortage, word_ms, heard }) => info!(
+            target: "gateway",
+            request, route, status, verdict, after_ms, retry_after_ms,
+            team, cost,
+            level = shortage.level,
+            need = shortage.need,
+            unseen = shortage.unseen,
+            paced = shortage.paced,
+            word_ms, heard_percent = heard,
+            "Refused: {text}."
+        ),
+        Some(Cause::Load { replica, foretold_ms, limit_ms }) => info!(
+            target: "gateway",
+            request, route, status, verdict, after_ms, retry_after_ms,
+            replica, foretold_ms, limit_ms,
+            "Refused: {text}."
+        ),
+    }
 }
 
 fn shown(id: Option<&HeaderValue>) -> &str {
@@ -187,7 +204,8 @@
             if refusal.verdict == Verdict::NotRun {
                 work.give_back();
             }
-            refuse(&gateway, id.as_ref(), &route, began, &refusal);
+            let refusal = Refusal { route, ..refusal };
+            refuse(&gateway, id.as_ref(), began, &refusal);
             refusal.into_response()
         }
     }
@@ -335,10 +353,17 @@
             1 => LATE_TARGETS[1],
             _ => LATE_TARGETS[2],
         };
-        let late = target.predicted_ms - target_ms * patience;
-        (late > 0.0).then(|| {
+        let limit_ms = target_ms * patience;
+        (target.predicted_ms > limit_ms).then(|| {
             let wait = (target.predicted_ms - target_ms / 2.0) as u64;
-            Refusal::later("the replicas have too much to read", wait)
+            let text = "the replicas have too much to read";
+            let cause = Cause::Load {
+                replica: target.replica.clone(),
+                foretold_ms: target.predicted_ms as u64,
+                limit_ms: limit_ms as u64,
+            };
+            let cause = Some(Box::new(cause));
+            Refusal { cause, ..Refusal::later(text, wait) }
         })
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -32,7 +32,10 @@
 pub mod server;
 pub mod upstream;
 
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{
+    Arc, Mutex, MutexGuard,
+    atomic::{AtomicU64, Ordering},
+};
 
 use rand::RngExt;
 use tracing::info;
@@ -42,12 +45,13 @@
     dialect::Dialect,
     fleet::Fleet,
     plan::{Plan, Quota, Route, Team},
+    refusal::{Cause, Refusal},
     upstream::Lines,
 };
 use crate::{
     board::Cell,
     decide::{
-        quota::{Allowance, Meter},
+        quota::{Allowance, Meter, Tolerance},
         retry::Bound,
     },
     mesh::{self, table::Own},
@@ -57,6 +61,10 @@
     wire::{Cached, Spent},
 };
 
+/// A node that has not looked at the mesh for so long stood still, in ms: it
+/// does so each 300 ms, whether it hears anything or not.
+const STILL_MS: u64 = 1000;
+
 common! {
     copy
     /// How usage is counted.
@@ -73,6 +81,8 @@
     pub data_centre: String,
     /// What repeats are allowed over all entries.
     pub repeats: Bound,
+    /// By how much quotas may be exceeded.
+    pub tolerance: Tolerance,
     /// How usage is counted.
     pub windows: Windows,
     /// Memory for the bodies of all requests under way, in bytes.
@@ -93,6 +103,9 @@
     /// Sorted by team.
     meters: Mutex<Vec<(String, Meter)>>,
     windows: Windows,
+    tolerance: Tolerance,
+    /// When the mesh was last looked at.
+    refreshed_at: AtomicU64,
 }
 
 impl std::fmt::Debug for Gateway {
@@ -122,6 +135,8 @@
             )),
             meters: Mutex::default(),
             windows: options.windows,
+            tolerance: options.tolerance,
+            refreshed_at: AtomicU64::new(0),
         }
     }
 
@@ -162,7 +177,12 @@
         let table = mesh.table();
         fleet.refresh(now, &table, plan.as_ref().as_ref());
         self.lines.retain(|replica| fleet.has(replica));
+        let before = self.refreshed_at.swap(now, Ordering::Relaxed);
+        let stood_ms = now.saturating_sub(before);
         for (team, meter) in self.meters().iter_mut() {
+            if stood_ms >= STILL_MS {
+                meter.stood_still(now, stood_ms);
+            }
             for (entry, total, heard) in table.spent(now, name_hash(team)) {
                 meter.note(now, entry, total, heard);
             }
@@ -234,11 +254,20 @@
             heard: 1.0 - unheard as f64 / entries as f64,
             lag_ms: mesh::mean_lag_ms(entries),
             entries,
+            tolerance: self
+                .tolerance
+                .units(quota.rate as f64, quota.burst.max(1) as f64),
         }
     }
 
-    /// Admits a team's request, or says after how many ms to come back.
-    fn admit(&self, team: &str, quota: Quota, cost: u64) -> Result<(), u64> {
+    /// Admits a team's request.
+    fn admit(
+        &self,
+        team: &str,
+        quota: Quota,
+        cost: u64,
+        urgent: bool,
+    ) -> Result<(), Refusal> {
         let now = self.timer.now();
         let allowance = self.allowance(quota);
         let mut meters = self.meters();
@@ -250,7 +279,17 @@
                 at
             }
         };
-        meters[at].1.admit(now, allowance, cost)
+        let meter = &mut meters[at].1;
+        meter.admit(now, allowance, cost, urgent).map_err(|shortage| {
+            let cause = Cause::Quota {
+                team: team.to_owned(),
+                cost,
+                shortage,
+                word_ms: allowance.lag_ms as u64,
+                heard: (allowance.heard * 100.0) as u64,
+            };
+            Refusal::quota(shortage.wait_ms, cause)
+        })
     }
 
     /// Gives back what a request would have used, as it did not run.
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -6,11 +6,39 @@
 use http::{HeaderValue, Response, StatusCode, header};
 
 use super::server::{Body, full};
-use crate::{util::common, verdict::Verdict};
+use crate::{decide::quota::Shortage, util::common, verdict::Verdict};
 
 /// The shortest wait that a client is told, in ms; less would be at once.
 const LEAST_WAIT_MS: u64 = 50;
 
+common! {
+    /// What a refusal was decided by, for the log.
+    pub enum Cause {
+        /// A quota that is used up.
+        Quota {
+            /// Whose.
+            team: String,
+            /// What the request counts for.
+            cost: u64,
+            /// What is missing.
+            shortage: Shortage,
+            /// How old word of other entries is on average, in ms.
+            word_ms: u64,
+            /// The part of the entries that is heard, in hundredths.
+            heard: u64,
+        },
+        /// Replicas that have too much to do.
+        Load {
+            /// The best of them.
+            replica: String,
+            /// When it would begin to answer, in ms.
+            foretold_ms: u64,
+            /// When it would have to, in ms.
+            limit_ms: u64,
+        },
+    }
+}
+
 common! {
     /// A request that is not answered by a replica.
     pub struct Refusal {
@@ -24,14 +52,25 @@
         pub retry_after_ms: Option<u64>,
         /// The connection can't be used any more.
         pub close: bool,
+        /// What decided it, where the text does not say it all.
+        pub cause: Option<Box<Cause>>,
+        /// The route, once it is known.
+        pub route: String,
     }
 }
 
 impl Refusal {
     /// A request that is wrong whenever it comes.
     pub fn wrong(status: StatusCode, text: &'static str) -> Refusal {
-        let verdict = Verdict::NotRun;
-        Refusal { status, verdict, text, retry_after_ms: None, close: false }
+        Refusal {
+            status,
+            verdict: Verdict::NotRun,
+            text,
+            retry_after_ms: None,
+            close: false,
+            cause: None,
+            route: String::new(),
+        }
     }
 
     /// A request that breaks the rules of the protocol or its limits, after
@@ -48,13 +87,12 @@
     }
 
     /// A team that has used up what it may.
-    pub fn quota(retry_after_ms: u64) -> Refusal {
-        let refusal = Refusal::later("the team's quota is used up", 0);
-        Refusal {
-            status: StatusCode::TOO_MANY_REQUESTS,
-            retry_after_ms: Some(retry_after_ms.max(LEAST_WAIT_MS)),
-            ..refusal
-        }
+    pub fn quota(retry_after_ms: u64, cause: Cause) -> Refusal {
+        let text = "the team's quota is used up";
+        let refusal = Refusal::later(text, retry_after_ms);
+        let status = StatusCode::TOO_MANY_REQUESTS;
+        let cause = Some(Box::new(cause));
+        Refusal { status, cause, ..refusal }
     }
 
     /// A request that may have run without a whole answer.
@@ -65,6 +103,8 @@
             text,
             retry_after_ms: None,
             close: false,
+            cause: None,
+            route: String::new(),
         }
     }
 
--- a/tests/all/limits.rs
+++ b/tests/all/limits.rs
@@ -28,6 +28,7 @@
             heard: 1.0,
             lag_ms: 150.0,
             entries: 9,
+            tolerance: 0.0,
         };
         Entries {
             meters: vec![Meter::open(0, allowance); count],
@@ -46,6 +47,7 @@
             heard,
             lag_ms: self.lag_ms,
             entries: self.side.len(),
+            tolerance: 0.0,
         }
     }
 
@@ -73,7 +75,7 @@
 
     fn ask(&mut self, now: u64, at: usize, cost: u64) {
         let allowance = self.allowance(at);
-        if self.meters[at].admit(now, allowance, cost).is_ok() {
+        if self.meters[at].admit(now, allowance, cost, false).is_ok() {
             self.admitted.push((now, cost));
         }
     }
@@ -218,13 +220,14 @@
         heard: 1.0,
         lag_ms: 150.0,
         entries: 9,
+        tolerance: 0.0,
     };
     let mut meter = Meter::open(0, allowance);
     meter.note(10, 7, 1_000_000, true);
-    assert_eq!(meter.admit(20, allowance, 500), Ok(()));
+    assert_eq!(meter.admit(20, allowance, 500, false), Ok(()));
     // From then on it does.
     meter.note(2000, 7, 1_002_000, true);
-    assert!(meter.admit(2000, allowance, 500).is_err());
+    assert!(meter.admit(2000, allowance, 500, false).is_err());
 }
 
 #[test]
@@ -235,11 +238,12 @@
         heard: 1.0,
         lag_ms: 150.0,
         entries: 9,
+        tolerance: 0.0,
     };
     let mut meter = Meter::open(0, allowance);
-    assert_eq!(meter.admit(0, allowance, 900), Ok(()));
-    let wait = meter.admit(0, allowance, 600).unwrap_err();
-    assert_eq!(meter.admit(wait + 1, allowance, 600), Ok(()));
+    assert_eq!(meter.admit(0, allowance, 900, false), Ok(()));
+    let wait = meter.admit(0, allowance, 600, false).unwrap_err().wait_ms;
+    assert_eq!(meter.admit(wait + 1, allowance, 600, false), Ok(()));
 }
 
 // ---- Retry budgets -----------------------------------------------------------
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod mesh;
 mod nodes;
 mod product;
+mod quota;
 mod raft;
 #[allow(dead_code)]
 mod relay;
--- /dev/null
+++ b/tests/all/quota.rs
@@ -0,0 +1,324 @@
+//! Quotas over many entries, against one bucket that is asked by all.
+//!
+//! The load is that of a team whose requests differ a hundredfold in size: a
+//! few long prompts take most of its quota, many short ones hardly any. Sizes
+//! and parts are those that the tailoring corporation states for its site: 23
+//! in 100 requests are long drafts of 12,700 tokens on average, a few of them
+//! five times as long; 21 are urgent questions of 1,700, 30 are tags of 2,400
+//! and 26 count for 200 each. What a draft, a question, a tag and an order
+//! are worth is stated there too: 4 (by its size), 1.7, 0.42 and 1.
+
+use azuremount::decide::quota::{Allowance, Meter, Tolerance};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+/// Tokens of a long draft on average.
+const DRAFT: f64 = 12_700.0;
+/// Tokens of a request on average, by the mix in the head.
+const MEAN: f64 = 0.23 * DRAFT + 0.21 * 1_700.0 + 0.30 * 2_400.0 + 52.0;
+/// Drafts above this are the largest tenth.
+const LARGEST: u64 = 26_000;
+/// Of so many datagrams one is lost.
+const LOST: f64 = 0.02;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Kind {
+    Draft,
+    Question,
+    Tag,
+    Order,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Arrival {
+    at: u64,
+    entry: usize,
+    kind: Kind,
+    cost: u64,
+}
+
+impl Arrival {
+    fn worth(&self) -> f64 {
+        match self.kind {
+            Kind::Draft => 4.0 * (0.3 + 0.7 * self.cost as f64 / DRAFT),
+            Kind::Question => 1.7,
+            Kind::Tag => 0.42,
+            Kind::Order => 1.0,
+        }
+    }
+
+    fn draw(at: u64, entry: usize, rng: &mut StdRng) -> Arrival {
+        let spread: f64 = -(1.0 - rng.random::<f64>()).ln();
+        let of = |mean: f64| (mean * (0.4 + 0.6 * spread).min(5.0)) as u64;
+        let (kind, cost) = match rng.random_range(0..100) {
+            0..23 => (Kind::Draft, of(DRAFT)),
+            23..44 => (Kind::Question, of(1_700.0)),
+            44..74 => (Kind::Tag, of(2_400.0)),
+            _ => (Kind::Order, 200),
+        };
+        Arrival { at, entry, kind, cost }
+    }
+}
+
+/// What came of a load.
+#[derive(Debug, Default)]
+struct Outcome(Vec<(Arrival, bool)>);
+
+impl Outcome {
+    /// The part that is refused of those that are picked.
+    fn refused(&self, pick: impl Fn(&Arrival) -> bool) -> f64 {
+        let picked = self.0.iter().filter(|(arrival, _)| pick(arrival));
+        let (mut all, mut refused) = (0.0, 0.0);
+        for (_, admitted) in picked {
+            all += 1.0;
+            refused += f64::from(u8::from(!admitted));
+        }
+        refused / f64::max(all, 1.0)
+    }
+
+    /// The part of the worth that is refused.
+    fn lost(&self) -> f64 {
+        let worth = |all: bool| -> f64 {
+            let some = self.0.iter().filter(|(_, admitted)| all || !admitted);
+            some.map(|(arrival, _)| arrival.worth()).sum()
+        };
+        worth(false) / worth(true)
+    }
+
+    /// The most tokens that any window of 8 s has admitted.
+    fn most(&self) -> u64 {
+        let admitted: Vec<&Arrival> = self
+            .0
+            .iter()
+            .filter(|(_, admitted)| *admitted)
+            .map(|(arrival, _)| arrival)
+            .collect();
+        let (mut from, mut sum, mut most) = (0, 0, 0);
+        for arrival in &admitted {
+            sum += arrival.cost;
+            while admitted[from].at + 8000 <= arrival.at {
+                sum -= admitted[from].cost;
+                from += 1;
+            }
+            most = most.max(sum);
+        }
+        most
+    }
+}
+
+/// A team's load: half of its quota, and more from second 8 to 20.
+#[derive(Clone, Copy, Debug)]
+struct Load {
+    entries: usize,
+    /// Tokens each second; as many may be saved up.
+    rate: f64,
+    /// What is asked for at the most, in times the quota.
+    times: f64,
+}
+
+impl Load {
+    fn tolerance(&self) -> f64 {
+        let units = 140_000.0;
+        let stated = Tolerance { part: 0.1, units, window_ms: 8000.0 };
+        stated.units(self.rate, self.rate)
+    }
+
+    fn allowance(&self) -> Allowance {
+        Allowance {
+            rate: self.rate,
+            burst: self.rate,
+            heard: 1.0,
+            lag_ms: self.turns() as f64 * 150.0,
+            entries: self.entries,
+            tolerance: self.tolerance(),
+        }
+    }
+
+    /// Rounds of 300 ms until an entry has told all others: sixteen a round.
+    fn turns(&self) -> u64 {
+        (self.entries - 1).div_ceil(16) as u64
+    }
+
+    fn arrivals(&self, rng: &mut StdRng) -> Vec<Arrival> {
+        let mut all = Vec::new();
+        for now in 0..30_000 {
+            let floods = (8000..20_000).contains(&now);
+            let times = if floods { self.times } else { 0.5 };
+            let mut left = self.rate * times / MEAN / 1000.0;
+            while left > 0.0 {
+                if rng.random_bool(left.min(1.0)) {
+                    let entry = rng.random_range(0..self.entries);
+                    all.push(Arrival::draw(now, entry, rng));
+                }
+                left -= 1.0;
+            }
+        }
+        all
+    }
+
+    /// Entries that tell each other their totals in turn.
+    fn play(&self, arrivals: &[Arrival], rng: &mut StdRng) -> Outcome {
+        let allowance = self.allowance();
+        let mut meters = vec![Meter::open(0, allowance); self.entries];
+        let mut outcome = Outcome::default();
+        let mut round = 0;
+        for arrival in arrivals {
+            while round * 300 <= arrival.at {
+                self.tell(round, &mut meters, rng);
+                round += 1;
+            }
+            let urgent = arrival.kind == Kind::Question;
+            let admitted = meters[arrival.entry]
+                .admit(arrival.at, allowance, arrival.cost, urgent)
+                .is_ok();
+            outcome.0.push((*arrival, admitted));
+        }
+        outcome
+    }
+
+    fn tell(&self, round: u64, meters: &mut [Meter], rng: &mut StdRng) {
+        for from in 0..meters.len() {
+            let total = meters[from].own();
+            for (to, meter) in meters.iter_mut().enumerate() {
+                let turn = (to + from) as u64 % self.turns();
+                let told = turn == round % self.turns();
+                if to != from && told && !rng.random_bool(LOST) {
+                    meter.note(round * 300, from as u64, total, true);
+                }
+            }
+        }
+    }
+
+    /// One bucket that admits whatever its level covers.
+    fn central(&self, arrivals: &[Arrival]) -> Outcome {
+        let mut outcome = Outcome::default();
+        let (mut level, mut filled) = (self.rate, 0);
+        for arrival in arrivals {
+            let passed = (arrival.at - filled) as f64 / 1000.0;
+            filled = arrival.at;
+            level = (level + self.rate * passed).min(self.rate);
+            let admitted = level >= (arrival.cost as f64).min(self.rate);
+            if admitted {
+                level -= arrival.cost as f64;
+            }
+            outcome.0.push((*arrival, admitted));
+        }
+        outcome
+    }
+}
+
+/// Means over quotas, floods and seeds: ours, and one bucket's.
+fn compare(
+    entries: usize,
+    floods: &[f64],
+    measure: impl Fn(&Outcome) -> f64,
+) -> (f64, f64) {
+    let (mut ours, mut central, mut count) = (0.0, 0.0, 0.0);
+    for rate in [31_000.0, 115_000.0, 400_000.0] {
+        for &times in floods {
+            for seed in 0..3 {
+                let load = Load { entries, rate, times };
+                let mut rng = StdRng::seed_from_u64(seed);
+                let arrivals = load.arrivals(&mut rng);
+                ours += measure(&load.play(&arrivals, &mut rng));
+                central += measure(&load.central(&arrivals));
+                count += 1.0;
+            }
+        }
+    }
+    (ours / count, central / count)
+}
+
+const FLOODS: [f64; 3] = [2.0, 3.3, 6.0];
+
+/// Symptom: of a team that asks for twice its quota, 27 in 100 requests are
+/// refused where one bucket refuses 11, and 4 in 100 while it keeps within.
+/// Sequence: long prompts and short questions come in at ten entries. Cause:
+/// each entry paced itself by its own small part, which no long prompt fits,
+/// and what was not known yet was held against the team.
+#[test]
+fn ten_entries_lose_no_more_than_one_bucket() {
+    for entries in [9, 10] {
+        let (ours, central) = compare(entries, &FLOODS, Outcome::lost);
+        assert!(ours <= central + 0.01, "{ours} of the worth, {central}");
+        let refused = |outcome: &Outcome| outcome.refused(|_| true);
+        let (ours, central) = compare(entries, &[0.9], refused);
+        assert!(ours <= central + 0.01, "{ours} refused, {central}");
+    }
+}
+
+/// Symptom: under a flood hardly any of the longest prompts is admitted, and
+/// nearly all short requests are. Cause: short ones keep the bucket's level
+/// below what a long one needs.
+#[test]
+fn long_prompts_are_refused_no_more_often_for_their_length() {
+    let drafts = |from: u64, until: u64| {
+        move |outcome: &Outcome| {
+            outcome.refused(|one| {
+                one.kind == Kind::Draft && (from..until).contains(&one.cost)
+            })
+        }
+    };
+    let (largest, alike) = compare(10, &FLOODS, drafts(LARGEST, u64::MAX));
+    let (others, _) = compare(10, &FLOODS, drafts(0, LARGEST));
+    assert!(largest <= others + 0.06, "{largest} of the largest, {others}");
+    assert!(largest <= alike - 0.1, "{largest}, by one bucket {alike}");
+}
+
+#[test]
+fn urgent_questions_are_admitted_before_the_rest() {
+    let of = |kind| {
+        move |outcome: &Outcome| outcome.refused(|one| one.kind == kind)
+    };
+    let (questions, _) = compare(10, &FLOODS, of(Kind::Question));
+    let (orders, _) = compare(10, &FLOODS, of(Kind::Order));
+    let (tags, _) = compare(10, &FLOODS, of(Kind::Tag));
+    assert!(questions <= 0.06 && orders <= 0.06, "{questions}, {orders}");
+    // The least valuable for their tokens are not preferred, nor starved.
+    let (drafts, _) = compare(10, &FLOODS, of(Kind::Draft));
+    assert!((tags - drafts).abs() <= 0.05, "{tags}, {drafts}");
+}
+
+/// Every window stays within the quota and its tolerance, at few entries and
+/// at many, whatever the quota.
+#[test]
+fn no_window_exceeds_the_tolerance() {
+    for entries in [9, 10, 70] {
+        for rate in [31_000.0, 115_000.0, 400_000.0, 1_000_000.0] {
+            for times in FLOODS {
+                for seed in 0..3 {
+                    let load = Load { entries, rate, times };
+                    let mut rng = StdRng::seed_from_u64(seed);
+                    let arrivals = load.arrivals(&mut rng);
+                    let most = load.play(&arrivals, &mut rng).most() as f64;
+                    let bound = rate * 9.0 + load.tolerance();
+                    assert!(most <= bound * 0.97, "{load:?}: {most}, {bound}");
+                }
+            }
+        }
+    }
+}
+
+/// Symptom: an entry refuses nearly all requests of a busy team for four
+/// seconds, while the others admit. Sequence: its VM stands still for eight
+/// seconds; the first request after that fills up the bucket, and then it
+/// hears at once what the others have admitted meanwhile. Cause: what the
+/// quota had given in the same time was cut off at the bucket's brim.
+#[test]
+fn an_entry_that_stood_still_soon_admits_again() {
+    let load = Load { entries: 10, rate: 190_000.0, times: 1.0 };
+    let allowance = load.allowance();
+    let mut meter = Meter::open(0, allowance);
+    let ask =
+        |meter: &mut Meter, now| meter.admit(now, allowance, 2_000, false);
+    for now in (0..6000).step_by(300) {
+        meter.note(now, 7, now * 190, true);
+        assert_eq!(ask(&mut meter, now), Ok(()));
+    }
+    assert_eq!(ask(&mut meter, 14_000), Ok(()));
+    meter.stood_still(14_005, 8_300);
+    meter.note(14_010, 7, 14_010 * 190, true);
+    assert_eq!(ask(&mut meter, 14_020), Ok(()));
+    // What is told from then on counts.
+    meter.note(14_300, 7, 14_300 * 190 + 900_000, true);
+    assert!(ask(&mut meter, 14_310).is_err());
+}
--- a/tests/all/world.rs
+++ b/tests/all/world.rs
@@ -11,7 +11,7 @@
 };
 
 use azuremount::{
-    decide::retry::Bound,
+    decide::{quota::Tolerance, retry::Bound},
     duty::{self, Badge, Cloud, Order},
     gateway::{
         self, Windows,
@@ -171,6 +171,7 @@
         gateway: gateway::Options {
             data_centre: "one".to_owned(),
             repeats: Bound { ratio: 0.2, slack: 20.0, window_ms: 10_000 },
+            tolerance: Tolerance { part: 0.0, units: 0.0, window_ms: 8000.0 },
             windows: Windows { length_ms: 5000 },
             body_memory: 30 * 1024,
         },
