--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -11,9 +11,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use http::{
-    HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header,
-};
+use http::{HeaderMap, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Incoming};
 use tokio::time::{Instant, timeout_at};
@@ -27,14 +25,14 @@
     fleet::{End, Target, blocks_of, ends_of},
     flight::Flight,
     plan::{Repeat, Route, Team},
-    refusal::{Cause, Refusal},
+    refusal::{Cause, Refusal, shown},
     relay,
     server::{Body, full},
     upstream::{Failed, Line},
 };
 use crate::{
     decide::route::Ask,
-    metrics::{Labels, Outcome, Running},
+    metrics::{Labels, Running},
     verdict::Verdict,
 };
 
@@ -120,58 +118,12 @@
     match accept(&gateway, request, asked, began).await {
         Ok(work) => run(work).await,
         Err(refusal) => {
-            refuse(&gateway, id.as_ref(), began, &refusal);
+            refusal.note(&gateway.metrics, id.as_ref(), began);
             refusal.into_response()
         }
     }
 }
 
-/// Logs a refusal and counts it.
-fn refuse(
-    gateway: &Gateway,
-    id: Option<&HeaderValue>,
-    began: Instant,
-    refusal: &Refusal,
-) {
-    let status = refusal.status.as_u16();
-    let verdict = refusal.verdict.as_str();
-    let outcome = Outcome { status, verdict };
-    gateway.metrics.outcomes.get_or_create(&outcome).inc();
-    let request = shown(id);
-    let after_ms = began.elapsed().as_millis() as u64;
-    let retry_after_ms = refusal.retry_after_ms.unwrap_or(0);
-    let text = refusal.text;
-    let route = refusal.route.as_str();
-    match refusal.cause.as_deref() {
-        None => info!(
-            target: "gateway",
-            request, route, status, verdict, after_ms, retry_after_ms,
-            "Refused: {text}."
-        ),
-        Some(Cause::Quota { team, cost, shortage, word_ms, heard }) => info!(
-            target: "gateway",
-            request, route, status, verdict, after_ms, retry_after_ms,
-            team, cost,
-            level = shortage.level,
-            need = shortage.need,
-            unseen = shortage.unseen,
-            paced = shortage.paced,
-            word_ms, heard_percent = heard,
-            "Refused: {text}."
-        ),
-        Some(Cause::Load { replica, foretold_ms, limit_ms }) => info!(
-            target: "gateway",
-            request, route, status, verdict, after_ms, retry_after_ms,
-            replica, foretold_ms, limit_ms,
-            "Refused: {text}."
-        ),
-    }
-}
-
-fn shown(id: Option<&HeaderValue>) -> &str {
-    id.and_then(|id| id.to_str().ok()).unwrap_or("-")
-}
-
 // ---- At the replicas ----------------------------------------------------------
 
 /// What one replica made of a request.
@@ -205,7 +157,7 @@
                 work.give_back();
             }
             let refusal = Refusal { route, ..refusal };
-            refuse(&gateway, id.as_ref(), began, &refusal);
+            refusal.note(&gateway.metrics, id.as_ref(), began);
             refusal.into_response()
         }
     }
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -4,9 +4,16 @@
 //! request did not run also says when it is worth coming back.
 
 use http::{HeaderValue, Response, StatusCode, header};
+use tokio::time::Instant;
+use tracing::info;
 
 use super::server::{Body, full};
-use crate::{decide::quota::Shortage, util::common, verdict::Verdict};
+use crate::{
+    decide::quota::Shortage,
+    metrics::{Metrics, Outcome},
+    util::common,
+    verdict::Verdict,
+};
 
 /// The shortest wait that a client is told, in ms; less would be at once.
 const LEAST_WAIT_MS: u64 = 50;
@@ -120,6 +127,50 @@
         }
     }
 
+    /// Counts the refusal of a request and logs it, with what decided it.
+    pub(super) fn note(
+        &self,
+        metrics: &Metrics,
+        id: Option<&HeaderValue>,
+        began: Instant,
+    ) {
+        let status = self.status.as_u16();
+        let verdict = self.verdict.as_str();
+        let outcome = Outcome { status, verdict };
+        metrics.outcomes.get_or_create(&outcome).inc();
+        let request = shown(id);
+        let after_ms = began.elapsed().as_millis() as u64;
+        let retry_after_ms = self.retry_after_ms.unwrap_or(0);
+        let text = self.text;
+        let route = self.route.as_str();
+        match self.cause.as_deref() {
+            None => info!(
+                target: "gateway",
+                request, route, status, verdict, after_ms, retry_after_ms,
+                "Refused: {text}."
+            ),
+            Some(Cause::Quota { team, cost, shortage, word_ms, heard }) => {
+                info!(
+                    target: "gateway",
+                    request, route, status, verdict, after_ms, retry_after_ms,
+                    team, cost,
+                    level = shortage.level,
+                    need = shortage.need,
+                    unseen = shortage.unseen,
+                    paced = shortage.paced,
+                    word_ms, heard_percent = heard,
+                    "Refused: {text}."
+                )
+            }
+            Some(Cause::Load { replica, foretold_ms, limit_ms }) => info!(
+                target: "gateway",
+                request, route, status, verdict, after_ms, retry_after_ms,
+                replica, foretold_ms, limit_ms,
+                "Refused: {text}."
+            ),
+        }
+    }
+
     /// The HTTP answer.
     pub fn into_response(self) -> Response<Body> {
         let text = format!("{}: {}\n", self.verdict.as_str(), self.text);
@@ -141,3 +192,8 @@
         response
     }
 }
+
+/// A request's id, for the log.
+pub(super) fn shown(id: Option<&HeaderValue>) -> &str {
+    id.and_then(|id| id.to_str().ok()).unwrap_or("-")
+}
