--- a/src/decide/quota/mod.rs
+++ b/src/decide/quota/mod.rs
@@ -22,7 +22,7 @@
 //! any level at all, and may start a debt; all but the smallest and the most
 //! urgent are then refused alike, 59 to 60 in 100 of each. The smallest ones
 //! hardly count, and the most urgent are mostly short questions: they are
-//! admitted further into the debt, within [`USABLE`] of the tolerance by which
+//! admitted further into the debt, within `USABLE` of the tolerance by which
 //! use may exceed the quota. Ten entries so refuse 38 in 100 of what the
 //! requests are worth, where one bucket that knows everything refuses 39.
 //!
