--- a/tests/all/quota.rs
+++ b/tests/all/quota.rs
@@ -363,7 +363,7 @@
     let load = Load { entries: 10, rate: 190_000.0, times: 1.0, cut: false };
     let allowance = load.allowance();
     let mut meter = Meter::open(0, allowance);
-    let mut admitted = |meter: &mut Meter, now| {
+    let admitted = |meter: &mut Meter, now| {
         let result = meter.admit(now, allowance, 2_000, false);
         u64::from(result.is_ok()) * 2_000
     };
