Say of each read, change and fetch of a plan how long it took

A configuration that could not be read back left no line: reads were not logged, nor what a change or a fetch cost, nor why a leader stopped leading. Now each has a line with version, bytes and time; a leader that stops says whom it had not heard for how long, and a member's thread how late it was; the member's term, whether it leads, and reads by outcome are the first metrics of the page, as collectors cut long ones. No logic is changed.

--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -51,6 +51,13 @@
 /// next entry, if one comes, carries it for free.
 const COMMIT_NOTE_MS: u64 = 200;
 
+/// Members that a leader has not heard for so long are named when it stops
+/// leading, in ms: three heartbeats.
+const UNHEARD_MS: u64 = 450;
+/// A tick that comes so much later than the one before is worth a line, in
+/// ms: half of the shortest election.
+const LATE_TICK_MS: u64 = 500;
+
 /// How a proposal or a read failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Failure {
@@ -165,6 +172,9 @@
     seat: Option<Seat>,
     /// When this member began to lead.
     leads_since: u64,
+    /// Whom a leader has not heard lately, and for how long, in ms; the last
+    /// it knew before it stopped leading says why it did.
+    unheard: Vec<(String, u64)>,
     /// How often it has begun to lead since its process started.
     times_led: u32,
     /// The commit index on the disk.
@@ -203,6 +213,7 @@
             membership_at: 0,
             seat: None,
             leads_since: 0,
+            unheard: Vec::new(),
             times_led: 0,
             commit_noted: 0,
             commit_seen: (0, 0),
@@ -448,7 +459,14 @@
     // ---- Time -------------------------------------------------------------
 
     fn tick(&mut self, now: u64) {
+        let late_ms = now.saturating_sub(self.now);
+        if late_ms > LATE_TICK_MS && self.now > 0 {
+            warn!(target: "control", late_ms, "Member was held up.");
+        }
         self.now = now;
+        if self.node.is_leader() {
+            self.unheard = self.node.unheard(now, UNHEARD_MS);
+        }
         self.node.tick(now);
         if !self.node.is_leader() {
             return;
@@ -639,7 +657,12 @@
                 self.roster = Some(Roster::open(self.now, seed));
             }
             (false, Some(_)) => {
-                warn!(target: "control", "No longer leads.");
+                warn!(
+                    target: "control",
+                    term = self.node.term(),
+                    unheard = ?self.unheard,
+                    "No longer leads."
+                );
                 self.roster = None;
             }
             _ => {}
--- a/src/control/raft/mod.rs
+++ b/src/control/raft/mod.rs
@@ -376,6 +376,22 @@
             .unwrap_or(0)
     }
 
+    /// Members that this leader has not heard for `least` ms, by address, and
+    /// for how long, in ms; empty at others.
+    pub fn unheard(&self, now: u64, least: u64) -> Vec<(String, u64)> {
+        let Role::Leader(leadership) = &self.role else { return Vec::new() };
+        let silent = self.members().iter().filter_map(|member| {
+            let identity = Identity::from(member);
+            let progress = leadership
+                .progress
+                .iter()
+                .find(|progress| progress.member == identity)?;
+            let silence = now.saturating_sub(progress.confirmed_at);
+            (silence >= least).then(|| (member.address.clone(), silence))
+        });
+        silent.collect()
+    }
+
     fn is_sound(
         &self,
         now: u64,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -33,6 +33,13 @@
     pub verdict: &'static str,
 }
 
+/// How a read of the plan ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct PlanRead {
+    /// `read`, or the verdict of the error.
+    pub outcome: &'static str,
+}
+
 type Histograms = Family<Labels, Histogram, fn() -> Histogram>;
 
 /// All that one entry counts.
@@ -59,6 +66,12 @@
     pub adopted: Counter,
     /// The revision in force.
     pub revision: Gauge,
+    /// Reads of the plan through the quorum, by how they ended.
+    pub plan_reads: Family<PlanRead, Counter>,
+    /// The term of this node's own member of the log.
+    pub term: Gauge,
+    /// 1 while that member leads.
+    pub leads: Gauge,
 }
 
 fn seconds() -> Histogram {
@@ -95,8 +108,32 @@
             moved: Counter::default(),
             adopted: Counter::default(),
             revision: Gauge::default(),
+            plan_reads: Family::default(),
+            term: Gauge::default(),
+            leads: Gauge::default(),
             registry: Registry::default(),
         };
+        // First those that tell how control is, as collectors cut long pages.
+        registry.register(
+            "revision_in_force",
+            "The configuration revision in force",
+            metrics.revision.clone(),
+        );
+        registry.register(
+            "control_term",
+            "The term of this node's member of the log",
+            metrics.term.clone(),
+        );
+        registry.register(
+            "control_leads",
+            "1 while this node's member of the log leads",
+            metrics.leads.clone(),
+        );
+        registry.register(
+            "plan_reads",
+            "Reads of the plan through the quorum, by outcome",
+            metrics.plan_reads.clone(),
+        );
         registry.register(
             "latency_seconds",
             "From request to the end of its answer",
@@ -142,11 +179,6 @@
             "Requests taken over from another entry",
             metrics.adopted.clone(),
         );
-        registry.register(
-            "revision_in_force",
-            "The configuration revision in force",
-            metrics.revision.clone(),
-        );
         Metrics { registry, ..metrics }
     }
 
--- a/src/node/member.rs
+++ b/src/node/member.rs
@@ -18,6 +18,9 @@
             return;
         }
         let seen = view.borrow_and_update().clone();
+        let metrics = &node.gateway.metrics;
+        metrics.term.set(seen.term as i64);
+        metrics.leads.set(seen.leads.into());
         if let (Some(mesh), Some(leader)) = (node.mesh.get(), seen.leader) {
             let mut table = mesh.table();
             let me = table.me();
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -59,6 +59,7 @@
         self,
         table::{News, Own},
     },
+    metrics::PlanRead,
     timer::Timer,
     util::random_id,
     verdict::Verdict,
@@ -340,12 +341,10 @@
     ///
     /// When no majority answers.
     pub async fn read_plan(&self) -> Result<PutPlan, Error> {
-        let query = Query { kind: Some(query::Kind::Plan(Empty {})) };
-        let reply = self.node.control.read(query, READ_LIMIT).await?;
-        match reply.kind {
-            Some(query_reply::Kind::Plan(plan)) => Ok(plan),
-            _ => Err(Error::Refused("unexpected reply".to_owned())),
-        }
+        let asked = Instant::now();
+        let read = self.node.read_plan().await;
+        self.node.note_read(&read, asked.elapsed());
+        read
     }
 
     /// Takes what a replica says of itself.
@@ -444,7 +443,40 @@
         }
     }
 
+    async fn read_plan(&self) -> Result<PutPlan, Error> {
+        let query = Query { kind: Some(query::Kind::Plan(Empty {})) };
+        let reply = self.control.read(query, READ_LIMIT).await?;
+        match reply.kind {
+            Some(query_reply::Kind::Plan(plan)) => Ok(plan),
+            _ => Err(Error::Refused("unexpected reply".to_owned())),
+        }
+    }
+
+    fn note_read(&self, read: &Result<PutPlan, Error>, after: Duration) {
+        let after_ms = after.as_millis() as u64;
+        let outcome = match read {
+            Ok(plan) => {
+                let bytes = plan.source.len();
+                info!(
+                    target: "node",
+                    plan = plan.version, bytes, after_ms, "Plan read."
+                );
+                "read"
+            }
+            Err(error) => {
+                warn!(target: "node", after_ms, "Plan not read: {error}.");
+                error.verdict().as_str()
+            }
+        };
+        self.gateway
+            .metrics
+            .plan_reads
+            .get_or_create(&PlanRead { outcome })
+            .inc();
+    }
+
     async fn put_plan(&self, source: &[u8]) -> Result<u64, PutError> {
+        let asked = Instant::now();
         let draft = (self.read_plan)(source).map_err(PutError::Invalid)?;
         let plan = Plan::check(draft).map_err(PutError::Invalid)?;
         let version = plan.version();
@@ -458,7 +490,14 @@
             Some(outcome::Kind::Plan(PlanOutcome { version: held }))
                 if held > 0 =>
             {
-                info!(target: "node", plan = version, held, "Plan accepted.");
+                info!(
+                    target: "node",
+                    plan = version,
+                    held,
+                    bytes = source.len(),
+                    after_ms = asked.elapsed().as_millis() as u64,
+                    "Plan accepted."
+                );
                 Ok(held)
             }
             _ => {
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -6,13 +6,16 @@
     time::Duration,
 };
 
-use tokio::{net::TcpListener, time::timeout};
+use tokio::{
+    net::TcpListener,
+    time::{Instant, timeout},
+};
 use tonic::{
     Request, Response, Status,
     codec::{CompressionEncoding, SingleMessageCompressionOverride},
     transport::server::TcpIncoming,
 };
-use tracing::warn;
+use tracing::{info, warn};
 
 use super::{Node, lock};
 use crate::{
@@ -33,8 +36,19 @@
     let mut client = NodesClient::new(connect(address))
         .accept_compressed(CompressionEncoding::Gzip)
         .max_decoding_message_size(MESSAGE_LIMIT);
+    let asked = Instant::now();
     match timeout(FETCH_LIMIT, client.fetch(Empty {})).await {
-        Ok(Ok(reply)) => node.adopt(Arc::new(reply.into_inner())),
+        Ok(Ok(reply)) => {
+            let plan = reply.into_inner();
+            info!(
+                target: "node",
+                plan = plan.version,
+                bytes = plan.source.len(),
+                after_ms = asked.elapsed().as_millis() as u64,
+                "Plan from {from}."
+            );
+            node.adopt(Arc::new(plan));
+        }
         Ok(Err(status)) => {
             let text = status.message();
             warn!(target: "node", "No plan from {from}: {text}.");
