Give what a node does with plans a module of its own

node/mod.rs had grown to 590 lines, and plans were read and put there but fetched in the module of the server for peers.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -20,6 +20,7 @@
 
 mod member;
 mod peers;
+mod plan;
 mod recall;
 
 use std::{
@@ -40,7 +41,7 @@
     task::JoinHandle,
     time::{Instant, sleep, timeout},
 };
-use tracing::{info, warn};
+use tracing::info;
 
 use crate::{
     control::{
@@ -59,21 +60,13 @@
         self,
         table::{News, Own},
     },
-    metrics::PlanRead,
     timer::Timer,
     util::random_id,
-    verdict::Verdict,
-    wire::{
-        Cached, Change, Empty, Peer, PlanOutcome, PutPlan, Query, Sighting,
-        change, outcome, query, query_reply,
-    },
+    wire::{Cached, Peer, PutPlan, Sighting},
 };
 
-/// How long an operator's change may take. Operators go on to another node
-/// after a second or so; by then the change is decided or will be soon.
-const PUT_LIMIT: Duration = Duration::from_millis(2500);
-/// How long a read through the quorum may take, for the same reason.
-const READ_LIMIT: Duration = Duration::from_millis(800);
+pub use self::plan::PutError;
+
 /// How long a stopping node goes on taking requests: clients keep an address
 /// for twice the time they are told. The few that come later find nobody
 /// listening and go elsewhere at once.
@@ -153,28 +146,6 @@
     }
 }
 
-/// Why a plan was not put in force, as far as known.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum PutError {
-    /// It is wrong, and will be whenever it is sent.
-    Invalid(Invalid),
-    /// Control did not take it, or did not say.
-    Away(Verdict, String),
-}
-
-impl fmt::Display for PutError {
-    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            PutError::Invalid(invalid) => invalid.fmt(out),
-            PutError::Away(verdict, text) => {
-                write!(out, "{}: {text}", verdict.as_str())
-            }
-        }
-    }
-}
-
-impl std::error::Error for PutError {}
-
 /// Starts a node.
 ///
 /// # Errors
@@ -443,92 +414,6 @@
         }
     }
 
-    async fn read_plan(&self) -> Result<PutPlan, Error> {
-        let query = Query { kind: Some(query::Kind::Plan(Empty {})) };
-        let reply = self.control.read(query, READ_LIMIT).await?;
-        match reply.kind {
-            Some(query_reply::Kind::Plan(plan)) => Ok(plan),
-            _ => Err(Error::Refused("unexpected reply".to_owned())),
-        }
-    }
-
-    fn note_read(&self, read: &Result<PutPlan, Error>, after: Duration) {
-        let after_ms = after.as_millis() as u64;
-        let outcome = match read {
-            Ok(plan) => {
-                let bytes = plan.source.len();
-                info!(
-                    target: "node",
-                    plan = plan.version, bytes, after_ms, "Plan read."
-                );
-                "read"
-            }
-            Err(error) => {
-                warn!(target: "node", after_ms, "Plan not read: {error}.");
-                error.verdict().as_str()
-            }
-        };
-        self.gateway
-            .metrics
-            .plan_reads
-            .get_or_create(&PlanRead { outcome })
-            .inc();
-    }
-
-    async fn put_plan(&self, source: &[u8]) -> Result<u64, PutError> {
-        let asked = Instant::now();
-        let draft = (self.read_plan)(source).map_err(PutError::Invalid)?;
-        let plan = Plan::check(draft).map_err(PutError::Invalid)?;
-        let version = plan.version();
-        let record = PutPlan { version, source: source.to_vec() };
-        let change = Change::new(change::Kind::PutPlan(record));
-        let outcome = self.control.propose(change, PUT_LIMIT, true).await;
-        let outcome = outcome.map_err(|error| {
-            PutError::Away(error.verdict(), error.to_string())
-        })?;
-        match outcome.kind {
-            Some(outcome::Kind::Plan(PlanOutcome { version: held }))
-                if held > 0 =>
-            {
-                info!(
-                    target: "node",
-                    plan = version,
-                    held,
-                    bytes = source.len(),
-                    after_ms = asked.elapsed().as_millis() as u64,
-                    "Plan accepted."
-                );
-                Ok(held)
-            }
-            _ => {
-                let text = "control gave no outcome".to_owned();
-                Err(PutError::Away(Verdict::MayHaveRun, text))
-            }
-        }
-    }
-
-    /// Puts a committed plan in force, if it is newer.
-    fn adopt(&self, record: Arc<PutPlan>) {
-        if record.version <= self.gateway.plan_version() {
-            return;
-        }
-        let read = (self.read_plan)(&record.source);
-        match read.and_then(Plan::check) {
-            Ok(plan) => {
-                *lock(&self.source) = Some(record);
-                self.gateway.set_plan(plan);
-                self.say_serving();
-            }
-            // It was checked before it was committed, so this is a node of
-            // another version. It goes on with the plan that it can read.
-            Err(invalid) => warn!(
-                target: "node",
-                plan = record.version,
-                "Can't read a committed plan: {invalid}."
-            ),
-        }
-    }
-
     /// Takes over what the mesh says of leader, members and plans.
     fn follow_mesh(self: &Arc<Node>) {
         let Some(mesh) = self.mesh.get() else { return };
@@ -566,7 +451,7 @@
         if let Some(from) = newer.choose(&mut rand::rng())
             && !self.fetching.swap(true, Ordering::Relaxed)
         {
-            tokio::spawn(peers::fetch(self.clone(), *from));
+            tokio::spawn(plan::fetch(self.clone(), *from));
         }
     }
 }
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -1,63 +1,27 @@
 //! What nodes ask each other over TCP: plans, and the log's own messages.
 
 use std::{
-    net::{Ipv4Addr, SocketAddr},
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
-use tokio::{
-    net::TcpListener,
-    time::{Instant, timeout},
-};
+use tokio::net::TcpListener;
 use tonic::{
     Request, Response, Status,
     codec::{CompressionEncoding, SingleMessageCompressionOverride},
     transport::server::TcpIncoming,
 };
-use tracing::{info, warn};
+use tracing::warn;
 
 use super::{Node, lock};
 use crate::{
-    control::server::{MESSAGE_LIMIT, Service, connect},
+    control::server::{MESSAGE_LIMIT, Service},
     wire::{
         Caches, Empty, PutPlan, Sightings,
-        nodes_client::NodesClient,
         nodes_server::{Nodes, NodesServer},
     },
 };
 
-/// How long fetching a plan from a peer may take.
-const FETCH_LIMIT: Duration = Duration::from_millis(1000);
-
-/// Fetches a newer plan from a peer.
-pub(super) async fn fetch(node: Arc<Node>, from: Ipv4Addr) {
-    let address = SocketAddr::from((from, node.peer_port));
-    let mut client = NodesClient::new(connect(address))
-        .accept_compressed(CompressionEncoding::Gzip)
-        .max_decoding_message_size(MESSAGE_LIMIT);
-    let asked = Instant::now();
-    match timeout(FETCH_LIMIT, client.fetch(Empty {})).await {
-        Ok(Ok(reply)) => {
-            let plan = reply.into_inner();
-            info!(
-                target: "node",
-                plan = plan.version,
-                bytes = plan.source.len(),
-                after_ms = asked.elapsed().as_millis() as u64,
-                "Plan from {from}."
-            );
-            node.adopt(Arc::new(plan));
-        }
-        Ok(Err(status)) => {
-            let text = status.message();
-            warn!(target: "node", "No plan from {from}: {text}.");
-        }
-        Err(_) => warn!(target: "node", "No plan from {from}: silent."),
-    }
-    node.fetching.store(false, Ordering::Relaxed);
-}
-
 /// Serves other nodes until this one stops.
 pub(super) async fn serve(node: Arc<Node>, listener: TcpListener) {
     // A plan of some thousand routes is a tenth as long compressed; dozens of
--- /dev/null
+++ b/src/node/plan.rs
@@ -0,0 +1,180 @@
+//! Plans at one node: taken from operators, read back, fetched from others.
+
+use std::{
+    fmt,
+    net::{Ipv4Addr, SocketAddr},
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use tokio::time::{Instant, timeout};
+use tonic::codec::CompressionEncoding;
+use tracing::{info, warn};
+
+use super::{Node, lock};
+use crate::{
+    control::{
+        client::Error,
+        server::{MESSAGE_LIMIT, connect},
+    },
+    gateway::plan::{Invalid, Plan},
+    metrics::PlanRead,
+    verdict::Verdict,
+    wire::{
+        Change, Empty, PlanOutcome, PutPlan, Query, change,
+        nodes_client::NodesClient, outcome, query, query_reply,
+    },
+};
+
+/// How long an operator's change may take. Operators go on to another node
+/// after a second or so; by then the change is decided or will be soon.
+const PUT_LIMIT: Duration = Duration::from_millis(2500);
+/// How long a read through the quorum may take, for the same reason.
+const READ_LIMIT: Duration = Duration::from_millis(800);
+/// How long fetching a plan from a peer may take.
+const FETCH_LIMIT: Duration = Duration::from_millis(1000);
+
+/// Why a plan was not put in force, as far as known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PutError {
+    /// It is wrong, and will be whenever it is sent.
+    Invalid(Invalid),
+    /// Control did not take it, or did not say.
+    Away(Verdict, String),
+}
+
+impl fmt::Display for PutError {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            PutError::Invalid(invalid) => invalid.fmt(out),
+            PutError::Away(verdict, text) => {
+                write!(out, "{}: {text}", verdict.as_str())
+            }
+        }
+    }
+}
+
+impl std::error::Error for PutError {}
+
+impl Node {
+    pub(super) async fn read_plan(&self) -> Result<PutPlan, Error> {
+        let query = Query { kind: Some(query::Kind::Plan(Empty {})) };
+        let reply = self.control.read(query, READ_LIMIT).await?;
+        match reply.kind {
+            Some(query_reply::Kind::Plan(plan)) => Ok(plan),
+            _ => Err(Error::Refused("unexpected reply".to_owned())),
+        }
+    }
+
+    pub(super) fn note_read(
+        &self,
+        read: &Result<PutPlan, Error>,
+        after: Duration,
+    ) {
+        let after_ms = after.as_millis() as u64;
+        let outcome = match read {
+            Ok(plan) => {
+                let bytes = plan.source.len();
+                info!(
+                    target: "node",
+                    plan = plan.version, bytes, after_ms, "Plan read."
+                );
+                "read"
+            }
+            Err(error) => {
+                warn!(target: "node", after_ms, "Plan not read: {error}.");
+                error.verdict().as_str()
+            }
+        };
+        self.gateway
+            .metrics
+            .plan_reads
+            .get_or_create(&PlanRead { outcome })
+            .inc();
+    }
+
+    pub(super) async fn put_plan(
+        &self,
+        source: &[u8],
+    ) -> Result<u64, PutError> {
+        let asked = Instant::now();
+        let draft = (self.read_plan)(source).map_err(PutError::Invalid)?;
+        let plan = Plan::check(draft).map_err(PutError::Invalid)?;
+        let version = plan.version();
+        let record = PutPlan { version, source: source.to_vec() };
+        let change = Change::new(change::Kind::PutPlan(record));
+        let outcome = self.control.propose(change, PUT_LIMIT, true).await;
+        let outcome = outcome.map_err(|error| {
+            PutError::Away(error.verdict(), error.to_string())
+        })?;
+        match outcome.kind {
+            Some(outcome::Kind::Plan(PlanOutcome { version: held }))
+                if held > 0 =>
+            {
+                info!(
+                    target: "node",
+                    plan = version,
+                    held,
+                    bytes = source.len(),
+                    after_ms = asked.elapsed().as_millis() as u64,
+                    "Plan accepted."
+                );
+                Ok(held)
+            }
+            _ => {
+                let text = "control gave no outcome".to_owned();
+                Err(PutError::Away(Verdict::MayHaveRun, text))
+            }
+        }
+    }
+
+    /// Puts a committed plan in force, if it is newer.
+    pub(super) fn adopt(&self, record: Arc<PutPlan>) {
+        if record.version <= self.gateway.plan_version() {
+            return;
+        }
+        let read = (self.read_plan)(&record.source);
+        match read.and_then(Plan::check) {
+            Ok(plan) => {
+                *lock(&self.source) = Some(record);
+                self.gateway.set_plan(plan);
+                self.say_serving();
+            }
+            // It was checked before it was committed, so this is a node of
+            // another version. It goes on with the plan that it can read.
+            Err(invalid) => warn!(
+                target: "node",
+                plan = record.version,
+                "Can't read a committed plan: {invalid}."
+            ),
+        }
+    }
+}
+
+/// Fetches a newer plan from a peer.
+pub(super) async fn fetch(node: Arc<Node>, from: Ipv4Addr) {
+    let address = SocketAddr::from((from, node.peer_port));
+    let mut client = NodesClient::new(connect(address))
+        .accept_compressed(CompressionEncoding::Gzip)
+        .max_decoding_message_size(MESSAGE_LIMIT);
+    let asked = Instant::now();
+    match timeout(FETCH_LIMIT, client.fetch(Empty {})).await {
+        Ok(Ok(reply)) => {
+            let plan = reply.into_inner();
+            info!(
+                target: "node",
+                plan = plan.version,
+                bytes = plan.source.len(),
+                after_ms = asked.elapsed().as_millis() as u64,
+                "Plan from {from}."
+            );
+            node.adopt(Arc::new(plan));
+        }
+        Ok(Err(status)) => {
+            let text = status.message();
+            warn!(target: "node", "No plan from {from}: {text}.");
+        }
+        Err(_) => warn!(target: "node", "No plan from {from}: silent."),
+    }
+    node.fetching.store(false, Ordering::Relaxed);
+}
--- a/src/node/recall.rs
+++ b/src/node/recall.rs
@@ -24,7 +24,7 @@
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
 
-use super::{Node, peers};
+use super::{Node, plan};
 use crate::{
     control::server::{MESSAGE_LIMIT, connect},
     util::wall_ms,
@@ -118,7 +118,7 @@
         if node.gateway.plan_version() == 0
             && !node.fetching.swap(true, Ordering::Relaxed)
         {
-            tokio::spawn(peers::fetch(node.clone(), from));
+            tokio::spawn(plan::fetch(node.clone(), from));
         }
         if !knows_replicas {
             knows_replicas = learn_replicas(node, from).await;
