Send an operator who reads a large plan to a wider link

Nodes know their own link from the settings and tell it to the others; one whose answer would take over 0.2 s sends the operator to the leader, if that has at least twice the link. Only after the leader has named the newest plan, so it is known to answer.

Ruled out: answering from any VM with a wide link (the leader need not ask anybody and has just answered); compressed answers (operators ask for none).

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -100,6 +100,8 @@
     pub founds: bool,
     /// Members that may lose their disks at once.
     pub tolerance: usize,
+    /// This VM's link, in Mbit/s; 0 when not known.
+    pub link_mbps: u32,
     /// The data path.
     pub gateway: gateway::Options,
     /// What the leader does for the whole system.
@@ -198,6 +200,7 @@
                 incarnation: random_id(),
                 data_centre: options.data_centre.clone(),
                 has_disk: seat.is_some(),
+                link_mbps: options.link_mbps,
                 ..Peer::default()
             },
             listen: options.peers,
@@ -318,6 +321,12 @@
         read
     }
 
+    /// A VM that hands a text of so many bytes to an operator sooner than
+    /// this one, if there is one and it matters.
+    pub fn faster_reader(&self, bytes: usize) -> Option<Ipv4Addr> {
+        self.node.faster_reader(bytes)
+    }
+
     /// Takes what a replica says of itself.
     pub fn sight(&self, says: Sighting) {
         let node = &self.node;
--- a/src/node/plan.rs
+++ b/src/node/plan.rs
@@ -14,9 +14,11 @@
 use crate::{
     control::{
         client::Error,
+        seat,
         server::{MESSAGE_LIMIT, connect},
     },
     gateway::plan::{Invalid, Plan},
+    mesh::table,
     metrics::PlanRead,
     packing,
     verdict::Verdict,
@@ -31,6 +33,12 @@
 const PUT_LIMIT: Duration = Duration::from_millis(2500);
 /// How long a read through the quorum may take, for the same reason.
 const READ_LIMIT: Duration = Duration::from_millis(800);
+/// An operator is sent to another VM where a text would take longer over this
+/// one's link, in ms. Operators wait for a second, and callers' answers need
+/// the link as well.
+const LONG_ANSWER_MS: u64 = 200;
+/// So many times wider a link has to be to send an operator there.
+const WIDER: u32 = 2;
 /// How long fetching a plan from a peer may take.
 const FETCH_LIMIT: Duration = Duration::from_millis(1000);
 
@@ -75,6 +83,29 @@
         Ok(PutPlan { version: plan.version, source })
     }
 
+    /// See [`super::Handle::faster_reader`]: the leader, which has just named
+    /// the newest plan, if its link is wider by far.
+    ///
+    /// Symptom without it: a plan of a megabyte can be read at VMs with wide
+    /// links only, and one in fifteen has one. It is held everywhere, but
+    /// takes a second over ten megabits.
+    pub(super) fn faster_reader(&self, bytes: usize) -> Option<Ipv4Addr> {
+        let table = self.mesh.get()?.table();
+        let own = table.own();
+        let bits = bytes as u64 * 8;
+        let takes_ms = bits / (u64::from(own.link_mbps).max(1) * 1000);
+        if own.link_mbps == 0 || takes_ms <= LONG_ANSWER_MS {
+            return None;
+        }
+        let leader = u32::from(*seat::address_of(own.leader).ip());
+        let wide = |node: &&table::Node| {
+            node.says.ip == leader
+                && node.says.link_mbps >= WIDER * own.link_mbps
+        };
+        let now = self.gateway.timer.now();
+        table.live(now).find(wide).map(table::Node::ip)
+    }
+
     pub(super) fn note_read(
         &self,
         read: &Result<PutPlan, Error>,
--- a/tests/all/large_plan.rs
+++ b/tests/all/large_plan.rs
@@ -183,3 +183,35 @@
         assert!(bytes < DISK_BYTES, "{bytes} bytes after {version} plans");
     }
 }
+
+/// Symptom: a plan that all nodes hold can be read at VMs with a disk only.
+/// Sequence: an operator asks the others, too; the plan is sent from there, in
+/// more time than operators wait. Cause: nobody minded how wide a VM's link is.
+#[tokio::test]
+async fn an_operator_is_sent_to_a_wider_link_for_a_large_plan() {
+    let ip = |at: u32| Ipv4Addr::from(0x7f59_0400 + at);
+    let folder = Folder::new();
+    let leader = node::spawn(node::Options {
+        folder: Some(folder.0.clone()),
+        founds: true,
+        link_mbps: 100,
+        ..options(ip(1), PORT, &[ip(1)])
+    });
+    let leader = leader.await.unwrap();
+    let narrow =
+        node::Options { link_mbps: 10, ..options(ip(2), PORT, &[ip(1)]) };
+    let narrow = node::spawn(narrow).await.unwrap();
+    let wide =
+        node::Options { link_mbps: 1000, ..options(ip(3), PORT, &[ip(1)]) };
+    let wide = node::spawn(wide).await.unwrap();
+    put(&narrow, b"5").await;
+    let sent = async {
+        while narrow.faster_reader(PLAN_BYTES) != Some(ip(1)) {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(PATIENCE, sent).await.expect("never sent on");
+    assert_eq!(narrow.faster_reader(10_000), None, "a short text");
+    assert_eq!(leader.faster_reader(PLAN_BYTES), None, "to itself");
+    assert_eq!(wide.faster_reader(PLAN_BYTES), None, "to a narrower link");
+}
--- a/tests/all/world.rs
+++ b/tests/all/world.rs
@@ -168,6 +168,7 @@
         folder: None,
         founds: false,
         tolerance: 0,
+        link_mbps: 0,
         gateway: gateway::Options {
             data_centre: "one".to_owned(),
             repeats: Bound { ratio: 0.2, slack: 20.0, window_ms: 10_000 },
