--- a/src/control/disk.rs
+++ b/src/control/disk.rs
@@ -86,6 +86,7 @@
     folder: PathBuf,
     log: File,
     log_bytes: u64,
+    snapshot_bytes: u64,
     incarnation: u64,
 }
 
@@ -128,6 +129,7 @@
             folder: folder.to_owned(),
             log,
             log_bytes: end as u64,
+            snapshot_bytes: size_of_file(&folder.join("snapshot")),
             incarnation,
         };
         Ok((disk, saved))
@@ -143,6 +145,11 @@
         self.log_bytes
     }
 
+    /// The size of the newest snapshot, in bytes; 0 without one.
+    pub fn snapshot_bytes(&self) -> u64 {
+        self.snapshot_bytes
+    }
+
     /// Makes a batch last: returns once it is synced.
     ///
     /// # Errors
@@ -172,7 +179,9 @@
         hard: HardState,
         entries: &[LogEntry],
     ) -> Result<(), Error> {
-        self.replace("snapshot", &encode_frame(snapshot))?;
+        let frame = encode_frame(snapshot);
+        self.replace("snapshot", &frame)?;
+        self.snapshot_bytes = frame.len() as u64;
         let batch = DiskBatch { hard: Some(hard), entries: entries.to_vec() };
         let frame = encode_frame(&batch);
         let log = self.replace("log", &frame)?;
@@ -191,6 +200,11 @@
     }
 }
 
+/// How long a file is that may not be there.
+fn size_of_file(path: &Path) -> u64 {
+    fs::metadata(path).map_or(0, |file| file.len())
+}
+
 /// Writes a new file, syncs it, renames it into place, syncs the folder.
 fn replace(folder: &Path, name: &str, bytes: &[u8]) -> Result<File, Error> {
     let path = folder.join(name);
--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -58,6 +58,14 @@
 /// ms: half of the shortest election.
 const LATE_TICK_MS: u64 = 500;
 
+/// A log of so many bytes is replaced by a snapshot, however few its entries:
+/// with its copy in memory a twentieth of the smallest VM, and with the files
+/// that are written anew well below its disk of 64 MB.
+const LOG_BYTES: u64 = 8_000_000;
+/// Unless it is less than so many times what the last snapshot left: a state
+/// of some megabytes would be written anew for each entry.
+const LOG_GROWTH: u64 = 3;
+
 /// How a proposal or a read failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Failure {
@@ -681,7 +689,7 @@
     }
 
     fn snapshot(&mut self) -> Result<(), disk::Error> {
-        if self.node.log_len() < self.snapshot_entries {
+        if !self.is_log_long() {
             return Ok(());
         }
         let hard = self.node.hard();
@@ -693,6 +701,16 @@
         self.disk.install(&snapshot, hard, entries)
     }
 
+    /// True when the log has too many entries, or too many bytes.
+    ///
+    /// Entries alone don't tell: a hundred plans of a megabyte are more than
+    /// the disk of a VM holds, and half of its memory.
+    fn is_log_long(&self) -> bool {
+        let least = LOG_BYTES.max(LOG_GROWTH * self.disk.snapshot_bytes());
+        self.node.log_len() >= self.snapshot_entries
+            || self.disk.log_bytes() >= least
+    }
+
     // ---- Queries --------------------------------------------------------------
 
     fn query(&self, query: &Query) -> QueryReply {
