Let messages between members take the time that their bytes need

A batch that took over half a second was given up and its connection replaced; what it held was sent again from the start by the next round. Each limit now adds the message's bytes at 0.5 MB/s.

--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -12,10 +12,11 @@
     time::{Duration, Instant},
 };
 
+use prost::Message;
 use tokio::time::{sleep, timeout};
 use tonic::{Code, Response, Status, transport::Channel};
 
-use super::server::{LEADER_HEADER, MESSAGE_LIMIT, connect};
+use super::server::{LEADER_HEADER, MESSAGE_LIMIT, allowance, connect};
 use crate::{
     verdict::Verdict,
     wire::{
@@ -24,7 +25,8 @@
     },
 };
 
-/// How long one member gets to answer; longer than a sync is held.
+/// How long one member gets to answer, besides what the bytes that it is sent
+/// may take; longer than a sync is held.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Pause before asking again when nobody leads.
 const PAUSE: Duration = Duration::from_millis(50);
@@ -144,7 +146,8 @@
         limit: Duration,
         repeat: bool,
     ) -> Result<Outcome, Error> {
-        self.call(limit, repeat, |mut client| {
+        let bytes = change.encoded_len();
+        self.call(limit, bytes, repeat, |mut client| {
             let change = change.clone();
             async move { client.propose(change).await }
         })
@@ -157,7 +160,7 @@
         query: Query,
         limit: Duration,
     ) -> Result<QueryReply, Error> {
-        self.call(limit, true, |mut client| {
+        self.call(limit, 0, true, |mut client| {
             let query = query.clone();
             async move { client.read(query).await }
         })
@@ -169,7 +172,7 @@
         &self,
         request: SyncRequest,
     ) -> Result<SyncReply, Error> {
-        self.call(Duration::ZERO, true, |mut client| {
+        self.call(Duration::ZERO, 0, true, |mut client| {
             let request = request.clone();
             async move { client.sync(request).await }
         })
@@ -179,6 +182,7 @@
     async fn call<T, F>(
         &self,
         limit: Duration,
+        bytes: usize,
         repeat: bool,
         run: impl Fn(ControlClient<Channel>) -> F,
     ) -> Result<T, Error>
@@ -189,7 +193,8 @@
         let mut doubtful = false;
         loop {
             let (address, client) = self.current();
-            let result = timeout(ATTEMPT_TIMEOUT, run(client)).await;
+            let patience = ATTEMPT_TIMEOUT + allowance(bytes);
+            let result = timeout(patience, run(client)).await;
             let (attempt, text, hint) = match result {
                 Ok(Ok(response)) => return Ok(response.into_inner()),
                 Ok(Err(status)) => judge(&status),
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use prost::Message;
 use tokio::{
     net::TcpListener,
     sync::{mpsc, oneshot},
@@ -28,8 +29,12 @@
 pub const LEADER_HEADER: &str = "azuremount-leader";
 /// A change that is not decided after this long is reported as unknown.
 const PROPOSE_TIMEOUT: Duration = Duration::from_secs(5);
-/// A link on which one batch takes longer is replaced by a new connection.
+/// A link on which one batch takes longer than this, and what its bytes may
+/// take besides, is replaced by a new connection.
 const SEND_TIMEOUT: Duration = Duration::from_millis(500);
+/// What a link carries at least, in bytes a second: nearly half of the ten
+/// megabits of the narrowest, as answers to callers pass there too.
+const LEAST_BYTES_PER_S: f64 = 500_000.0;
 /// Messages that wait for one peer; Raft repeats what is dropped.
 const LINK_QUEUE: usize = 256;
 /// The largest message: a snapshot has to fit.
@@ -188,6 +193,15 @@
     }
 }
 
+/// How much longer than a message of a few bytes one of `bytes` may take.
+///
+/// With one limit for all, a message that is too long for it is given up and
+/// sent again from its start for good: a snapshot never arrives, a change is
+/// never decided, and it looks as if the receiver were dead.
+pub fn allowance(bytes: usize) -> Duration {
+    Duration::from_secs_f64(bytes as f64 / LEAST_BYTES_PER_S)
+}
+
 /// A connection that is made when first used.
 pub fn connect(address: SocketAddr) -> Channel {
     Endpoint::from(
@@ -239,7 +253,8 @@
     let mut envelopes = Vec::new();
     while queue.recv_many(&mut envelopes, 64).await > 0 {
         let batch = Envelopes { envelopes: std::mem::take(&mut envelopes) };
-        let sent = timeout(SEND_TIMEOUT, client.deliver(batch)).await;
+        let limit = SEND_TIMEOUT + allowance(batch.encoded_len());
+        let sent = timeout(limit, client.deliver(batch)).await;
         if !matches!(sent, Ok(Ok(_))) {
             // A connection that something in between has forgotten stays
             // silent for good, while new ones work. Keeping it would look
