Spread the fetches of a new plan, away from the leader

Nodes now wait for a random part of 2 ms for each other node, and ask the leader only if nobody else names the plan within 0.4 s. A fetch that takes too long is given twice the time at the next attempt, up to eight seconds: with one limit, a plan that takes longer never came in force (the test fails without it).

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -29,12 +29,11 @@
     path::PathBuf,
     sync::{
         Arc, Mutex, OnceLock,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
 };
 
-use rand::seq::IndexedRandom;
 use tokio::{
     net::TcpListener,
     sync::watch,
@@ -130,6 +129,8 @@
     /// As the operator sent it; written with the gateway's plan.
     source: Mutex<Option<Arc<PutPlan>>>,
     fetching: AtomicBool,
+    /// Fetches in a row that took too long.
+    slow_fetches: AtomicU32,
     /// It can tell others what replicas have cached.
     knows_caches: AtomicBool,
     stopping: AtomicBool,
@@ -183,6 +184,7 @@
         read_plan: options.read_plan,
         source: Mutex::new(None),
         fetching: AtomicBool::new(false),
+        slow_fetches: AtomicU32::new(0),
         knows_caches: AtomicBool::new(false),
         stopping: AtomicBool::new(false),
         last: watch::Sender::new(false),
@@ -428,7 +430,7 @@
         let Some(mesh) = self.mesh.get() else { return };
         let now = self.gateway.timer.now();
         let mut members = Vec::new();
-        let mut newer = Vec::new();
+        let mut newer = false;
         let leader = {
             let mut table = mesh.table();
             let mut best = (table.own().leader_term, table.own().leader);
@@ -440,9 +442,7 @@
                 if says.leader != 0 {
                     best = best.max((says.leader_term, says.leader));
                 }
-                if says.plan_version > self.gateway.plan_version() {
-                    newer.push(node.ip());
-                }
+                newer |= says.plan_version > self.gateway.plan_version();
             }
             if table.own().has_disk {
                 let ip = Ipv4Addr::from(table.own().ip);
@@ -455,12 +455,8 @@
         if leader != 0 {
             self.control.prefer_once(seat::address_of(leader).into());
         }
-        // Any of them: the one with the newest may just be stopping, and all
-        // would ask it at once besides.
-        if let Some(from) = newer.choose(&mut rand::rng())
-            && !self.fetching.swap(true, Ordering::Relaxed)
-        {
-            tokio::spawn(plan::fetch(self.clone(), *from));
+        if newer && !self.fetching.swap(true, Ordering::Relaxed) {
+            tokio::spawn(plan::fetch_newer(self.clone()));
         }
     }
 }
--- a/src/node/plan.rs
+++ b/src/node/plan.rs
@@ -7,7 +7,8 @@
     time::Duration,
 };
 
-use tokio::time::{Instant, timeout};
+use rand::seq::IndexedRandom;
+use tokio::time::{Instant, sleep, timeout};
 use tracing::{info, warn};
 
 use super::{Node, lock};
@@ -39,8 +40,21 @@
 const LONG_ANSWER_MS: u64 = 200;
 /// So many times wider a link has to be to send an operator there.
 const WIDER: u32 = 2;
-/// How long fetching a plan from a peer may take.
+/// How long fetching a plan from a peer may take at first: ten times what a
+/// packed plan of 0.8 MB takes over ten megabits.
 const FETCH_LIMIT: Duration = Duration::from_millis(1000);
+/// How often that is doubled, as a plan may take longer than the limit: eight
+/// seconds at most, so that a silent peer is not waited for forever.
+const FETCH_DOUBLINGS: u32 = 3;
+/// For each other node, over how much time the fetches of a new plan are
+/// spread. A node with 100 Mbit/s hands out a packed plan of 0.8 MB in 6 ms,
+/// and several do.
+const SPREAD: Duration = Duration::from_millis(2);
+/// How often a node looks for somebody else than the leader to fetch from:
+/// the other members hear of a commit with the leader's next heartbeat.
+const LOOKS: u32 = 4;
+/// Between two such looks.
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
 
 /// Why a plan was not put in force, as far as known.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -195,14 +209,68 @@
     }
 }
 
-/// Fetches a newer plan from a peer.
+/// Fetches a newer plan from one of those that name it, after a random pause.
+///
+/// The leader is the first to name it. Without the pause seventy nodes asked
+/// it within milliseconds: its heartbeats waited behind the plans that it sent,
+/// and the others elected another leader, which met the same.
+pub(super) async fn fetch_newer(node: Arc<Node>) {
+    sleep(spread(&node)).await;
+    for look in 1..=LOOKS {
+        let (others, leader) = holders(&node);
+        // Any of them: the one with the newest may just be stopping.
+        let from = others.choose(&mut rand::rng()).copied();
+        let last = look == LOOKS || !has_other_members(&node);
+        match from.or(leader.filter(|_| last)) {
+            Some(from) => return fetch(node, from).await,
+            // It has come in through this node's own member.
+            None if leader.is_none() => break,
+            None => sleep(LOOK_PAUSE).await,
+        }
+    }
+    node.fetching.store(false, Ordering::Relaxed);
+}
+
+fn spread(node: &Node) -> Duration {
+    let Some(mesh) = node.mesh.get() else { return Duration::ZERO };
+    let now = node.gateway.timer.now();
+    let others = mesh.table().live(now).count();
+    (SPREAD * others as u32).mul_f64(rand::random())
+}
+
+/// Who names a newer plan: all but the leader, and the leader.
+fn holders(node: &Node) -> (Vec<Ipv4Addr>, Option<Ipv4Addr>) {
+    let Some(mesh) = node.mesh.get() else { return (Vec::new(), None) };
+    let table = mesh.table();
+    let held = node.gateway.plan_version();
+    let leader = *seat::address_of(table.own().leader).ip();
+    let now = node.gateway.timer.now();
+    let newer = table.live(now).filter(|one| one.says.plan_version > held);
+    let (leader, others): (Vec<_>, Vec<_>) =
+        newer.map(table::Node::ip).partition(|ip| *ip == leader);
+    (others, leader.first().copied())
+}
+
+fn has_other_members(node: &Node) -> bool {
+    let Some(mesh) = node.mesh.get() else { return false };
+    let table = mesh.table();
+    let now = node.gateway.timer.now();
+    table.live(now).filter(|one| one.says.has_disk).count() > 1
+}
+
+/// Fetches a plan from a peer.
 pub(super) async fn fetch(node: Arc<Node>, from: Ipv4Addr) {
     let address = SocketAddr::from((from, node.peer_port));
     let mut client = NodesClient::new(connect(address))
         .max_decoding_message_size(MESSAGE_LIMIT);
     let asked = Instant::now();
-    match timeout(FETCH_LIMIT, client.fetch(Empty {})).await {
+    // What takes too long once takes too long each time; a fixed limit would
+    // keep a long plan from a node with a narrow link for good.
+    let slow = node.slow_fetches.load(Ordering::Relaxed);
+    let limit = FETCH_LIMIT * (1 << slow.min(FETCH_DOUBLINGS));
+    match timeout(limit, client.fetch(Empty {})).await {
         Ok(Ok(reply)) => {
+            node.slow_fetches.store(0, Ordering::Relaxed);
             let plan = reply.into_inner();
             info!(
                 target: "node",
@@ -217,7 +285,11 @@
             let text = status.message();
             warn!(target: "node", "No plan from {from}: {text}.");
         }
-        Err(_) => warn!(target: "node", "No plan from {from}: silent."),
+        Err(_) => {
+            node.slow_fetches.fetch_add(1, Ordering::Relaxed);
+            let limit_ms = limit.as_millis() as u64;
+            warn!(target: "node", limit_ms, "No plan from {from}: silent.");
+        }
     }
     node.fetching.store(false, Ordering::Relaxed);
 }
--- a/tests/all/large_plan.rs
+++ b/tests/all/large_plan.rs
@@ -7,10 +7,12 @@
 
 use azuremount::{
     control::seat,
+    gateway::plan::{Draft, Invalid},
     node,
     wire::{Gossip, Peer},
 };
 use prost::Message;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
@@ -21,7 +23,7 @@
     time::{sleep, timeout},
 };
 
-use crate::world::{Folder, PATIENCE, options};
+use crate::world::{Folder, PATIENCE, options, read_plan};
 
 /// The port between nodes.
 const PORT: u16 = 7702;
@@ -37,6 +39,29 @@
     (zeros + &digits).into_bytes()
 }
 
+/// A plan of this version and of so many bytes that can't be packed.
+fn dense_plan(version: u64, bytes: usize) -> Vec<u8> {
+    let mut noise = vec![0; bytes];
+    StdRng::seed_from_u64(version).fill(&mut noise[..]);
+    [format!("{version}\n").as_bytes(), &noise].concat()
+}
+
+/// Plans here are their version in digits, and may go on on a second line.
+fn read_first_line(bytes: &[u8]) -> Result<Draft, Invalid> {
+    let line = bytes.split(|byte| *byte == b'\n').next();
+    read_plan(line.unwrap_or_default())
+}
+
+/// Options of a node that founds a cluster on a disk of its own.
+fn founder(ip: Ipv4Addr, folder: &Folder) -> node::Options {
+    node::Options {
+        folder: Some(folder.0.clone()),
+        founds: true,
+        read_plan: read_first_line,
+        ..options(ip, PORT, &[ip])
+    }
+}
+
 /// A leader, a node without a disk, and a narrow link between the two.
 ///
 /// The link has an address of its own, and the node takes it for the leader:
@@ -53,18 +78,16 @@
         let ip = |at| Ipv4Addr::from(0x7f59_0000 + (net << 8) + at);
         let (leader_ip, link_ip, relay_ip) = (ip(1), ip(2), ip(3));
         let folder = Folder::new();
-        let leader = node::spawn(node::Options {
-            folder: Some(folder.0.clone()),
-            founds: true,
-            ..options(leader_ip, PORT, &[leader_ip])
-        });
-        let leader = leader.await.unwrap();
+        let leader = node::spawn(founder(leader_ip, &folder)).await.unwrap();
         let link = vec![
             tokio::spawn(pass_all(link_ip, leader_ip)),
             tokio::spawn(gossip(link_ip, relay_ip, leader.clone())),
         ];
-        let relay = node::spawn(options(relay_ip, PORT, &[link_ip]));
-        let relay = relay.await.unwrap();
+        let relay = node::Options {
+            read_plan: read_first_line,
+            ..options(relay_ip, PORT, &[link_ip])
+        };
+        let relay = node::spawn(relay).await.unwrap();
         Site { leader, relay, _folder: folder, _link: link }
     }
 }
@@ -169,17 +192,10 @@
     const DISK_BYTES: u64 = 64_000_000;
     let ip = Ipv4Addr::from(0x7f59_0301);
     let folder = Folder::new();
-    let node = node::spawn(node::Options {
-        folder: Some(folder.0.clone()),
-        founds: true,
-        ..options(ip, PORT, &[ip])
-    });
-    let node = node.await.unwrap();
+    let node = node::spawn(founder(ip, &folder)).await.unwrap();
     for version in 1..=24 {
         put(&node, &large_plan(version)).await;
-        let files = std::fs::read_dir(&folder.0).unwrap();
-        let bytes: u64 =
-            files.map(|file| file.unwrap().metadata().unwrap().len()).sum();
+        let bytes = folder_bytes(&folder);
         assert!(bytes < DISK_BYTES, "{bytes} bytes after {version} plans");
     }
 }
@@ -191,13 +207,8 @@
 async fn an_operator_is_sent_to_a_wider_link_for_a_large_plan() {
     let ip = |at: u32| Ipv4Addr::from(0x7f59_0400 + at);
     let folder = Folder::new();
-    let leader = node::spawn(node::Options {
-        folder: Some(folder.0.clone()),
-        founds: true,
-        link_mbps: 100,
-        ..options(ip(1), PORT, &[ip(1)])
-    });
-    let leader = leader.await.unwrap();
+    let leader = node::Options { link_mbps: 100, ..founder(ip(1), &folder) };
+    let leader = node::spawn(leader).await.unwrap();
     let narrow =
         node::Options { link_mbps: 10, ..options(ip(2), PORT, &[ip(1)]) };
     let narrow = node::spawn(narrow).await.unwrap();
@@ -215,3 +226,42 @@
     assert_eq!(leader.faster_reader(PLAN_BYTES), None, "to itself");
     assert_eq!(wide.faster_reader(PLAN_BYTES), None, "to a narrower link");
 }
+
+/// As [`changes_of_a_large_plan_do_not_fill_a_disk`], where packing does not
+/// help.
+#[tokio::test]
+async fn changes_of_a_dense_plan_do_not_fill_a_disk() {
+    const PLAN_BYTES: usize = 2_000_000;
+    let folder = Folder::new();
+    let ip = Ipv4Addr::from(0x7f59_0501);
+    let node = node::spawn(founder(ip, &folder)).await.unwrap();
+    for version in 1..=16 {
+        put(&node, &dense_plan(version, PLAN_BYTES)).await;
+        let bytes = folder_bytes(&folder);
+        assert!(bytes < 16_000_000, "{bytes} bytes after {version} plans");
+    }
+}
+
+fn folder_bytes(folder: &Folder) -> u64 {
+    let files = std::fs::read_dir(&folder.0).unwrap();
+    // One may be renamed meanwhile.
+    let length = |file: std::io::Result<std::fs::DirEntry>| {
+        file.and_then(|file| file.metadata()).map_or(0, |file| file.len())
+    };
+    files.map(length).sum()
+}
+
+/// Symptom: a plan is never in force at a node without a disk. Sequence: it
+/// is fetched over a narrow link, in more than a second. Cause: each fetch was
+/// given up after a second, and the next one began at the start.
+#[tokio::test]
+async fn a_plan_that_takes_seconds_over_a_link_comes_in_force() {
+    let site = Site::open(6).await;
+    put(&site.leader, &dense_plan(7, 2 * LINK_BYTES_PER_S)).await;
+    let in_force = async {
+        while !site.relay.is_ready() {
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(PATIENCE, in_force).await.expect("never in force");
+}
