Add tests of replicas that start again under their id, which fail

A replica may now start again under the id that it had, with its counts from the start, and tells when each life began. Lives get names of their own, so that a table by name can't mix them up; nothing ends a former life yet, and nothing reads its beginning.

--- a/src/mesh/table.rs
+++ b/src/mesh/table.rs
@@ -52,6 +52,8 @@
 /// Replicas in each datagram that the receiver probably knows, in turn, so
 /// that every gap is filled within seconds.
 const REPEATED_PER_DATAGRAM: usize = 3;
+/// Stands between a replica's id and the birth of one of its lives.
+const LIFE: char = '@';
 
 common! {
     /// Another node.
@@ -115,7 +117,25 @@
     pub nodes: bool,
 }
 
-/// A replica's number towards other nodes.
+/// What the life of a replica that began at `born` is called; 0 when that is
+/// not told.
+///
+/// A replica may start again under its id, and knows nothing of before. Its
+/// lives are different replicas here, so that nothing that is kept by name
+/// (caches, load, failures, connections, holds) passes from one to the next.
+pub fn life_name(replica: &str, born: u64) -> String {
+    if born == 0 && !replica.contains(LIFE) {
+        return replica.to_owned();
+    }
+    format!("{replica}{LIFE}{born}")
+}
+
+/// The replica that a life is one of, as it calls itself.
+pub fn replica_of(life: &str) -> &str {
+    life.rsplit_once(LIFE).map_or(life, |(replica, _)| replica)
+}
+
+/// A life's number towards other nodes.
 pub fn replica_hash(id: &str) -> u64 {
     crate::util::name_hash(id)
 }
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -901,6 +901,10 @@
     /// From before the sender started; not heard since.
     #[prost(bool, tag = "13")]
     pub remembered: bool,
+    /// When this life of the replica began, in ms since 1970; 0 when not told.
+    /// The id names the life: it ends in "@" and this number.
+    #[prost(uint64, tag = "14")]
+    pub born: u64,
 }
 /// The replicas that a node may use.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/tests/all/mesh.rs
+++ b/tests/all/mesh.rs
@@ -2,7 +2,7 @@
 //! wrong clock.
 
 use azuremount::{
-    mesh::table::{Own, State, Table},
+    mesh::table::{Own, State, Table, life_name, replica_hash, replica_of},
     wire::{Gossip, Peer, RecordUsage, Sighting, Spent, TeamCount, Under},
 };
 
@@ -289,3 +289,96 @@
     let unknown = unknown.filter(|one| one.state == State::Ready).count();
     assert_eq!(unknown, 0, "2.1 s later");
 }
+
+/// What a life of a replica says of itself.
+fn life(id: &str, born: u64, state: u32, sequence: u64) -> Sighting {
+    Sighting { born, ..says(&life_name(id, born), state, sequence) }
+}
+
+fn usable(table: &Table, now: u64) -> Vec<String> {
+    table.usable(now).into_iter().map(|one| one.id).collect()
+}
+
+/// Symptom: a replica that was restarted gets no work for minutes. Sequence:
+/// it says that it leaves, ends, and starts again under its id, with its count
+/// of statements anew; a statement of its old life comes in after that. Cause:
+/// both lives were one replica, whose state never goes back and whose newest
+/// statement is the one with the highest count.
+#[test]
+fn a_replica_that_starts_again_under_its_id_is_used() {
+    let mut table = table();
+    table.sight(0, life("a", 1000, 0, 50), true);
+    table.sight(1, life("a", 1000, 1, 51), true);
+    assert!(table.sight(5, life("a", 2000, 0, 1), true));
+    assert_eq!(usable(&table, 5), ["a@2000"]);
+    // Late word of the old life: its own, and through another node.
+    table.sight(6, life("a", 1000, 1, 52), true);
+    let late = Gossip {
+        replicas: vec![life("a", 1000, 0, 49), life("a", 1000, 2, 53)],
+        left: vec![replica_hash("a@1000")],
+        ..gossip(2, 1)
+    };
+    table.hear(7, 0, late);
+    assert_eq!(usable(&table, 7), ["a@2000"]);
+}
+
+/// Symptom: requests are sent by what a crashed replica had, to the one that
+/// took its place. Sequence: it crashes without a word and starts again. Cause:
+/// its former life went on counting until it had been silent for long.
+#[test]
+fn a_life_ends_when_the_next_one_begins() {
+    let mut table = table();
+    table.sight(0, life("a", 1000, 0, 50), true);
+    table.sight(0, life("b", 1000, 0, 50), true);
+    table.sight(100, life("a", 2000, 0, 1), false);
+    assert_eq!(usable(&table, 100), ["a@2000", "b@1000"]);
+    assert_eq!(state(&table, "a@1000"), Some(State::Gone));
+    // What is remembered of it does not bring it back either.
+    let remembered = Sighting { remembered: true, ..life("a", 500, 0, 9) };
+    table.sight(101, remembered, false);
+    assert_eq!(usable(&table, 101), ["a@2000", "b@1000"]);
+}
+
+/// Symptom: a replica is out of use for good. Sequence: the clock of its VM
+/// jumps back while it is down, so its new life began before its old one by
+/// the numbers. Cause: the higher number counts, whoever speaks.
+#[test]
+fn a_clock_that_jumped_back_shuts_no_replica_out() {
+    let mut table = table();
+    table.sight(0, life("a", 5000, 0, 50), true);
+    table.sight(1000, life("a", 4000, 0, 1), true);
+    assert_eq!(usable(&table, 1000), ["a@5000"], "may be late word");
+    table.sight(11_000, life("a", 4000, 0, 9), true);
+    assert_eq!(usable(&table, 11_000), ["a@4000"]);
+    // A node that has not noticed yet does not end it.
+    let late =
+        Gossip { replicas: vec![life("a", 5000, 0, 50)], ..gossip(2, 1) };
+    table.hear(11_001, 0, late);
+    assert_eq!(usable(&table, 11_001), ["a@4000"]);
+}
+
+/// A goodbye that does not tell which life says it is the present one's, also
+/// at nodes that hear of it by the replica's number only.
+#[test]
+fn a_goodbye_without_a_life_ends_the_present_one() {
+    let goodbye = Sighting { service: String::new(), ..says("a", 2, 0) };
+    let (mut one, mut other) = (table(), Table::open(peer(2, 0)));
+    one.sight(0, life("a", 1000, 0, 5), true);
+    other.sight(0, life("a", 1000, 0, 5), true);
+    one.sight(10, goodbye.clone(), true);
+    assert!(usable(&one, 10).is_empty());
+    let told = Gossip { left: vec![replica_hash("a")], ..gossip(1, 1) };
+    other.hear(11, 0, told);
+    assert_eq!(state(&other, "a@1000"), Some(State::Leaving));
+    // Its next life is another matter.
+    one.sight(5000, life("a", 4000, 0, 1), true);
+    assert_eq!(usable(&one, 5000), ["a@4000"]);
+}
+
+#[test]
+fn a_life_is_named_after_its_replica() {
+    for (id, born) in [("a", 0), ("a", 7), ("a@b", 0), ("a@3", 0), ("@", 9)] {
+        assert_eq!(replica_of(&life_name(id, born)), id);
+    }
+    assert_eq!(life_name("a", 0), "a");
+}
