Let the last life of a replica count, and read what replicas say strictly

A replica that starts again under its id was ignored until its count of statements had passed the old one, a leave that it said before stuck, and what its former life had cached was believed. A life that speaks ends the others of its replica. Late word of a former life changes nothing, unless the known one has been silent for ten seconds: then the clock has jumped back, which costs such a replica ten seconds out of use. A goodbye that doesn't tell its life ends the present one.

Statements that lack a field, or have another type or value than the platform names there, are refused with the reason, counted, and told in at most one line a second. Before, states that are not known were taken for leaving, and defaults stood in for slots, zone and count.

--- a/src/mesh/table.rs
+++ b/src/mesh/table.rs
@@ -8,8 +8,10 @@
 //! second or two. So it goes into every datagram for a while, in eight bytes:
 //! when a data centre is reclaimed, dozens leave at once.
 //!
-//! A replica's state only moves from ready to leaving to gone. Its next start
-//! has a new id; so a late heartbeat can't bring back one that has left.
+//! The state of a replica's life only moves from ready to leaving to gone. Its
+//! next start is another life; so a late heartbeat can't bring back one that
+//! has left. Lives of one replica are ordered by when they began, and the last
+//! one counts: see [`life_name`].
 
 use std::net::Ipv4Addr;
 
@@ -52,6 +54,14 @@
 /// Replicas in each datagram that the receiver probably knows, in turn, so
 /// that every gap is filled within seconds.
 const REPEATED_PER_DATAGRAM: usize = 3;
+/// A life that began before the known one by its own word is late word of a
+/// former life, unless the known one has been silent for so long, in ms: then
+/// the clock of its VM has jumped back between the two. Longer than heartbeats
+/// are late as a rule; a replica whose clock jumped back is unused as long.
+const SILENT_LIFE_MS: u64 = 10_000;
+/// A goodbye that doesn't tell which life says it is that of a life that is
+/// first heard so soon after it, too, in ms: heartbeats are seconds late.
+const GOODBYE_MS: u64 = 3000;
 /// Stands between a replica's id and the birth of one of its lives.
 const LIFE: char = '@';
 
@@ -189,10 +199,15 @@
             self.remember(now, says);
             return false;
         }
+        let says = self.with_present_life(says);
+        if self.is_outlived(now, &says) {
+            return false;
+        }
+        self.end_former_lives(now, &says);
         let heard_at = now.saturating_sub(u64::from(says.age_ms));
         let mut state = State::from_u32(says.state);
         let hash = replica_hash(&says.id);
-        let left = position(&self.left, &hash, |(hash, _)| hash).is_ok();
+        let left = self.has_left(hash) || self.said_goodbye(now, &says);
         if state != State::Ready {
             self.note_left(now, hash);
         } else if left {
@@ -218,6 +233,101 @@
         }
     }
 
+    /// A goodbye that doesn't tell which life says it is the present one's.
+    fn with_present_life(&self, says: Sighting) -> Sighting {
+        if says.born != 0 || State::from_u32(says.state) != State::Gone {
+            return says;
+        }
+        let lives = self.lives(replica_of(&says.id));
+        let present =
+            lives.max_by_key(|one| (one.state != State::Gone, one.says.born));
+        match present {
+            Some(life) => Sighting {
+                id: life.says.id.clone(),
+                born: life.says.born,
+                ..says
+            },
+            None => says,
+        }
+    }
+
+    /// The life that ends when this one speaks, if there is one.
+    pub fn former_life(&self, says: &Sighting) -> Option<String> {
+        let mut lives = self.lives(replica_of(&says.id));
+        let former = lives.find(|one| {
+            one.says.born != says.born && one.state != State::Gone
+        });
+        former.map(|one| one.says.id.clone())
+    }
+
+    /// Where the lives of a replica are.
+    fn lives_at(&self, replica: &str) -> impl Iterator<Item = usize> + use<> {
+        // A life that never told when it began is called as its replica is.
+        let untold =
+            position(&self.replicas, replica, |one| one.says.id.as_str());
+        let told = format!("{replica}{LIFE}");
+        let from = self
+            .replicas
+            .partition_point(|one| one.says.id.as_str() < told.as_str());
+        let count = self.replicas[from..]
+            .iter()
+            .take_while(|one| one.says.id.starts_with(&told))
+            .count();
+        untold.ok().into_iter().chain(from..from + count)
+    }
+
+    fn lives(&self, replica: &str) -> impl Iterator<Item = &Replica> {
+        self.lives_at(replica).map(|at| &self.replicas[at])
+    }
+
+    /// True for late word of a life that another one has followed.
+    fn is_outlived(&self, now: u64, says: &Sighting) -> bool {
+        self.lives(replica_of(&says.id)).any(|one| {
+            let follows = one.says.born > says.born
+                && one.state != State::Gone
+                && now < one.heard_at + SILENT_LIFE_MS;
+            // One that has ended ends no other.
+            let ended = says.born != 0
+                && one.says.born == says.born
+                && one.state == State::Gone;
+            follows || ended
+        })
+    }
+
+    /// Ends the other lives of a replica of which one speaks.
+    ///
+    /// A replica that crashes and starts again says nothing of it. Its former
+    /// life would be sent requests until it has been silent for seconds.
+    fn end_former_lives(&mut self, now: u64, says: &Sighting) {
+        let lives = self.lives_at(replica_of(&says.id));
+        for at in lives {
+            let one = &mut self.replicas[at];
+            if one.says.born == says.born || one.state == State::Gone {
+                continue;
+            }
+            one.state = State::Gone;
+            one.says.state = State::Gone as u32;
+            one.left_at = now;
+            let hash = replica_hash(&one.says.id);
+            self.note_left(now, hash);
+        }
+    }
+
+    fn has_left(&self, hash: u64) -> bool {
+        position(&self.left, &hash, |(hash, _)| hash).is_ok()
+    }
+
+    /// True for a life whose replica has just said goodbye without saying
+    /// which life it was.
+    fn said_goodbye(&self, now: u64, says: &Sighting) -> bool {
+        if says.born == 0 {
+            return false;
+        }
+        let hash = replica_hash(replica_of(&says.id));
+        position(&self.left, &hash, |(hash, _)| hash)
+            .is_ok_and(|at| now < self.left[at].1 + GOODBYE_MS)
+    }
+
     /// Takes what is remembered of a replica from before this node started.
     ///
     /// After a loss of power to all nodes none of them knows any replica until
@@ -226,13 +336,10 @@
     /// known before is safe, as requests name the replica that they are meant
     /// for, and another one at its address does not run them.
     pub fn remember(&mut self, now: u64, says: Sighting) {
-        let known = position(&self.replicas, says.id.as_str(), |one| {
-            one.says.id.as_str()
-        });
-        let hash = replica_hash(&says.id);
-        let left = position(&self.left, &hash, |(hash, _)| hash).is_ok();
+        let known = self.lives(replica_of(&says.id)).next().is_some();
+        let left = self.has_left(replica_hash(&says.id));
         let ready = State::from_u32(says.state) == State::Ready;
-        if known.is_ok() || left || !ready || says.service.is_empty() {
+        if known || left || !ready || says.service.is_empty() {
             return;
         }
         let replica = Replica {
@@ -272,7 +379,10 @@
             return false;
         }
         let ready = self.replicas.iter_mut().find(|one| {
-            one.state == State::Ready && replica_hash(&one.says.id) == hash
+            let replica = replica_of(&one.says.id);
+            one.state == State::Ready
+                && (replica_hash(&one.says.id) == hash
+                    || replica_hash(replica) == hash)
         });
         let Some(replica) = ready else { return false };
         replica.state = State::Leaving;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -72,6 +72,8 @@
     pub term: Gauge,
     /// 1 while that member leads.
     pub leads: Gauge,
+    /// Statements that name no replica to use.
+    pub unreadable: Counter,
 }
 
 fn seconds() -> Histogram {
@@ -111,6 +113,7 @@
             plan_reads: Family::default(),
             term: Gauge::default(),
             leads: Gauge::default(),
+            unreadable: Counter::default(),
             registry: Registry::default(),
         };
         // First those that tell how control is, as collectors cut long pages.
@@ -134,6 +137,11 @@
             "Reads of the plan through the quorum, by outcome",
             metrics.plan_reads.clone(),
         );
+        registry.register(
+            "unreadable_statements",
+            "Statements of replicas that can't be used",
+            metrics.unreadable.clone(),
+        );
         registry.register(
             "latency_seconds",
             "From request to the end of its answer",
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -40,7 +40,7 @@
     task::JoinHandle,
     time::{Instant, sleep, timeout},
 };
-use tracing::info;
+use tracing::{info, warn};
 
 use crate::{
     control::{
@@ -76,6 +76,10 @@
 const LAST_WORDS: Duration = Duration::from_millis(400);
 /// How long each background task gets to end by itself.
 const PEERS_END: Duration = Duration::from_millis(100);
+/// Between two lines on statements that can't be read.
+const UNREADABLE_PAUSE: Duration = Duration::from_secs(1);
+/// Characters of a name from outside that go into a line.
+const NAMED: usize = 100;
 /// Addresses that callers are given at most.
 const ADDRESSES: usize = 64;
 
@@ -133,6 +137,8 @@
     slow_fetches: AtomicU32,
     /// It can tell others what replicas have cached.
     knows_caches: AtomicBool,
+    /// When a line last told of an unreadable statement.
+    unreadable_told: Mutex<Option<Instant>>,
     stopping: AtomicBool,
     /// Ends the server for other nodes, its open connections too.
     last: watch::Sender<bool>,
@@ -186,6 +192,7 @@
         fetching: AtomicBool::new(false),
         slow_fetches: AtomicU32::new(0),
         knows_caches: AtomicBool::new(false),
+        unreadable_told: Mutex::new(None),
         stopping: AtomicBool::new(false),
         last: watch::Sender::new(false),
         front: options.front,
@@ -336,10 +343,14 @@
         let now = node.gateway.timer.now();
         let id = says.id.clone();
         let (state, leaves_ms) = (says.state, says.leaves_ms);
-        if mesh.table().sight(now, says, true) {
+        let mut table = mesh.table();
+        let former = table.former_life(&says);
+        let changed = table.sight(now, says, true);
+        drop(table);
+        if changed {
             info!(
                 target: "node",
-                replica = id, state, leaves_ms,
+                replica = id, state, leaves_ms, former,
                 "Replica changed."
             );
             // Refreshed before the replica has its answer: from then on it
@@ -349,6 +360,22 @@
         }
     }
 
+    /// Notes a statement that names no replica to use: whose, and why.
+    ///
+    /// At most a line a second: another writer may send any number.
+    pub fn note_unreadable(&self, whose: &str, why: &dyn fmt::Display) {
+        let node = &self.node;
+        let unreadable = node.gateway.metrics.unreadable.inc() + 1;
+        let now = Instant::now();
+        let mut told = lock(&node.unreadable_told);
+        if told.is_some_and(|at| now < at + UNREADABLE_PAUSE) {
+            return;
+        }
+        *told = Some(now);
+        let whose: String = whose.chars().take(NAMED).collect();
+        warn!(target: "node", whose, unreadable, "Unreadable: {why}.");
+    }
+
     /// Takes new seeds.
     pub fn set_seeds(&self, seeds: Vec<Ipv4Addr>) {
         if let Some(mesh) = self.node.mesh.get() {
