Let the soak's replicas start again under their ids, and lose disks beside kills

Besides a run's faults, which stay as they were for each seed: a replica crashes and starts again under its id with its counts from the start, while last words of its former life come in late; somebody who is no replica says something like a heartbeat, which must not be acknowledged; a disk is lost while all other nodes are killed.

--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -13,7 +13,7 @@
 use crate::{
     Shared,
     proxy::{Mode, Proxy},
-    replica::Replica,
+    replica::{Replica, speak_nonsense},
     site::{DISKS, Site},
 };
 
@@ -21,6 +21,8 @@
 const SYNC: Duration = Duration::from_secs(6);
 /// From SIGTERM to SIGKILL.
 const GRACE: Duration = Duration::from_secs(8);
+/// After how many of the faults there is another one besides.
+const BESIDES: f64 = 0.3;
 /// Kinds of fault, by number.
 const KINDS: u32 = 13;
 
@@ -41,6 +43,8 @@
     replicas: Vec<Replica>,
     cloud: Proxy,
     rng: StdRng,
+    /// For faults besides: those of a seed stay as they were.
+    besides: StdRng,
     cures: Vec<(Instant, Cure)>,
     disk_lost_at: Option<Instant>,
     next_replica: u64,
@@ -57,6 +61,7 @@
         cloud: Proxy,
     ) -> Faults {
         let rng = StdRng::seed_from_u64(shared.seed);
+        let besides = StdRng::seed_from_u64(!shared.seed);
         let next_replica = replicas.len() as u64;
         Faults {
             shared,
@@ -64,6 +69,7 @@
             replicas,
             cloud,
             rng,
+            besides,
             cures: Vec::new(),
             disk_lost_at: None,
             next_replica,
@@ -79,6 +85,9 @@
             self.cure(Instant::now()).await?;
             self.look();
             self.harm().await?;
+            if self.besides.random_bool(BESIDES) {
+                self.harm_besides().await?;
+            }
         }
         while let Some(last) = self.cures.iter().map(|(at, _)| *at).max() {
             sleep(Duration::from_millis(50)).await;
@@ -216,6 +225,36 @@
         Ok(())
     }
 
+    /// Replicas that start again under their ids, writers that are none, and
+    /// a lost disk while all other nodes are killed.
+    async fn harm_besides(&mut self) -> std::io::Result<()> {
+        let what = match self.besides.random_range(0..5) {
+            0 | 1 => {
+                let at = self.besides.random_range(0..self.replicas.len());
+                let shared = self.shared.clone();
+                self.replicas[at].start_again(shared).await?;
+                "replica starts again"
+            }
+            2 | 3 => {
+                speak_nonsense(&self.shared, &mut self.besides).await;
+                "nonsense"
+            }
+            _ if self.may_lose_a_disk() => {
+                let lost = self.besides.random_range(0..DISKS);
+                self.disk_lost_at = Some(Instant::now());
+                for at in 0..self.site.nodes.len() {
+                    self.site.kill(at);
+                    self.later(200, Cure::Start(at));
+                }
+                self.site.wipe(lost)?;
+                "disk lost, all killed"
+            }
+            _ => return Ok(()),
+        };
+        self.played.push(what);
+        Ok(())
+    }
+
     /// One disk at a time, and not before the one before has caught up.
     fn may_lose_a_disk(&self) -> bool {
         self.disk_lost_at.is_none_or(|at| at.elapsed() > SYNC)
--- a/soak/src/replica.rs
+++ b/soak/src/replica.rs
@@ -3,7 +3,7 @@
 use std::{
     net::{Ipv4Addr, SocketAddrV4},
     sync::{Arc, Mutex},
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use azuremount_platform::standin as wire;
@@ -13,6 +13,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
+use serde_json::json;
 use tokio::{net::TcpListener, task::JoinHandle, time::sleep};
 
 use crate::{
@@ -49,17 +50,19 @@
     format!("id: {number}\ndata: {id} {number}\n\n")
 }
 
-/// One incarnation.
+/// One life of a replica.
 #[derive(Debug)]
 pub struct Replica {
     /// Between it and the nodes.
     pub proxy: Proxy,
+    number: u64,
+    born: u64,
     tasks: Vec<JoinHandle<()>>,
     leaving: Arc<Mutex<bool>>,
 }
 
 impl Replica {
-    /// Starts with an id and an address of its own.
+    /// Starts with an id, made of `number`, and an address of its own.
     pub async fn spawn(
         shared: Arc<Shared>,
         number: u64,
@@ -81,9 +84,33 @@
             async move { runner.run(request).await }
         };
         let leaving = Arc::new(Mutex::new(false));
-        let beats = beat(shared, id, proxy.address, leaving.clone());
+        let born = now_ms();
+        let life = Life { id, born, address: proxy.address };
+        let beats = beat(shared, life, leaving.clone());
         let tasks = vec![serve(listener, handler), tokio::spawn(beats)];
-        Ok(Replica { proxy, tasks, leaving })
+        Ok(Replica { proxy, number, born, tasks, leaving })
+    }
+
+    /// Crashes and starts again under its id, while a last word of the life
+    /// before is still on its way.
+    pub async fn start_again(
+        &mut self,
+        shared: Arc<Shared>,
+    ) -> std::io::Result<()> {
+        self.crash();
+        let former = Life {
+            id: format!("i-{}", self.number),
+            born: self.born,
+            address: self.proxy.address,
+        };
+        *self = Replica::spawn(shared.clone(), self.number).await?;
+        tokio::spawn(async move {
+            for pause in [300, 900, 2000] {
+                sleep(Duration::from_millis(pause)).await;
+                say(&shared, &former, Some("draining"), 1_000_000).await;
+            }
+        });
+        Ok(())
     }
 
     /// Ends without a word.
@@ -109,21 +136,28 @@
     mutex.lock().unwrap_or_else(|held| held.into_inner())
 }
 
-async fn beat(
-    shared: Arc<Shared>,
+fn now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(1, |time| time.as_millis() as u64)
+}
+
+/// As which life a replica speaks.
+struct Life {
     id: String,
+    born: u64,
     address: SocketAddrV4,
-    leaving: Arc<Mutex<bool>>,
-) {
+}
+
+async fn beat(shared: Arc<Shared>, life: Life, leaving: Arc<Mutex<bool>>) {
     let mut sequence = 0;
     loop {
         sequence += 1;
         let leaves = *lock(&leaving);
         let state = if leaves { "draining" } else { "ready" };
-        say(&shared, &id, address, Some(state), sequence).await;
+        say(&shared, &life, Some(state), sequence).await;
         if leaves {
             sleep(DRAIN).await;
-            say(&shared, &id, address, None, sequence).await;
+            say(&shared, &life, None, sequence).await;
             return;
         }
         sleep(HEARTBEAT).await;
@@ -133,12 +167,13 @@
 /// Tells one node after the other until one has acknowledged it.
 async fn say(
     shared: &Shared,
-    id: &str,
-    address: SocketAddrV4,
+    life: &Life,
     state: Option<&str>,
     sequence: u64,
 ) {
-    let (path, body) = wire::heartbeat(id, SERVICE, address, state, sequence);
+    let Life { id, born, address } = life;
+    let (path, body) =
+        wire::heartbeat(id, *born, SERVICE, *address, state, sequence);
     for _ in 0..4 {
         let node = shared.any_control();
         let said = call(node, Method::POST, &path, Some(&body)).await;
@@ -148,6 +183,21 @@
     }
 }
 
+/// Something that is no replica says something like a heartbeat.
+pub async fn speak_nonsense(shared: &Shared, rng: &mut StdRng) {
+    let here = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9);
+    let (path, mut body) =
+        wire::heartbeat("i-nobody", now_ms(), SERVICE, here, Some("ready"), 1);
+    let fields = ["Slots", "State", "Seq", "born", "Address"];
+    let field = fields[rng.random_range(0..fields.len())];
+    body[field] = json!(["another writer"]);
+    let node = shared.any_control();
+    let said = call(node, Method::POST, &path, Some(&body)).await;
+    if said.is_ok_and(|(status, _)| status.is_success()) {
+        shared.ledger.breach(format!("a spoilt {field} was acknowledged"));
+    }
+}
+
 #[derive(Clone)]
 struct Runner {
     id: String,
--- a/tests/all/nodes.rs
+++ b/tests/all/nodes.rs
@@ -23,6 +23,8 @@
 const PORT: u16 = 7701;
 
 struct Site {
+    /// Members that may lose their disks at once.
+    tolerance: usize,
     ips: Vec<Ipv4Addr>,
     folders: Vec<Option<Folder>>,
     nodes: Vec<Option<node::Handle>>,
@@ -31,10 +33,19 @@
 impl Site {
     /// Starts `disks` nodes with a disk and `others` without.
     async fn open(disks: usize, others: usize) -> Site {
+        Site::open_tolerant(disks, others, 1).await
+    }
+
+    async fn open_tolerant(
+        disks: usize,
+        others: usize,
+        tolerance: usize,
+    ) -> Site {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let net = NEXT.fetch_add(1, Ordering::Relaxed);
         let count = disks + others;
         let mut site = Site {
+            tolerance,
             ips: (0..count as u32)
                 .map(|at| Ipv4Addr::from(0x7f58_0001 + (net << 8) + at))
                 .collect(),
@@ -54,7 +65,7 @@
         let options = node::Options {
             folder: folder.map(|folder| folder.0.clone()),
             founds: first && at == 0,
-            tolerance: 1,
+            tolerance: self.tolerance,
             ..options(self.ips[at], PORT, &self.ips[..3])
         };
         let started = async {
@@ -343,3 +354,35 @@
         seat.stop().await;
     }
 }
+
+/// Symptom that it guards against: a configuration that was just confirmed can't
+/// be read any more. Sequence: as many disks as may be lost are lost, and all
+/// other nodes, those without a disk too, end at the same moment; each member in
+/// turn is among those that come back empty, the leader as well.
+#[tokio::test]
+async fn what_was_confirmed_outlasts_lost_disks_beside_lost_power() {
+    let mut site = Site::open_tolerant(5, 2, 2).await;
+    put(site.node(6), 1).await;
+    site.all_serve().await;
+    for (round, lost) in [[0, 1], [2, 3], [4, 0]].into_iter().enumerate() {
+        let version = 10 + round as u64;
+        put(site.node(5), version).await;
+        for at in 0..7 {
+            site.stop(at).await;
+        }
+        for at in lost {
+            site.folders[at] = Some(Folder::new());
+        }
+        for at in 0..7 {
+            site.start(at, false).await;
+        }
+        for at in 0..7 {
+            assert_eq!(site.read(at).await, version, "round {round}");
+        }
+        // The emptied ones are voters again before the next are lost: the
+        // bound of the deployments is six seconds.
+        if round < 2 {
+            sleep(Duration::from_secs(6)).await;
+        }
+    }
+}
