--- a/tests/all/large_plan.rs
+++ b/tests/all/large_plan.rs
@@ -153,7 +153,10 @@
 /// Symptom: the plan in force can't be read at nodes without a disk, although
 /// they serve by it and a leader with a majority answers. Sequence: the plan
 /// grows until it takes longer over such a node's link than a read may. Cause:
-/// for each read the leader sent the whole plan, to a node that held it.
+/// for each read the leader sent the whole plan, to a node that held it. Proved
+/// by the time of reads, which grew with the plan's bytes over the link (20 ms
+/// for 13 kB, 250 for 284, 700 and more for 828) while the leader confirmed each
+/// within a few ms.
 #[tokio::test]
 async fn a_large_plan_is_read_through_a_narrow_link() {
     let site = Site::open(1).await;
