--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -9,6 +9,8 @@
 //! the regular datagrams after that.
 
 pub mod counts;
+mod datagram;
+mod lives;
 mod replica;
 pub mod table;
 
