--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -8,7 +8,10 @@
 //! run it, or if it may run twice; and only within the route's attempts, the
 //! retry budget and the deadline. `Attempts` is that rule.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
@@ -116,7 +119,10 @@
     let asked = gateway.dialect.read(request.headers());
     let id = asked.id.clone();
     match accept(&gateway, request, asked, began).await {
-        Ok(work) => run(work).await,
+        Ok(work) => {
+            gateway.begun.fetch_add(1, Ordering::Relaxed);
+            run(work).await
+        }
         Err(refusal) => {
             refusal.note(&gateway.metrics, id.as_ref(), began);
             refusal.into_response()
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -119,6 +119,8 @@
     /// Plan or replicas may have changed.
     changed: watch::Sender<()>,
     opened: Instant,
+    /// Callers' requests that were accepted.
+    begun: AtomicU64,
 }
 
 impl std::fmt::Debug for Gateway {
@@ -152,6 +154,7 @@
             refreshed_at: AtomicU64::new(0),
             changed: watch::Sender::new(()),
             opened: Instant::now(),
+            begun: AtomicU64::new(0),
         }
     }
 
@@ -251,7 +254,13 @@
             .collect();
         let mut fleet = self.fleet();
         let cached = fleet.take_cached(self.timer.now());
-        Own { under: fleet.under(), spent, work: fleet.work(), cached }
+        Own {
+            under: fleet.under(),
+            spent,
+            work: fleet.work(),
+            cached,
+            begun: self.begun.load(Ordering::Relaxed),
+        }
     }
 
     /// Takes note of what other nodes have sent to replicas.
--- a/src/mesh/datagram.rs
+++ b/src/mesh/datagram.rs
@@ -120,7 +120,7 @@
             left: self.lately_left(now),
             relayed: self.relayed(now),
             unheard: self.unheard(now).map(|node| node.says.ip).collect(),
-            hello: false,
+            ..Gossip::default()
         }
     }
 
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -12,6 +12,7 @@
 mod datagram;
 mod lives;
 mod replica;
+pub mod round;
 pub mod table;
 
 use std::{
@@ -30,7 +31,10 @@
 };
 use tracing::{debug, info, warn};
 
-use self::table::{News, Own, Table};
+use self::{
+    round::{Round, Sending},
+    table::{News, Own, Table},
+};
 use crate::{
     timer::Timer,
     util::wall_ms,
@@ -168,12 +172,15 @@
         self.table.lock().unwrap_or_else(|held| held.into_inner())
     }
 
-    async fn send(&self, gossip: &Gossip, to: Ipv4Addr) {
+    fn seeds(&self) -> Vec<Ipv4Addr> {
+        let held = self.seeds.lock();
+        held.unwrap_or_else(|held| held.into_inner()).clone()
+    }
+
+    async fn send(&self, datagram: &[u8], to: Ipv4Addr) {
         let to = SocketAddr::from((to, self.port));
         // A datagram that can't be sent is as good as one lost on its way.
-        if let Err(error) =
-            self.socket.send_to(&gossip.encode_to_vec(), to).await
-        {
+        if let Err(error) = self.socket.send_to(datagram, to).await {
             debug!(target: "mesh", "Can't send to {to}: {error}.");
         }
     }
@@ -195,7 +202,7 @@
             warn!(target: "mesh", "Unreadable datagram from {from}.");
             continue;
         };
-        let hello = gossip.hello;
+        let asked = gossip.from.clone().filter(|_| gossip.hello);
         let cached = std::mem::take(&mut gossip.cached);
         if !cached.is_empty() {
             host.cached(cached);
@@ -205,12 +212,12 @@
         if news != News::default() {
             host.clone().news(news);
         }
-        if let (true, SocketAddr::V4(from)) = (hello, from) {
+        if let (Some(asked), SocketAddr::V4(from)) = (asked, from) {
             // Before the table is locked: the host locks things of its own.
             let own = host.own();
             let wall_ms = wall_ms() as i64;
-            let answer = shared.table().compose(now, wall_ms, own);
-            shared.send(&answer, *from.ip()).await;
+            let answer = shared.table().answer(now, wall_ms, own, &asked);
+            shared.send(&answer.encode_to_vec(), *from.ip()).await;
         }
     }
 }
@@ -232,65 +239,21 @@
             shared.table().expire(shared.timer.now());
             host.clone().news(News::default());
         }
-        // What is urgent goes to all at once, also where many take turns.
-        let most = if regular { FANOUT } else { usize::MAX };
-        tell_all(&shared, &*host, round, most).await;
-    }
-}
-
-async fn tell_all(shared: &Shared, host: &dyn Host, round: u64, most: usize) {
-    let now = shared.timer.now();
-    let own = host.own();
-    let mut gossip = shared.table().compose(now, wall_ms() as i64, own);
-    let (mut live, silent) = split_nodes(shared, now);
-    let disks = disks(shared, now);
-    if live.len() > most {
-        let from = (round as usize * most) % live.len();
-        live.rotate_left(from);
-        live.truncate(most);
-    }
-    let slim = without_usage(&gossip);
-    let witness = round as usize % live.len().max(1);
-    for (at, to) in live.into_iter().enumerate() {
-        let whole = at == witness || disks.contains(&to);
-        shared.send(if whole { &gossip } else { &slim }, to).await;
-    }
-    if round % SILENT_ROUNDS == 1 || silent.len() <= 3 {
-        gossip.hello = true;
-        for to in silent {
-            shared.send(&gossip, to).await;
+        // Before the table is locked: the host locks things of its own.
+        let own = host.own();
+        let round = Round {
+            now: shared.timer.now(),
+            wall_ms: wall_ms() as i64,
+            number: round,
+            is_urgent: !regular,
+        };
+        let seeds = shared.seeds();
+        let sendings = shared.table().round(round, own, &seeds);
+        for Sending { to, gossip } in sendings {
+            let bytes = gossip.encode_to_vec();
+            for to in to {
+                shared.send(&bytes, to).await;
+            }
         }
     }
 }
-
-/// Nodes that can lead: only they make reports of usage.
-fn disks(shared: &Shared, now: u64) -> Vec<Ipv4Addr> {
-    let table = shared.table();
-    let disks = table.live(now).filter(|node| node.says.has_disk);
-    disks.map(|node| node.ip()).collect()
-}
-
-/// A datagram without counts, which are half of it where there are many
-/// teams. Besides those that can lead, one node in turn gets them as well, so
-/// that they outlast the loss of all that can lead.
-fn without_usage(gossip: &Gossip) -> Gossip {
-    Gossip { usage: Vec::new(), relayed: Vec::new(), ..gossip.clone() }
-}
-
-/// Nodes that are heard, and nodes and seeds that are not.
-fn split_nodes(shared: &Shared, now: u64) -> (Vec<Ipv4Addr>, Vec<Ipv4Addr>) {
-    let table = shared.table();
-    let live: Vec<Ipv4Addr> = table.live(now).map(|one| one.ip()).collect();
-    let seeds = shared.seeds.lock().unwrap_or_else(|held| held.into_inner());
-    let me = Ipv4Addr::from(table.own().ip);
-    let mut silent: Vec<Ipv4Addr> = table
-        .nodes()
-        .iter()
-        .map(|node| node.ip())
-        .chain(seeds.iter().copied())
-        .filter(|ip| *ip != me && !live.contains(ip))
-        .collect();
-    silent.sort_unstable();
-    silent.dedup();
-    (live, silent)
-}
--- a/src/mesh/table.rs
+++ b/src/mesh/table.rs
@@ -84,6 +84,8 @@
     pub work: Vec<Work>,
     /// Parts of prompts that replicas have been sent lately.
     pub cached: Vec<Cached>,
+    /// Callers' requests since the start.
+    pub begun: u64,
 }
 
 /// What a datagram changed.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -80,8 +80,6 @@
 const UNREADABLE_PAUSE: Duration = Duration::from_secs(1);
 /// Characters of a name from outside that go into a line.
 const NAMED: usize = 100;
-/// Addresses that callers are given at most.
-const ADDRESSES: usize = 64;
 
 /// Reads a plan in the operators' own format.
 pub type ReadPlan = fn(&[u8]) -> Result<Draft, Invalid>;
@@ -296,17 +294,9 @@
         let node = &self.node;
         let now = node.gateway.timer.now();
         let port = node.front.port();
-        let mut entries = Vec::new();
-        if node.is_ready() {
-            entries.push(node.front);
-        }
-        if let Some(mesh) = node.mesh.get() {
-            let table = mesh.table();
-            let live = table.live(now).filter(|one| one.says.serving);
-            entries.extend(live.map(|one| SocketAddrV4::new(one.ip(), port)));
-        }
-        entries.truncate(ADDRESSES);
-        entries
+        let Some(mesh) = node.mesh.get() else { return Vec::new() };
+        let handed = mesh.table().handed_out(now, None);
+        handed.into_iter().map(|ip| SocketAddrV4::new(ip, port)).collect()
     }
 
     /// Takes a plan in the operators' format; returns once it is committed.
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -867,6 +867,12 @@
     /// The VM's link, in Mbit/s; 0 when not known.
     #[prost(uint32, tag = "10")]
     pub link_mbps: u32,
+    /// 0: active, 1: draining, 2: standby. A node of an older version is active.
+    #[prost(uint32, tag = "11")]
+    pub role: u32,
+    /// Callers' requests each second, on average.
+    #[prost(uint32, tag = "12")]
+    pub rate: u32,
 }
 /// What is known of one incarnation of a replica.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -985,6 +991,18 @@
     #[prost(message, repeated, tag = "2")]
     pub windows: ::prost::alloc::vec::Vec<RecordUsage>,
 }
+/// A heartbeat of a replica that the receiver knows already.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Beat {
+    /// The hash of its id.
+    #[prost(fixed64, tag = "1")]
+    pub replica: u64,
+    #[prost(uint64, tag = "2")]
+    pub sequence: u64,
+    /// Since the heartbeat came in anywhere.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Gossip {
     #[prost(message, optional, tag = "1")]
@@ -1018,6 +1036,8 @@
     /// Replicas that have left lately, by the hash of their ids.
     #[prost(fixed64, repeated, tag = "13")]
     pub left: ::prost::alloc::vec::Vec<u64>,
+    #[prost(message, repeated, tag = "14")]
+    pub beats: ::prost::alloc::vec::Vec<Beat>,
 }
 /// Generated client implementations.
 pub mod members_client {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod ledger;
 mod limits;
 mod mesh;
+mod mesh_scale;
 mod nodes;
 mod packing;
 mod product;
--- /dev/null
+++ b/tests/all/mesh_scale.rs
@@ -0,0 +1,419 @@
+//! The mesh at ten to four hundred and ten nodes, in one process and without
+//! a network: what it costs, what nodes know of each other, and how soon.
+//!
+//! The pattern: six data centres, replicas that send a heartbeat each 1.2 s to
+//! whichever node they find, forty teams, and callers whose requests go to the
+//! nodes that are handed out. One datagram in forty is lost, and each takes a
+//! millisecond or two. Bounds are those that the users state: 4 KB/s for
+//! control, everybody knows within two seconds, nobody is suspected on a day
+//! without faults.
+
+use std::{collections::BTreeMap, net::Ipv4Addr};
+
+use azuremount::{
+    mesh::{
+        round::{Round, Sending},
+        table::{Own, State, Table},
+    },
+    wire::{Cached, Gossip, Peer, Sighting, Spent, Under, Work},
+};
+use prost::Message;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+const DATA_CENTRES: usize = 6;
+const TEAMS: u64 = 40;
+const PERIOD_MS: u64 = 300;
+const HEARTBEAT_MS: u64 = 1200;
+/// One datagram in so many is lost.
+const LOST: u32 = 40;
+/// Callers' requests each second, over all nodes.
+const REQUESTS: u64 = 1300;
+/// The nodes have found each other by then.
+const SETTLED_MS: u64 = 9000;
+
+struct Machine {
+    table: Table,
+    ip: u32,
+    is_down: bool,
+    round: u64,
+    begun: u64,
+    sent_bytes: u64,
+    crossing_bytes: u64,
+    fields: BTreeMap<&'static str, u64>,
+}
+
+struct Fleet {
+    now: u64,
+    machines: Vec<Machine>,
+    replicas: u64,
+    mail: BTreeMap<(u64, u64), (usize, u32, Gossip)>,
+    posted: u64,
+    rng: StdRng,
+}
+
+fn data_centre(at: usize) -> String {
+    format!("dc-{}", at % DATA_CENTRES)
+}
+
+impl Fleet {
+    fn open(nodes: usize, replicas: u64) -> Fleet {
+        let machines = (0..nodes).map(|at| {
+            let ip = 0x0a00_0000 + at as u32 + 1;
+            let me = Peer {
+                ip,
+                incarnation: u64::from(ip) * 1000 + 1,
+                data_centre: data_centre(at),
+                serving: true,
+                has_disk: at < DATA_CENTRES,
+                link_mbps: 10,
+                ..Peer::default()
+            };
+            Machine {
+                table: Table::open(me),
+                ip,
+                is_down: false,
+                round: 0,
+                begun: 0,
+                sent_bytes: 0,
+                crossing_bytes: 0,
+                fields: BTreeMap::new(),
+            }
+        });
+        Fleet {
+            now: 0,
+            machines: machines.collect(),
+            replicas,
+            mail: BTreeMap::new(),
+            posted: 0,
+            rng: StdRng::seed_from_u64(300),
+        }
+    }
+
+    fn run(&mut self, until: u64) {
+        while self.now < until {
+            self.now += 1;
+            self.deliver();
+            self.beat();
+            for at in 0..self.machines.len() {
+                if (self.now + at as u64 * 37).is_multiple_of(PERIOD_MS) {
+                    self.tell(at, false);
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        while let Some(first) = self.mail.first_entry() {
+            if first.key().0 > self.now {
+                return;
+            }
+            let (to, from, gossip) = first.remove();
+            if self.machines[to].is_down {
+                continue;
+            }
+            let hello = gossip.hello;
+            let (now, wall_ms) = (self.now, self.now as i64);
+            let asked = gossip.from.clone().unwrap_or_default();
+            self.machines[to].table.hear(now, wall_ms, gossip);
+            if hello {
+                let own = self.own(to);
+                let answer =
+                    self.machines[to].table.answer(now, wall_ms, own, &asked);
+                self.post(to, from, answer);
+            }
+        }
+    }
+
+    /// Heartbeats that are due, each at another node.
+    fn beat(&mut self) {
+        for replica in 0..self.replicas {
+            if (self.now + replica * 11).is_multiple_of(HEARTBEAT_MS) {
+                let at = self.rng.random_range(0..self.machines.len());
+                let says = self.says(replica, 0);
+                if !self.machines[at].is_down {
+                    self.machines[at].table.sight(self.now, says, true);
+                }
+            }
+        }
+    }
+
+    fn says(&self, replica: u64, state: u32) -> Sighting {
+        Sighting {
+            id: format!("i-{replica:08x}"),
+            service: "huvo11a".to_owned(),
+            ip: 0x0a80_0000 + replica as u32,
+            port: 8080,
+            data_centre: data_centre(replica as usize),
+            slots: 12,
+            state,
+            sequence: 1 + self.now,
+            ..Sighting::default()
+        }
+    }
+
+    /// What a node would say of its callers' requests.
+    fn own(&mut self, at: usize) -> Own {
+        let active = self.actives();
+        let rate = match active.binary_search(&at) {
+            Ok(_) => REQUESTS / active.len() as u64,
+            Err(_) => 0,
+        };
+        let machine = &mut self.machines[at];
+        machine.begun += rate * PERIOD_MS / 1000;
+        let begun = machine.begun;
+        let at = at as u64;
+        if begun == 0 {
+            return Own::default();
+        }
+        let under = (0..rate).map(|one| Under {
+            replica: (at * 31 + one * 7 + begun) % self.replicas,
+            count: 1,
+            pending: 3000,
+        });
+        let spent = (0..TEAMS)
+            .map(|team| Spent { team, tokens: begun * 6000 / TEAMS });
+        let cached = (0..rate.min(24)).map(|one| Cached {
+            service: 5,
+            replica: one,
+            path: begun + one,
+            blocks: 8,
+        });
+        for _ in 0..rate * PERIOD_MS / 1000 {
+            let team = self.rng.random_range(0..TEAMS);
+            let team = format!("team{team:04}");
+            machine.table.count_began(self.now / 5000, &team);
+        }
+        Own {
+            under: under.collect(),
+            spent: spent.collect(),
+            work: vec![Work { service: 5, ms: begun * 90 }],
+            cached: cached.collect(),
+            begun,
+        }
+    }
+
+    fn tell(&mut self, at: usize, is_urgent: bool) {
+        if self.machines[at].is_down {
+            return;
+        }
+        let own = self.own(at);
+        let seeds: Vec<Ipv4Addr> =
+            self.machines[..3].iter().map(|one| one.ip.into()).collect();
+        let machine = &mut self.machines[at];
+        machine.round += u64::from(!is_urgent);
+        let round = Round {
+            now: self.now,
+            wall_ms: self.now as i64,
+            number: machine.round,
+            is_urgent,
+        };
+        if !is_urgent {
+            machine.table.expire(self.now);
+        }
+        let sendings = machine.table.round(round, own, &seeds);
+        for Sending { to, gossip } in sendings {
+            for to in to {
+                self.post(at, to.into(), gossip.clone());
+            }
+        }
+    }
+
+    fn post(&mut self, from: usize, to: u32, gossip: Gossip) {
+        let Some(to) = self.at(to) else { return };
+        let bytes = gossip.encoded_len() as u64;
+        let machine = &mut self.machines[from];
+        machine.sent_bytes += bytes;
+        if data_centre(from) != data_centre(to) {
+            machine.crossing_bytes += bytes;
+        }
+        for (field, length) in lengths(&gossip) {
+            *machine.fields.entry(field).or_default() += length;
+        }
+        let from = machine.ip;
+        if self.rng.random_range(0..LOST) == 0 {
+            return;
+        }
+        self.posted += 1;
+        let due = self.now + 1 + self.posted % 2;
+        self.mail.insert((due, self.posted), (to, from, gossip));
+    }
+
+    fn at(&self, ip: u32) -> Option<usize> {
+        self.machines.iter().position(|one| one.ip == ip)
+    }
+
+    /// Machines that callers are sent to.
+    fn actives(&self) -> Vec<usize> {
+        let all = 0..self.machines.len();
+        all.filter(|&at| {
+            let machine = &self.machines[at];
+            !machine.is_down && machine.table.is_active()
+        })
+        .collect()
+    }
+
+    /// Of all pairs of a node and an active one of its data centre, those
+    /// where the first does not hand out the second, in a thousand.
+    fn missed(&self) -> u64 {
+        let actives = self.actives();
+        let (mut pairs, mut missed) = (0, 0);
+        for (at, machine) in self.machines.iter().enumerate() {
+            let near = data_centre(at);
+            let handed = machine.table.handed_out(self.now, Some(&near));
+            let same = actives.iter().filter(|&&one| data_centre(one) == near);
+            for &active in same.filter(|&&one| one != at) {
+                pairs += 1;
+                let ip = Ipv4Addr::from(self.machines[active].ip);
+                missed += u64::from(!handed.contains(&ip));
+            }
+        }
+        missed * 1000 / pairs.max(1)
+    }
+
+    fn clear_counts(&mut self) {
+        for machine in &mut self.machines {
+            machine.sent_bytes = 0;
+            machine.crossing_bytes = 0;
+            machine.fields.clear();
+        }
+    }
+
+    /// Bytes that a node sends each second, on average over all; all of them,
+    /// and those that leave the data centre.
+    fn bytes(&self, over_ms: u64) -> (u64, u64) {
+        let nodes = self.machines.len() as u64;
+        let sent: u64 = self.machines.iter().map(|one| one.sent_bytes).sum();
+        let crossing = self.machines.iter().map(|one| one.crossing_bytes);
+        let crossing: u64 = crossing.sum();
+        let each = |bytes: u64| bytes * 1000 / over_ms / nodes;
+        (each(sent), each(crossing))
+    }
+
+    fn print_fields(&self, over_ms: u64) {
+        let mut sum: BTreeMap<&str, u64> = BTreeMap::new();
+        for (field, bytes) in self.machines.iter().flat_map(|one| &one.fields)
+        {
+            *sum.entry(field).or_default() += bytes;
+        }
+        let nodes = self.machines.len() as u64;
+        for (field, bytes) in sum {
+            println!("  {field}: {} B/s", bytes * 1000 / over_ms / nodes);
+        }
+    }
+}
+
+/// The bytes of each field of a datagram.
+fn lengths(gossip: &Gossip) -> [(&'static str, u64); 9] {
+    let part = |part: Gossip| part.encoded_len() as u64;
+    let none = Gossip::default;
+    let all = gossip.clone();
+    [
+        ("from", part(Gossip { from: all.from, ..none() })),
+        ("peers", part(Gossip { peers: all.peers, ..none() })),
+        ("replicas", part(Gossip { replicas: all.replicas, ..none() })),
+        ("beats", part(Gossip { beats: all.beats, ..none() })),
+        ("under", part(Gossip { under: all.under, ..none() })),
+        ("spent", part(Gossip { spent: all.spent, ..none() })),
+        ("cached", part(Gossip { cached: all.cached, ..none() })),
+        ("unheard", part(Gossip { unheard: all.unheard, ..none() })),
+        (
+            "usage",
+            part(Gossip { usage: all.usage, relayed: all.relayed, ..none() }),
+        ),
+    ]
+}
+
+/// Replicas at a number of nodes: as on the users' sites, and as they plan.
+fn replicas_for(nodes: usize) -> u64 {
+    match nodes {
+        0..=10 => 22,
+        11..=70 => 144,
+        71..=300 => 329,
+        _ => 600,
+    }
+}
+
+/// Symptom: on a quiet day of three hundred nodes 7.9 GB of the nodes' own
+/// word cross between data centres, requests wait for links that are full of
+/// it, and teams within their quotas are refused. Sequence: a node takes 5.6 s
+/// to tell all others, so most seem silent to each after 1.8 s; all silent
+/// ones are greeted each 1.2 s with all that a node knows, and answer with all
+/// that they know. Cause: everybody tells everybody of everything.
+#[test]
+fn nodes_know_each_other_at_any_size_for_few_bytes() {
+    for nodes in [10, 70, 300, 410] {
+        let mut fleet = Fleet::open(nodes, replicas_for(nodes));
+        fleet.run(SETTLED_MS);
+        fleet.clear_counts();
+        let mut worst = 0;
+        for step in 1..=6 {
+            fleet.run(SETTLED_MS + step * 500);
+            worst = worst.max(fleet.missed());
+        }
+        let (sent, crossing) = fleet.bytes(3000);
+        let actives = fleet.actives().len();
+        println!("{nodes} nodes, {actives} active: {sent} B/s a node,");
+        println!("  {crossing} to other data centres; {worst} in 1000 missed");
+        fleet.print_fields(3000);
+        assert!(worst <= 2, "{nodes}: {worst} in 1000 are suspected");
+    }
+}
+
+/// Symptom: requests go to replicas that said long ago that they leave.
+/// Sequence: a data centre is reclaimed; a sixth of the replicas say so, each
+/// to another one of three hundred nodes.
+#[test]
+fn all_know_within_two_seconds_that_replicas_leave() {
+    for nodes in [70, 300] {
+        let mut fleet = Fleet::open(nodes, replicas_for(nodes));
+        fleet.run(SETTLED_MS);
+        let leaving: Vec<u64> =
+            (0..fleet.replicas).filter(|one| one % 6 == 0).collect();
+        for &replica in &leaving {
+            let at = fleet.rng.random_range(0..nodes);
+            let says = fleet.says(replica, 1);
+            fleet.machines[at].table.sight(fleet.now, says, true);
+            fleet.tell(at, true);
+        }
+        fleet.run(SETTLED_MS + 2000);
+        let mut late = 0;
+        for machine in &fleet.machines {
+            let ready = machine.table.replicas().iter();
+            late += ready
+                .filter(|one| one.state == State::Ready)
+                .filter(|one| one.says.ip % 6 == 0x0a80_0000 % 6)
+                .count();
+        }
+        let pairs = leaving.len() * nodes;
+        println!("{nodes} nodes: {late} of {pairs} don't know");
+        assert!(late * 100 <= pairs, "{nodes}: {late} of {pairs}");
+    }
+}
+
+/// Symptom: callers are sent to nodes that have been dead for long. Sequence:
+/// a tenth of three hundred nodes lose power at the same moment.
+#[test]
+fn dead_nodes_are_not_handed_out_for_long() {
+    for nodes in [10, 70, 300] {
+        let mut fleet = Fleet::open(nodes, replicas_for(nodes));
+        fleet.run(SETTLED_MS);
+        let dead: Vec<usize> =
+            fleet.actives().into_iter().filter(|at| at % 10 == 7).collect();
+        for &at in &dead {
+            fleet.machines[at].is_down = true;
+        }
+        // Silence is noticed after 1.8 s, 3 s at a node that stands by.
+        fleet.run(SETTLED_MS + 4000);
+        for (at, machine) in fleet.machines.iter().enumerate() {
+            let near = data_centre(at);
+            let handed = machine.table.handed_out(fleet.now, Some(&near));
+            if machine.is_down {
+                continue;
+            }
+            for &one in &dead {
+                let ip = Ipv4Addr::from(fleet.machines[one].ip);
+                assert!(!handed.contains(&ip), "{nodes}: {at} names {one}");
+            }
+        }
+    }
+}
