Let a few nodes take callers' requests where there are many

Cause, shown by playing the mesh in one process: at 300 nodes each sends 429 KB/s (255 KB/s of it counts of usage, 62 of quotas, 58 of nodes that it does not hear), and 268 of 1,000 pairs of nodes do not hand out a live one. A turn through 300 nodes takes 5.7 s and silence is believed after 1.8 s; so most nodes seem silent to each, all of these are greeted each 1.2 s with all that is known, and answer with the same. Quotas follow: of 300 nodes 200 count as unheard, and their part of each quota is left out.

Change: nodes have a role. A few of each data centre are active and are handed out there, by the requests that come in; the others stand by. Only active nodes, draining ones and those with a disk tell each other of load. Who stands by asks one of them each 0.6 s and is told in answer whom callers may be sent to; what replicas say to it is relayed. Word of a node carries its age, so that a dead one is not kept alive by those that pass it on. Silent nodes are greeted 16 at a time. Heartbeats of known replicas go round in 16 bytes instead of 85.

Weighed and not taken: failure detection by random probes (SWIM) over all nodes, as who stands by needs not be watched by everybody; sums by data centre with a relay in each, which would cost two more hops.

Ruled out: that the greeting alone is the fault; without it a turn of 5.7 s stays, and routing by load that is 2.9 s old.

--- a/src/decide/quota/mod.rs
+++ b/src/decide/quota/mod.rs
@@ -70,6 +70,8 @@
     taken: u64,
     /// It has not been heard for a while.
     silent: bool,
+    /// What it tells next was used before this entry was told of it.
+    is_stale: bool,
 }
 
 /// The part of the tolerance that a team may use. The rest is for what the
@@ -230,13 +232,26 @@
         self.own
     }
 
+    /// Takes the next total of each entry for old.
+    ///
+    /// An entry that stood by has not been told what the others have used.
+    /// Taken out of its bucket at once, the totals of minutes would leave a
+    /// debt in which it refuses everything for as long.
+    pub fn settle(&mut self, now: u64) {
+        self.opened_at = now;
+        for other in &mut self.others {
+            other.is_stale = true;
+        }
+    }
+
     /// Takes the running total of another entry, and whether it is heard at
     /// the moment.
     pub fn note(&mut self, now: u64, entry: u64, total: u64, heard: bool) {
         let found = position(&self.others, &entry, |one| &one.entry);
         let Ok(at) = found else {
             let at = found.unwrap_or_else(|at| at);
-            let other = Other { entry, taken: total, silent: !heard };
+            let other =
+                Other { entry, taken: total, silent: !heard, is_stale: false };
             self.others.insert(at, other);
             if now >= self.opened_at + SETTLE_MS {
                 self.level -= total as f64;
@@ -248,6 +263,10 @@
             other.silent = true;
             return;
         }
+        if std::mem::take(&mut other.is_stale) {
+            other.taken = other.taken.max(total);
+            return;
+        }
         let units = total.saturating_sub(other.taken) as f64;
         other.taken = other.taken.max(total);
         let known = match std::mem::take(&mut other.silent) {
--- a/src/decide/route/cost.rs
+++ b/src/decide/route/cost.rs
@@ -3,6 +3,7 @@
 use rand::RngExt;
 
 use super::{Ask, LEAST_FETCH, Pool, Replica, avoided};
+use crate::util::mix;
 
 /// How often the level is found anew, in ms.
 const LEVEL_MS: u64 = 50;
@@ -275,11 +276,3 @@
     }
     if width > 0.0 { level + left / width } else { level }
 }
-
-/// Spreads the bits of a number over all of it (the last steps of SplitMix).
-fn mix(number: u64) -> u64 {
-    let mut mixed = number;
-    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    mixed ^ (mixed >> 31)
-}
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -144,7 +144,7 @@
                 service.places.clear();
             }
         }
-        let peers = table.live(now).count();
+        let peers = table.entries(now);
         for service in &mut self.services {
             service.pool.set_peers(peers);
         }
@@ -425,6 +425,7 @@
         self.pool.set_replicas(near, &identities);
         let old = std::mem::take(&mut self.places);
         let lag_ms = mean_lag_ms(table.reach(now).0) as u64;
+        let loads = table.loads(now);
         for replica in replicas {
             let says = &replica.says;
             let at = position(&old, &says.id, |one| &one.replica);
@@ -436,7 +437,7 @@
                 ),
                 answered_at: at.map_or(0, |at| old[at].answered_at),
             });
-            let hash = table::replica_hash(&says.id);
+            let hash = replica.hash();
             if at.is_err() {
                 for cached in memory.of(hash) {
                     self.pool.sent_elsewhere(hash, &blocks_of_part(cached));
@@ -444,7 +445,7 @@
             }
             // What others have sent to one that is new is not known yet.
             if now >= replica.since + lag_ms {
-                let (load, pending) = table.under(now, hash);
+                let (load, pending) = loads.at(hash);
                 let id = &says.id;
                 self.pool.report_others(now, id, load, pending, lag_ms);
             }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -219,6 +219,15 @@
         }
     }
 
+    /// Takes what others have used until now for old, as this node was not
+    /// told of it.
+    pub fn settle_quotas(&self) {
+        let now = self.timer.now();
+        for (_, meter) in self.meters().iter_mut() {
+            meter.settle(now);
+        }
+    }
+
     /// Waits until `look` finds what a node that has just started lacks, as
     /// long as that is worth it.
     ///
--- a/src/mesh/counts.rs
+++ b/src/mesh/counts.rs
@@ -9,9 +9,13 @@
     wire::{Began, RecordUsage, TeamCount},
 };
 
-/// Windows that are passed on: enough for datagrams that were lost, few
-/// enough for one.
-const TOLD_WINDOWS: usize = 4;
+/// Windows that are told each time: the present one and the one that has just
+/// ended, for as long as the present one lasts.
+const TOLD_WINDOWS: usize = 2;
+/// Windows that are told now and then, for nodes that have missed all that.
+const TOLD_AGAIN: usize = 4;
+/// Every so many times.
+const AGAIN: u64 = 4;
 /// Windows remembered; all reports are due within fewer.
 const REMEMBERED_WINDOWS: u64 = 8;
 /// Other nodes whose counts are passed on in one datagram.
@@ -84,23 +88,40 @@
         RecordUsage { window, counts }
     }
 
-    /// The newest windows of one node.
-    pub fn latest_of(&self, node: u64) -> Vec<RecordUsage> {
+    /// The newest windows of one node; `time` counts the times that they are
+    /// told.
+    pub fn latest_of(&self, node: u64, time: u64) -> Vec<RecordUsage> {
+        let most = match time.is_multiple_of(AGAIN) {
+            true => TOLD_AGAIN,
+            false => TOLD_WINDOWS,
+        };
         let at = position(&self.began, &node, |one| &one.node);
-        at.map(|at| latest(&self.began[at])).unwrap_or_default()
+        at.map(|at| latest(&self.began[at], most)).unwrap_or_default()
     }
 
-    /// The newest windows of some nodes besides `own`.
+    /// The newest windows of some nodes besides `own`: others each `time`, as
+    /// a whole data centre of them may be silent.
     pub fn others(
         &self,
         own: u64,
+        time: u64,
         wanted: impl Fn(u64) -> bool,
     ) -> Vec<Began> {
-        self.began
+        let wanted: Vec<&Began> = self
+            .began
             .iter()
             .filter(|began| began.node != own && wanted(began.node))
+            .collect();
+        let from = time as usize * RELAYED % wanted.len().max(1);
+        let (before, after) = wanted.split_at(from);
+        after
+            .iter()
+            .chain(before)
             .take(RELAYED)
-            .map(|began| Began { node: began.node, windows: latest(began) })
+            .map(|began| Began {
+                node: began.node,
+                windows: latest(began, TOLD_AGAIN),
+            })
             .collect()
     }
 
@@ -125,8 +146,8 @@
     }
 }
 
-fn latest(began: &Began) -> Vec<RecordUsage> {
-    let skip = began.windows.len().saturating_sub(TOLD_WINDOWS);
+fn latest(began: &Began, most: usize) -> Vec<RecordUsage> {
+    let skip = began.windows.len().saturating_sub(most);
     began.windows[skip..].to_vec()
 }
 
--- a/src/mesh/lives.rs
+++ b/src/mesh/lives.rs
@@ -196,7 +196,7 @@
             one.state = State::Gone;
             one.says.state = State::Gone as u32;
             one.left_at = now;
-            let hash = replica_hash(&one.says.id);
+            let hash = one.hash;
             self.note_left(now, hash);
         }
     }
@@ -225,7 +225,8 @@
     /// for, and another one at its address does not run them.
     pub fn remember(&mut self, now: u64, says: Sighting) {
         let known = self.lives(replica_of(&says.id)).next().is_some();
-        let left = self.has_left(replica_hash(&says.id));
+        let hash = replica_hash(&says.id);
+        let left = self.has_left(hash);
         let ready = State::from_u32(says.state) == State::Ready;
         if known || left || !ready || says.service.is_empty() {
             return;
@@ -238,6 +239,8 @@
             left_at: now,
             remembered_until: Some(now + REMEMBERED_MS),
             tell: 0,
+            tell_whole: 0,
+            hash,
         };
         upsert(&mut self.replicas, replica, |one| one.says.id.as_str());
     }
@@ -269,8 +272,7 @@
         let ready = self.replicas.iter_mut().find(|one| {
             let replica = replica_of(&one.says.id);
             one.state == State::Ready
-                && (replica_hash(&one.says.id) == hash
-                    || replica_hash(replica) == hash)
+                && (one.hash == hash || replica_hash(replica) == hash)
         });
         let Some(replica) = ready else { return false };
         replica.state = State::Leaving;
@@ -302,7 +304,9 @@
         heard_at: u64,
         direct: bool,
     ) {
+        let tell = if direct { u32::MAX } else { 0 };
         let replica = Replica {
+            hash: replica_hash(&says.id),
             says,
             state,
             heard_at,
@@ -311,7 +315,8 @@
             remembered_until: None,
             // Whoever heard it directly tells all others. If those did so
             // too, a node that starts would be told everything by everybody.
-            tell: if direct { u32::MAX } else { 0 },
+            tell,
+            tell_whole: tell,
         };
         upsert(&mut self.replicas, replica, |one| one.says.id.as_str());
     }
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -12,6 +12,7 @@
 mod datagram;
 mod lives;
 mod replica;
+pub mod role;
 pub mod round;
 pub mod table;
 
@@ -32,6 +33,7 @@
 use tracing::{debug, info, warn};
 
 use self::{
+    role::Role,
     round::{Round, Sending},
     table::{News, Own, Table},
 };
@@ -172,6 +174,28 @@
         self.table.lock().unwrap_or_else(|held| held.into_inner())
     }
 
+    /// Drops what is old and decides anew which role this node has.
+    fn review(&self, begun: u64) -> News {
+        let now = self.timer.now();
+        let mut table = self.table();
+        table.expire(now);
+        let Some(before) = table.review(now, begun) else {
+            return News::default();
+        };
+        let role = Role::of(table.own());
+        let rate = table.own().rate;
+        let (entries, unheard) = table.reach(now);
+        drop(table);
+        info!(
+            target: "mesh",
+            ?role, ?before, rate, entries, unheard,
+            "Another role."
+        );
+        self.urgent.notify_one();
+        let steps_in = role == Role::Active && before == Role::Standby;
+        News { steps_in, ..News::default() }
+    }
+
     fn seeds(&self) -> Vec<Ipv4Addr> {
         let held = self.seeds.lock();
         held.unwrap_or_else(|held| held.into_inner()).clone()
@@ -234,13 +258,13 @@
                 false
             }
         };
+        // Before the table is locked: the host locks things of its own.
+        let own = host.own();
         if regular {
             round += 1;
-            shared.table().expire(shared.timer.now());
-            host.clone().news(News::default());
+            let news = shared.review(own.begun);
+            host.clone().news(news);
         }
-        // Before the table is locked: the host locks things of its own.
-        let own = host.own();
         let round = Round {
             now: shared.timer.now(),
             wall_ms: wall_ms() as i64,
--- a/src/mesh/replica.rs
+++ b/src/mesh/replica.rs
@@ -1,6 +1,9 @@
 //! A replica, as its heartbeats and other nodes tell of it.
 
-use crate::{util::common, wire::Sighting};
+use crate::{
+    util::common,
+    wire::{Beat, Sighting},
+};
 
 /// For so long others may fetch from the cache of a replica that leaves, in
 /// ms: reclaimed ones are gone after two to three seconds.
@@ -48,10 +51,19 @@
         /// In so many more datagrams it is told first: its heartbeats come in
         /// here, or its state has changed.
         pub(super) tell: u32,
+        /// In so many of these it is told whole, as others may not know it.
+        pub(super) tell_whole: u32,
+        /// The hash of its id.
+        pub(super) hash: u64,
     }
 }
 
 impl Replica {
+    /// The number that stands for it between nodes.
+    pub fn hash(&self) -> u64 {
+        self.hash
+    }
+
     /// True for one that takes requests, and for one that is leaving while
     /// others can still fetch from its cache.
     pub fn may_be_used(&self, now: u64) -> bool {
@@ -83,16 +95,55 @@
             self.state = state;
             self.left_at = heard_at;
         }
+        let mut differs = moved;
         if newer && !says.service.is_empty() {
+            differs |= self.differs(&says);
             self.says = says;
         }
         self.says.state = self.state as u32;
         if moved || (newer && direct) {
             self.tell = u32::MAX;
         }
+        if moved || (differs && direct) {
+            self.tell_whole = u32::MAX;
+        }
         moved
     }
 
+    /// True where more is new than that it is still there.
+    fn differs(&self, says: &Sighting) -> bool {
+        let known = &self.says;
+        known.ip != says.ip
+            || known.port != says.port
+            || known.slots != says.slots
+            || known.service != says.service
+            || known.reclaimable != says.reclaimable
+            || known.leaves_ms != says.leaves_ms
+    }
+
+    /// Takes a heartbeat that was passed on.
+    pub(super) fn beat(&mut self, now: u64, beat: &Beat, direct: bool) {
+        if beat.sequence <= self.says.sequence || self.state != State::Ready {
+            return;
+        }
+        let heard_at = now.saturating_sub(u64::from(beat.age_ms));
+        self.heard_at = self.heard_at.max(heard_at);
+        self.remembered_until = None;
+        self.says.sequence = beat.sequence;
+        if direct {
+            self.tell = u32::MAX;
+        }
+    }
+
+    /// Its last heartbeat, as it is told to others now.
+    pub(super) fn last_beat(&self, now: u64) -> Beat {
+        Beat {
+            replica: self.hash,
+            sequence: self.says.sequence,
+            age_ms: now.saturating_sub(self.heard_at) as u32,
+        }
+    }
+
     /// As it is told to others now.
     pub(super) fn aged(&self, now: u64) -> Sighting {
         let age = now.saturating_sub(self.heard_at);
--- a/src/mesh/round.rs
+++ b/src/mesh/round.rs
@@ -2,14 +2,38 @@
 
 use std::net::Ipv4Addr;
 
+use rand::seq::IndexedRandom;
+
 use super::{
     FANOUT, SILENT_ROUNDS,
-    table::{Own, Table},
+    role::{ADDRESSES, Role},
+    table::{Node, Own, Table},
+};
+use crate::{
+    util::mix,
+    wire::{Gossip, Peer},
 };
-use crate::wire::{Gossip, Peer};
 
-/// Addresses that callers are given at most.
-const ADDRESSES: usize = 64;
+/// Every so many rounds a node that stands by asks another one.
+const STANDBY_ROUNDS: u64 = 2;
+/// Silent nodes that are greeted in each round.
+const FEW_SILENT: usize = 3;
+/// Silent nodes that are greeted at a time: as many as are told in a round.
+const GREETED: usize = FANOUT;
+/// A node that stands by and hears so many others needs no seeds.
+const ENOUGH_HEARD: usize = 4;
+/// Nodes that stand by are told what is urgent if they were heard within this
+/// time, in ms: each asks another node each 0.6 s.
+const STANDBY_MS: u64 = 10_000;
+/// Nodes that stand by and are told what is urgent by one other: some seventy
+/// tell them, so that each of two or three hundred is told twice.
+const URGENT_STANDBYS: usize = 8;
+/// Up to so many active nodes, callers are sent to all of them wherever they
+/// are: each is a large part of what there is.
+const FEW: usize = 24;
+/// Active nodes that a data centre has to have for its callers to be sent to
+/// no other: with fewer, one that dies leaves too much to the others.
+const LEAST_NEAR: usize = 4;
 
 /// When a round takes place, and why.
 #[derive(Clone, Copy, Debug)]
@@ -41,95 +65,204 @@
         own: Own,
         seeds: &[Ipv4Addr],
     ) -> Vec<Sending> {
-        let now = round.now;
-        let gossip = self.compose(now, round.wall_ms, own);
-        let (mut live, silent) = self.split_nodes(now, seeds);
-        // What is urgent goes to all at once, also where many take turns.
-        let most = if round.is_urgent { usize::MAX } else { FANOUT };
-        if live.len() > most {
-            let from = (round.number as usize * most) % live.len();
-            live.rotate_left(from);
-            live.truncate(most);
-        }
-        let disks = self.disks(now);
-        let witness = round.number as usize % live.len().max(1);
-        let witness = live.get(witness).copied();
-        let (whole, part): (Vec<_>, Vec<_>) = live
-            .into_iter()
-            .partition(|to| Some(*to) == witness || disks.contains(to));
-        let slim = without_usage(&gossip);
-        let mut sendings = vec![
-            Sending { to: whole, gossip: gossip.clone() },
-            Sending { to: part, gossip: slim },
-        ];
-        if round.number % SILENT_ROUNDS == 1 || silent.len() <= 3 {
-            let gossip = Gossip { hello: true, ..gossip };
-            sendings.push(Sending { to: silent, gossip });
+        let mut sendings = match (self.is_member(), round.is_urgent) {
+            (true, false) => self.round_of_member(round, own),
+            (true, true) => self.urgent_of_member(round, own),
+            (false, false) => self.round_of_standby(round, own),
+            (false, true) => self.urgent_of_standby(round),
+        };
+        if let Some(greeting) = self.greet(round, seeds) {
+            sendings.push(greeting);
         }
         sendings.retain(|sending| !sending.to.is_empty());
         sendings
     }
 
-    /// The answer to a node that greets.
-    pub fn answer(
-        &mut self,
-        now: u64,
-        wall_ms: i64,
-        own: Own,
-        _asked: &Peer,
-    ) -> Gossip {
-        self.compose(now, wall_ms, own)
+    /// Tells some of the nodes that tell each other of their load, in turn.
+    fn round_of_member(&mut self, round: Round, own: Own) -> Vec<Sending> {
+        let gossip = self.compose(round.now, round.wall_ms, own);
+        let mut to = ips(self.members(round.now));
+        if to.len() > FANOUT {
+            let from = (round.number as usize * FANOUT) % to.len();
+            to.rotate_left(from);
+            to.truncate(FANOUT);
+        }
+        self.with_usage_for_some(round, gossip, to)
+    }
+
+    /// Counts of usage are half of a datagram where there are many teams. Only
+    /// nodes that can lead need them; one other node in turn gets them as
+    /// well, so that they outlast the loss of all that can lead.
+    fn with_usage_for_some(
+        &self,
+        round: Round,
+        gossip: Gossip,
+        to: Vec<Ipv4Addr>,
+    ) -> Vec<Sending> {
+        let disks = self.disks(round.now);
+        let witness = round.number as usize % to.len().max(1);
+        let witness = to.get(witness).copied();
+        let (whole, part) = to
+            .into_iter()
+            .partition(|to| Some(*to) == witness || disks.contains(to));
+        let slim = Gossip {
+            usage: Vec::new(),
+            relayed: Vec::new(),
+            ..gossip.clone()
+        };
+        vec![Sending { to: whole, gossip }, Sending { to: part, gossip: slim }]
     }
 
-    /// Where callers may connect.
-    pub fn handed_out(&self, now: u64, _near: Option<&str>) -> Vec<Ipv4Addr> {
-        let own = self.own();
-        let live = self.live(now).filter(|node| node.says.serving);
-        let mut handed: Vec<Ipv4Addr> = live.map(|node| node.ip()).collect();
-        if own.serving {
-            handed.insert(0, own.ip.into());
+    /// What is urgent goes to all that have requests at once, also where many
+    /// take turns, and to some that stand by.
+    fn urgent_of_member(&mut self, round: Round, own: Own) -> Vec<Sending> {
+        let to = ips(self.members(round.now));
+        if to.len() <= FANOUT {
+            let gossip = self.compose(round.now, round.wall_ms, own);
+            return self.with_usage_for_some(round, gossip, to);
         }
-        handed.truncate(ADDRESSES);
-        handed
+        let gossip = self.compose_urgent(round.now, round.wall_ms);
+        let standbys = self.next_standbys(round.now);
+        vec![
+            Sending { to, gossip: gossip.clone() },
+            Sending { to: standbys, gossip },
+        ]
     }
 
-    /// True where callers are sent to this node.
-    pub fn is_active(&self) -> bool {
-        let before =
-            self.nodes().iter().filter(|one| one.says.ip < self.own().ip);
-        before.count() < ADDRESSES
+    /// Each second round asks one node, in the own data centre if it can be.
+    fn round_of_standby(&mut self, round: Round, own: Own) -> Vec<Sending> {
+        let me = u64::from(self.own().ip);
+        if !(round.number + me).is_multiple_of(STANDBY_ROUNDS) {
+            return Vec::new();
+        }
+        let near = self.own().data_centre.clone();
+        let is_near = |node: &&Node| node.says.data_centre == near;
+        let mut to = ips(self.members(round.now).filter(is_near));
+        if to.is_empty() {
+            to = ips(self.members(round.now));
+        }
+        let chosen = mix(round.number ^ (me << 32)) as usize;
+        let asked = to.get(chosen % to.len().max(1)).copied();
+        let gossip = self.compose(round.now, round.wall_ms, own);
+        let has_usage = !gossip.usage.is_empty();
+        let asking = Gossip {
+            peers: Vec::new(),
+            usage: Vec::new(),
+            relayed: Vec::new(),
+            hello: true,
+            ..gossip.clone()
+        };
+        let mut sendings =
+            vec![Sending { to: asked.into_iter().collect(), gossip: asking }];
+        if has_usage {
+            let to = self.disks(round.now);
+            let gossip = Gossip { peers: Vec::new(), ..gossip };
+            sendings.push(Sending { to, gossip });
+        }
+        sendings
     }
 
-    /// Nodes that can lead: only they make reports of usage.
-    fn disks(&self, now: u64) -> Vec<Ipv4Addr> {
-        let disks = self.live(now).filter(|node| node.says.has_disk);
-        disks.map(|node| node.ip()).collect()
+    /// Replicas that are new or leave have to be known to all that have
+    /// requests, whoever they told; and that this node stands by from now on,
+    /// as the others would take its silence for a fault.
+    fn urgent_of_standby(&mut self, round: Round) -> Vec<Sending> {
+        let gossip = self.compose_urgent(round.now, round.wall_ms);
+        let has_new_role = std::mem::take(&mut self.has_new_role);
+        if gossip.replicas.is_empty() && !has_new_role {
+            return Vec::new();
+        }
+        vec![Sending { to: ips(self.members(round.now)), gossip }]
     }
 
-    /// Nodes that are heard, and nodes and seeds that are not.
-    fn split_nodes(
-        &self,
-        now: u64,
-        seeds: &[Ipv4Addr],
-    ) -> (Vec<Ipv4Addr>, Vec<Ipv4Addr>) {
-        let live: Vec<Ipv4Addr> = self.live(now).map(|one| one.ip()).collect();
+    /// Asks nodes that are not heard, and seeds, whether they are there.
+    ///
+    /// A few at a time: asked all at once, three hundred nodes that had lost
+    /// sight of each other would answer each other with more than their links
+    /// bear, and so lose sight of each other.
+    fn greet(&mut self, round: Round, seeds: &[Ipv4Addr]) -> Option<Sending> {
+        let mut silent = self.silent(round.now, seeds);
+        let is_due = round.number % SILENT_ROUNDS == 1;
+        if !is_due && silent.len() > FEW_SILENT {
+            return None;
+        }
+        if silent.len() > GREETED {
+            let from = self.next_silent % silent.len();
+            self.next_silent = from + GREETED;
+            silent.rotate_left(from);
+            silent.truncate(GREETED);
+        }
+        if silent.is_empty() {
+            return None;
+        }
+        let gossip = self.compose_urgent(round.now, round.wall_ms);
+        let gossip = Gossip { hello: true, ..gossip };
+        Some(Sending { to: silent, gossip })
+    }
+
+    /// Nodes that should be heard and are not, and seeds. Who stands by is
+    /// not greeted: it asks itself.
+    fn silent(&self, now: u64, seeds: &[Ipv4Addr]) -> Vec<Ipv4Addr> {
+        let live = ips(self.live(now));
+        if !self.is_member() && live.len() >= ENOUGH_HEARD {
+            return Vec::new();
+        }
         let me = Ipv4Addr::from(self.own().ip);
-        let mut silent: Vec<Ipv4Addr> = self
-            .nodes()
-            .iter()
-            .map(|node| node.ip())
+        let known = self.nodes().iter();
+        let mut silent: Vec<Ipv4Addr> = known
+            .filter(|node| Role::is_member(&node.says))
+            .map(Node::ip)
             .chain(seeds.iter().copied())
             .filter(|ip| *ip != me && !live.contains(ip))
             .collect();
         silent.sort_unstable();
         silent.dedup();
-        (live, silent)
+        silent
+    }
+
+    /// Some of the nodes that stand by and were heard lately, in turn.
+    fn next_standbys(&mut self, now: u64) -> Vec<Ipv4Addr> {
+        let standbys = self.nodes().iter().filter(|node| {
+            !Role::is_member(&node.says) && now < node.heard_at + STANDBY_MS
+        });
+        let standbys = ips(standbys);
+        let count = standbys.len().min(URGENT_STANDBYS);
+        let from = self.next_standby;
+        self.next_standby = self.next_standby.wrapping_add(count);
+        (0..count)
+            .map(|step| standbys[(from + step) % standbys.len()])
+            .collect()
+    }
+
+    /// Where callers in a data centre may connect: active nodes there, or any
+    /// where too few are. Where there are few nodes, all of them.
+    pub fn handed_out(&self, now: u64, near: Option<&str>) -> Vec<Ipv4Addr> {
+        let own = self.is_active().then_some((self.own().ip, self.own()));
+        let others = self.live(now).filter(|node| node.is_active());
+        let others = others.map(|node| (node.says.ip, &node.says));
+        let mut all: Vec<(u32, &Peer)> = own.into_iter().collect();
+        all.extend(others);
+        if all.len() > FEW {
+            let same = |(_, says): &&(u32, &Peer)| {
+                near.is_some_and(|near| says.data_centre == near)
+            };
+            if all.iter().filter(same).count() >= LEAST_NEAR {
+                all.retain(|one| same(&one));
+            }
+        }
+        if all.len() > ADDRESSES {
+            // Each asker gets others, so that all have their part.
+            let mut rng = rand::rng();
+            all = all.sample(&mut rng, ADDRESSES).copied().collect();
+        }
+        all.into_iter().map(|(ip, _)| ip.into()).collect()
+    }
+
+    /// Nodes that can lead: only they make reports of usage.
+    fn disks(&self, now: u64) -> Vec<Ipv4Addr> {
+        ips(self.live(now).filter(|node| node.says.has_disk))
     }
 }
 
-/// A datagram without counts, which are half of it where there are many
-/// teams. Besides those that can lead, one node in turn gets them as well, so
-/// that they outlast the loss of all that can lead.
-fn without_usage(gossip: &Gossip) -> Gossip {
-    Gossip { usage: Vec::new(), relayed: Vec::new(), ..gossip.clone() }
+fn ips<'a>(nodes: impl Iterator<Item = &'a Node>) -> Vec<Ipv4Addr> {
+    nodes.map(Node::ip).collect()
 }
--- a/src/mesh/table.rs
+++ b/src/mesh/table.rs
@@ -13,13 +13,17 @@
 
 use std::net::Ipv4Addr;
 
-use super::counts::Counts;
+use super::{
+    counts::Counts,
+    mean_lag_ms,
+    role::{Keeper, Rate, Role, View},
+};
 pub use super::{
     lives::{life_name, replica_hash, replica_of},
     replica::{Replica, State},
 };
 use crate::{
-    util::common,
+    util::{common, position},
     wire::{Began, Cached, Peer, RecordUsage, Spent, Under, Work},
 };
 
@@ -27,6 +31,19 @@
 ///
 /// Six times the pause between two datagrams: several in a row may be lost.
 pub const LIVE_MS: u64 = 1800;
+/// The same at a node that stands by, in ms: it is told of the others each 0.6
+/// s, of which several in a row may be lost.
+const LIVE_FOR_STANDBY_MS: u64 = 3000;
+/// A node that stands by and was not heard for so long is silent, in ms: it
+/// asks one of a dozen others each 0.6 s.
+const SILENT_STANDBY_MS: u64 = 20_000;
+/// A node that was not heard directly for so many of its turns, and
+/// [`LIVE_MS`], may well serve unheard behind a cut: two datagrams in a row
+/// were lost, or it is.
+const UNHEARD_TURNS: f64 = 3.2;
+/// What a node that stands by takes from others' clocks is so old at most, in
+/// ms: it hears one of them each 0.6 s.
+const CLOCKS_FOR_STANDBY_MS: u64 = 10_000;
 /// A node that was not heard for this long is forgotten, in ms.
 ///
 /// Until then it is thought to serve behind a cut and to use its part of
@@ -71,6 +88,15 @@
     pub(super) next_peer: usize,
     pub(super) next_replica: usize,
     pub(super) next_left: usize,
+    pub(super) next_near: usize,
+    pub(super) next_standby: usize,
+    pub(super) next_silent: usize,
+    /// How often this node has told its load.
+    pub(super) told: u64,
+    keeper: Keeper,
+    rate: Rate,
+    /// The others have not been told of this node's role yet.
+    pub(super) has_new_role: bool,
 }
 
 /// What this node adds to its datagrams from elsewhere.
@@ -95,6 +121,8 @@
     pub replicas: bool,
     /// A node appeared.
     pub nodes: bool,
+    /// This node stood by, and callers are sent to it from now on.
+    pub steps_in: bool,
 }
 
 impl Table {
@@ -110,6 +138,13 @@
             next_peer: 0,
             next_replica: 0,
             next_left: 0,
+            next_near: 0,
+            next_standby: 0,
+            next_silent: 0,
+            told: 0,
+            keeper: Keeper::open(),
+            rate: Rate::default(),
+            has_new_role: false,
         }
     }
 
@@ -130,7 +165,79 @@
 
     /// Other nodes that were heard lately.
     pub fn live(&self, now: u64) -> impl Iterator<Item = &Node> {
-        self.nodes.iter().filter(move |node| node.is_live(now))
+        self.nodes.iter().filter(move |node| self.is_live(now, node))
+    }
+
+    /// Those of them that tell each other of their load.
+    pub fn members(&self, now: u64) -> impl Iterator<Item = &Node> {
+        self.live(now).filter(|node| Role::is_member(&node.says))
+    }
+
+    /// How many others have callers' requests now.
+    pub fn entries(&self, now: u64) -> usize {
+        self.live(now).filter(|node| node.is_entry()).count()
+    }
+
+    fn is_live(&self, now: u64, node: &Node) -> bool {
+        let limit = match self.is_member() {
+            true => LIVE_MS,
+            false => LIVE_FOR_STANDBY_MS,
+        };
+        now < node.heard_at + limit
+    }
+
+    // ---- Roles ------------------------------------------------------------
+
+    /// True where this node tells others of its load, and they tell it.
+    pub fn is_member(&self) -> bool {
+        Role::is_member(&self.me)
+    }
+
+    /// True where callers are sent to this node.
+    pub fn is_active(&self) -> bool {
+        self.me.serving && Role::of(&self.me) == Role::Active
+    }
+
+    /// Decides anew whether this node takes callers' requests, of which it
+    /// has had `begun` since its start; tells the role that it had if it has
+    /// another one now.
+    pub fn review(&mut self, now: u64, begun: u64) -> Option<Role> {
+        self.me.rate = self.rate.note(now, begun);
+        let before = Role::of(&self.me);
+        let serving: Vec<&Node> =
+            self.live(now).filter(|node| node.says.serving).collect();
+        let near = |node: &&Node| node.says.data_centre == self.me.data_centre;
+        let mut places: Vec<&str> = serving
+            .iter()
+            .map(|node| node.says.data_centre.as_str())
+            .chain([self.me.data_centre.as_str()])
+            .collect();
+        places.sort_unstable();
+        places.dedup();
+        let others: u32 = serving
+            .iter()
+            .copied()
+            .filter(near)
+            .map(|one| one.says.rate)
+            .sum();
+        let view = View {
+            near: serving
+                .iter()
+                .copied()
+                .filter(near)
+                .filter(|node| node.is_active())
+                .map(|node| &node.says)
+                .collect(),
+            rate: self.me.rate + others,
+            serving: serving.len() + 1,
+            data_centres: places.len(),
+        };
+        let mut keeper = self.keeper;
+        let role = keeper.review(now, &self.me, &view);
+        self.keeper = keeper;
+        self.me.role = role as u32;
+        self.has_new_role |= role != before;
+        (role != before).then_some(before)
     }
 
     /// All replicas, also those that have left, sorted by id.
@@ -140,15 +247,20 @@
 
     // ---- Sums -------------------------------------------------------------
 
-    /// Requests of other live nodes under way at a replica, and the prompt
-    /// tokens that it has yet to read for them.
-    pub fn under(&self, now: u64, replica: u64) -> (u32, u32) {
-        self.live(now)
-            .flat_map(|node| &node.under)
-            .filter(|under| under.replica == replica)
-            .fold((0, 0), |sum, under| {
-                (sum.0 + under.count, sum.1 + under.pending)
-            })
+    /// Requests of other live nodes under way at each replica.
+    pub fn loads(&self, now: u64) -> Loads {
+        let mut sums: Vec<Under> =
+            self.live(now).flat_map(|node| &node.under).copied().collect();
+        sums.sort_unstable_by_key(|under| under.replica);
+        sums.dedup_by(|one, sum| {
+            let same = one.replica == sum.replica;
+            if same {
+                sum.count += one.count;
+                sum.pending += one.pending;
+            }
+            same
+        });
+        Loads { sums }
     }
 
     /// The work that each node has sent to a service since its start, in ms
@@ -175,18 +287,19 @@
         now: u64,
         team: u64,
     ) -> impl Iterator<Item = (u64, u64, bool)> + '_ {
+        let limit = self.unheard_ms(now);
         self.nodes.iter().flat_map(move |node| {
-            let heard = now < node.direct_at + LIVE_MS;
+            let heard = now < node.direct_at + limit;
             let spent = node.spent.iter().filter(move |one| one.team == team);
             spent.map(move |one| (node.says.incarnation, one.tokens, heard))
         })
     }
 
-    /// How many nodes there are, this one too, and how many of them are not
-    /// heard directly at the moment although they may well serve.
+    /// How many nodes take callers' requests, this one too, and how many of
+    /// them are not heard directly at the moment although they may well do so.
     pub fn reach(&self, now: u64) -> (usize, usize) {
-        let serving = self.nodes.iter().filter(|node| node.says.serving);
-        (serving.count() + 1, self.unheard(now).count())
+        let entries = self.nodes.iter().filter(|node| node.is_entry());
+        (entries.count() + 1, self.unheard(now).count())
     }
 
     /// What to add to this node's time of day, in ms.
@@ -194,9 +307,14 @@
     /// The median over all nodes that were heard lately: a clock that jumps,
     /// or a third of them, does not move it.
     pub fn clock_offset(&self, now: u64) -> i64 {
-        let heard = self.nodes.iter().filter(|node| {
-            node.direct_at > 0 && now < node.direct_at + LIVE_MS
-        });
+        let limit = match self.is_member() {
+            true => self.unheard_ms(now),
+            false => CLOCKS_FOR_STANDBY_MS,
+        };
+        let heard = self
+            .nodes
+            .iter()
+            .filter(|node| node.direct_at > 0 && now < node.direct_at + limit);
         let mut leads: Vec<i64> = heard.map(|node| node.lead_ms).collect();
         leads.push(0);
         leads.sort_unstable();
@@ -221,12 +339,22 @@
     }
 
     /// Nodes that may well serve although they are not heard directly.
+    ///
+    /// A node that stands by can't tell: it hears one other at a time.
     pub(super) fn unheard(&self, now: u64) -> impl Iterator<Item = &Node> {
+        let limit = self.unheard_ms(now);
+        let can_tell = self.is_member();
         self.nodes.iter().filter(move |node| {
-            node.says.serving && now >= node.direct_at + LIVE_MS
+            can_tell && node.is_entry() && now >= node.direct_at + limit
         })
     }
 
+    /// Where nodes take turns, one is heard directly once in several rounds.
+    fn unheard_ms(&self, now: u64) -> u64 {
+        let turn_ms = 2.0 * mean_lag_ms(self.members(now).count() + 1);
+        LIVE_MS.max((turn_ms * UNHEARD_TURNS) as u64)
+    }
+
     /// What others should know although its node does not tell them itself.
     ///
     /// A node that was killed has told some of the others what began there
@@ -234,16 +362,23 @@
     /// And behind a cut a node tells those that hear it, but not the leader.
     /// Without this the report would lack all of it.
     pub(super) fn relayed(&self, now: u64) -> Vec<Began> {
-        self.counts.others(self.me.incarnation, |incarnation| {
+        let own = self.me.incarnation;
+        self.counts.others(own, self.told, |incarnation| {
             let speaker = self
                 .nodes
                 .iter()
                 .find(|node| node.says.incarnation == incarnation);
             match speaker {
                 None => true,
-                Some(node) if !node.is_live(now) => true,
+                // It tells those that can lead itself, and no other one.
+                Some(node) if Role::of(&node.says) == Role::Standby => {
+                    now >= node.heard_at + SILENT_STANDBY_MS
+                }
+                Some(node) if !self.is_live(now, node) => true,
+                // Only who can lead needs the counts.
                 Some(node) => self
                     .live(now)
+                    .filter(|other| other.says.has_disk)
                     .any(|other| other.unheard.contains(&node.says.ip)),
             }
         })
@@ -251,13 +386,39 @@
 }
 
 impl Node {
-    /// True while the node was heard lately.
-    pub fn is_live(&self, now: u64) -> bool {
-        now < self.heard_at + LIVE_MS
-    }
-
     /// Its address.
     pub fn ip(&self) -> Ipv4Addr {
         Ipv4Addr::from(self.says.ip)
     }
+    /// True where callers are sent to it.
+    pub fn is_active(&self) -> bool {
+        self.says.serving && Role::of(&self.says) == Role::Active
+    }
+
+    /// True where callers' requests come in.
+    fn is_entry(&self) -> bool {
+        self.says.serving && Role::of(&self.says) != Role::Standby
+    }
+
+    /// As it is told to others.
+    pub(super) fn aged(&self, now: u64) -> Peer {
+        let age_ms = now.saturating_sub(self.heard_at) as u32;
+        Peer { age_ms, ..self.says.clone() }
+    }
+}
+
+/// Requests of other nodes, by replica.
+#[derive(Clone, Debug)]
+pub struct Loads {
+    /// Sorted by replica.
+    sums: Vec<Under>,
+}
+
+impl Loads {
+    /// Requests under way at a replica, and the prompt tokens that it has yet
+    /// to read for them.
+    pub fn at(&self, replica: u64) -> (u32, u32) {
+        let found = position(&self.sums, &replica, |under| &under.replica);
+        found.map_or((0, 0), |at| (self.sums[at].count, self.sums[at].pending))
+    }
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -289,13 +289,14 @@
         lock(&self.node.server).as_ref().map(Server::address)
     }
 
-    /// Where callers may connect: entries that serve, this one too.
-    pub fn entries(&self) -> Vec<SocketAddrV4> {
+    /// Where callers in a data centre may connect: entries there, or any of
+    /// them where there are few or it isn't known.
+    pub fn entries(&self, near: Option<&str>) -> Vec<SocketAddrV4> {
         let node = &self.node;
         let now = node.gateway.timer.now();
         let port = node.front.port();
         let Some(mesh) = node.mesh.get() else { return Vec::new() };
-        let handed = mesh.table().handed_out(now, None);
+        let handed = mesh.table().handed_out(now, near);
         handed.into_iter().map(|ip| SocketAddrV4::new(ip, port)).collect()
     }
 
@@ -487,8 +488,13 @@
         self.gateway.note_cached(&cached);
     }
 
-    fn news(self: Arc<Self>, _: News) {
+    fn news(self: Arc<Self>, news: News) {
         self.gateway.refresh();
         self.follow_mesh();
+        if news.steps_in {
+            // It was told little while it stood by.
+            self.gateway.settle_quotas();
+            tokio::spawn(recall::learn(self, None));
+        }
     }
 }
--- a/src/node/recall.rs
+++ b/src/node/recall.rs
@@ -170,7 +170,8 @@
 
 fn choose(node: &Node, with_disk: bool) -> Option<Ipv4Addr> {
     let table = node.mesh.get()?.table();
-    let live = table.live(node.gateway.timer.now());
+    // Whoever stands by knows no more.
+    let live = table.members(node.gateway.timer.now());
     let able = live.filter(|one| one.says.has_disk || !with_disk);
     able.map(|one| one.ip()).choose(&mut rand::rng())
 }
--- a/src/util.rs
+++ b/src/util.rs
@@ -66,3 +66,11 @@
     name.hash(&mut hasher);
     hasher.finish()
 }
+
+/// Spreads the bits of a number over all of it (the last steps of SplitMix).
+pub fn mix(number: u64) -> u64 {
+    let mut mixed = number;
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -873,6 +873,9 @@
     /// Callers' requests each second, on average.
     #[prost(uint32, tag = "12")]
     pub rate: u32,
+    /// Since the sender heard of it; 0 when it speaks for itself.
+    #[prost(uint32, tag = "13")]
+    pub age_ms: u32,
 }
 /// What is known of one incarnation of a replica.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -1038,6 +1041,9 @@
     pub left: ::prost::alloc::vec::Vec<u64>,
     #[prost(message, repeated, tag = "14")]
     pub beats: ::prost::alloc::vec::Vec<Beat>,
+    /// Says nothing of the sender's load, which stays as it was told.
+    #[prost(bool, tag = "15")]
+    pub partial: bool,
 }
 /// Generated client implementations.
 pub mod members_client {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -21,6 +21,7 @@
 #[allow(dead_code)]
 mod relay;
 mod requests;
+mod roles;
 mod scenario;
 mod steps;
 mod world;
