Tell all active nodes of requests under way in each round

Hypothesis: routing at seventy entries is bound by how late they know of each other's requests (0.75 s). Datagrams with everything go to 16 nodes a round; most of their bytes are quotas, caches and counts, which may be late. Requests under way are a tenth of it.

Change: the nodes that don't have their turn in a round are told of requests under way alone. Mean age of that word 0.15 s at up to 64 active nodes (0.45 before at 40).

--- a/src/duty/scale.rs
+++ b/src/duty/scale.rs
@@ -7,7 +7,7 @@
     decide::place::{Bounds, Load, Site, found, wishes},
     gateway::plan::{Plan, Scaling, Service},
     mesh::{
-        mean_lag_ms,
+        load_lag_ms,
         table::{Replica, State, Table},
     },
     util::{common, name_hash},
@@ -101,7 +101,7 @@
                 least: scaling.least,
                 most: scaling.most,
                 has_spot: scaling.spot_price.is_some(),
-                lag_ms: mean_lag_ms(table.reach(now).0) as f32,
+                lag_ms: load_lag_ms(table.reach(now).0) as f32,
             };
             for (wish, site) in
                 wishes(&sites, &bounds, load).iter().zip(&sites)
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -19,7 +19,7 @@
         },
     },
     mesh::{
-        mean_lag_ms,
+        load_lag_ms,
         table::{self, State, Table},
     },
     util::{common, name_hash, position, random_id},
@@ -424,7 +424,7 @@
             .collect();
         self.pool.set_replicas(near, &identities);
         let old = std::mem::take(&mut self.places);
-        let lag_ms = mean_lag_ms(table.reach(now).0) as u64;
+        let lag_ms = load_lag_ms(table.reach(now).0) as u64;
         let loads = table.loads(now);
         for replica in replicas {
             let says = &replica.says;
--- a/src/mesh/datagram.rs
+++ b/src/mesh/datagram.rs
@@ -7,7 +7,7 @@
     table::{FORGET_NODE_MS, LIVE_MS, News, Node, Own, Table},
 };
 use crate::{
-    util::position,
+    util::{common, position},
     wire::{Beat, Began, Gossip, Peer, Sighting},
 };
 
@@ -42,6 +42,29 @@
 /// that every gap is filled within seconds.
 const REPEATED_PER_DATAGRAM: usize = 3;
 
+common! {
+    copy
+    /// What a datagram says of its sender's load.
+    pub(super) enum Scope {
+        /// All of it.
+        All,
+        /// Nothing.
+        Nothing,
+        /// Its requests under way.
+        UnderWay,
+    }
+}
+
+impl Scope {
+    fn of(scope: u32) -> Scope {
+        match scope {
+            0 => Scope::All,
+            2 => Scope::UnderWay,
+            _ => Scope::Nothing,
+        }
+    }
+}
+
 impl Table {
     /// Takes a datagram; `wall_ms` is this node's time of day.
     pub fn hear(&mut self, now: u64, wall_ms: i64, gossip: Gossip) -> News {
@@ -65,8 +88,11 @@
             if node.says.incarnation == incarnation {
                 node.lead_ms = gossip.wall_ms - wall_ms;
                 node.direct_at = now;
-                if !gossip.partial {
+                let scope = Scope::of(gossip.scope);
+                if scope != Scope::Nothing {
                     node.under = gossip.under;
+                }
+                if scope == Scope::All {
                     node.spent = gossip.spent;
                     node.work = gossip.work;
                     node.unheard = gossip.unheard;
@@ -156,7 +182,7 @@
         let changed = changed.take(REPLICAS_PER_DATAGRAM);
         let replicas = changed.map(|one| one.aged(now)).collect();
         let gossip = self.word(now, wall_ms, replicas, Vec::new());
-        Gossip { partial: true, ..gossip }
+        Gossip { scope: Scope::Nothing as u32, ..gossip }
     }
 
     /// The answer to a node that greets.
@@ -179,7 +205,7 @@
         gossip.peers = self.peers_for(now, asked);
         match asked.has_disk || Role::of(asked) != Role::Standby {
             true => self.with_load(now, gossip, own),
-            false => Gossip { partial: true, ..gossip },
+            false => Gossip { scope: Scope::Nothing as u32, ..gossip },
         }
     }
 
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -52,15 +52,29 @@
 const URGENT_PAUSE: Duration = Duration::from_millis(10);
 /// Every so many rounds, nodes that are silent are told too.
 const SILENT_ROUNDS: u64 = 4;
-/// Nodes told in one round; at more than that, the rest follow in turn.
+/// Nodes told everything in one round; at more than that, the rest follow in
+/// turn.
 const FANOUT: usize = 16;
+/// Nodes told of requests under way in one round. Some forty are active before
+/// three hundred replicas; a datagram of 400 bytes to each takes 0.4 of 10
+/// Mbit/s and a hundredth of a core.
+const LOAD_FANOUT: usize = 64;
 /// The longest datagram that is read, in bytes.
 const LONGEST: usize = 16 * 1024;
 
 /// How long it takes on average until one of so many nodes knows what
-/// another has just said, in ms.
+/// another has just said of anything but its requests under way, in ms.
 pub fn mean_lag_ms(nodes: usize) -> f64 {
-    let rounds = nodes.saturating_sub(1).div_ceil(FANOUT).max(1);
+    lag_ms(nodes, FANOUT)
+}
+
+/// The same for requests under way.
+pub fn load_lag_ms(nodes: usize) -> f64 {
+    lag_ms(nodes, LOAD_FANOUT)
+}
+
+fn lag_ms(nodes: usize, told: usize) -> f64 {
+    let rounds = nodes.saturating_sub(1).div_ceil(told).max(1);
     rounds as f64 * PERIOD.as_millis() as f64 / 2.0
 }
 
--- a/src/mesh/round.rs
+++ b/src/mesh/round.rs
@@ -5,7 +5,8 @@
 use rand::seq::IndexedRandom;
 
 use super::{
-    FANOUT, SILENT_ROUNDS,
+    FANOUT, LOAD_FANOUT, SILENT_ROUNDS,
+    datagram::Scope,
     role::{ADDRESSES, Role},
     table::{Node, Own, Table},
 };
@@ -78,16 +79,31 @@
         sendings
     }
 
-    /// Tells some of the nodes that tell each other of their load, in turn.
+    /// Tells some of the nodes that tell each other of their load everything,
+    /// in turn, and the others where requests are under way.
+    ///
+    /// That is a tenth of the bytes, and what routing goes by: word that is
+    /// 0.5 s old instead of 0.15 sends forty nodes to the same idle replicas.
     fn round_of_member(&mut self, round: Round, own: Own) -> Vec<Sending> {
         let gossip = self.compose(round.now, round.wall_ms, own);
         let mut to = ips(self.members(round.now));
+        let mut rest = Vec::new();
         if to.len() > FANOUT {
             let from = (round.number as usize * FANOUT) % to.len();
             to.rotate_left(from);
-            to.truncate(FANOUT);
+            rest = to.split_off(FANOUT);
+            rest.truncate(LOAD_FANOUT - FANOUT);
         }
-        self.with_usage_for_some(round, gossip, to)
+        let load = Gossip {
+            from: gossip.from.clone(),
+            under: gossip.under.clone(),
+            wall_ms: gossip.wall_ms,
+            scope: Scope::UnderWay as u32,
+            ..Gossip::default()
+        };
+        let mut sendings = self.with_usage_for_some(round, gossip, to);
+        sendings.push(Sending { to: rest, gossip: load });
+        sendings
     }
 
     /// Counts of usage are half of a datagram where there are many teams. Only
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -1041,9 +1041,10 @@
     pub left: ::prost::alloc::vec::Vec<u64>,
     #[prost(message, repeated, tag = "14")]
     pub beats: ::prost::alloc::vec::Vec<Beat>,
-    /// Says nothing of the sender's load, which stays as it was told.
-    #[prost(bool, tag = "15")]
-    pub partial: bool,
+    /// What it says of the sender's load; the rest stays as it was told.
+    /// 0: all, 1: nothing, 2: only its requests under way.
+    #[prost(uint32, tag = "15")]
+    pub scope: u32,
 }
 /// Generated client implementations.
 pub mod members_client {
