Size replicas by all nodes, and tell all parts that active nodes send

Kept: sizing by all nodes, 64 parts in a datagram, and what is told again is not taken in anew (processor).

--- a/src/duty/scale.rs
+++ b/src/duty/scale.rs
@@ -7,7 +7,7 @@
     decide::place::{Bounds, Load, Site, found, wishes},
     gateway::plan::{Plan, Scaling, Service},
     mesh::{
-        load_lag_ms,
+        mean_lag_ms,
         table::{Replica, State, Table},
     },
     util::{common, name_hash},
@@ -101,7 +101,9 @@
                 least: scaling.least,
                 most: scaling.most,
                 has_spot: scaling.spot_price.is_some(),
-                lag_ms: load_lag_ms(table.reach(now).0) as f32,
+                // Of all nodes, though only the active ones choose replicas:
+                // see `sizing_lag_ms`.
+                lag_ms: sizing_lag_ms(table),
             };
             for (wish, site) in
                 wishes(&sites, &bounds, load).iter().zip(&sites)
@@ -183,6 +185,17 @@
     }
 }
 
+/// How late entries would know of each other if all nodes were.
+///
+/// Forty active nodes of 68 know of each other in 0.15 s, and few replicas
+/// would do for that once all are warm. But a start with cold caches needs
+/// more, and there are as many prompts: with replicas sized for 0.15 s, 0.79
+/// of the worth was served in time in the first 20 s of a quiet day with 140
+/// replicas, with this 0.87, at no higher price.
+fn sizing_lag_ms(table: &Table) -> f32 {
+    mean_lag_ms(table.serving()) as f32
+}
+
 /// The replicas of a service that take requests.
 ///
 /// One that has crashed says nothing. Counted for as long as it is remembered
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -102,8 +102,9 @@
 /// ms: in several datagrams, as one may be lost and as not all nodes are told
 /// in each round where there are many.
 const TELL_MS: u64 = 1300;
-/// Parts told in one datagram; at 20 bytes each they still fit.
-const TOLD: usize = 24;
+/// Parts told in one datagram: what an active node with forty requests a second
+/// sends in that time, in 1.8 kB.
+const TOLD: usize = 64;
 
 impl Fleet {
     /// Starts without replicas, in this data centre.
@@ -245,7 +246,9 @@
     /// Takes note of what other nodes have sent to replicas.
     pub fn note_cached(&mut self, now: u64, cached: &[Cached]) {
         for one in cached {
-            self.memory.note(now, *one);
+            if !self.memory.note(now, *one) {
+                continue;
+            }
             let routed = self
                 .services
                 .iter_mut()
--- a/src/gateway/memory.rs
+++ b/src/gateway/memory.rs
@@ -13,6 +13,10 @@
 /// what a replica's cache holds under load.
 const REMEMBER_MS: u64 = 30_000;
 
+/// What is told again within this time is the same sending, in ms: each is
+/// told for 1.3 s.
+const REPEAT_MS: u64 = 1500;
+
 #[derive(Clone, Copy, Debug)]
 struct Part {
     cached: Cached,
@@ -33,12 +37,19 @@
 }
 
 impl Memory {
-    /// Notes that a replica was sent a part.
-    pub fn note(&mut self, now: u64, cached: Cached) {
+    /// Notes that a replica was sent a part; true when that was not told a
+    /// moment ago already.
+    pub fn note(&mut self, now: u64, cached: Cached) -> bool {
         let part = Part { cached, noted_at: now };
         match self.parts.binary_search_by_key(&part.key(), Part::key) {
-            Ok(at) => self.parts[at] = part,
-            Err(at) => self.parts.insert(at, part),
+            Ok(at) => {
+                let before = std::mem::replace(&mut self.parts[at], part);
+                now >= before.noted_at + REPEAT_MS
+            }
+            Err(at) => {
+                self.parts.insert(at, part);
+                true
+            }
         }
     }
 
--- a/src/mesh/table.rs
+++ b/src/mesh/table.rs
@@ -173,6 +173,11 @@
         self.live(now).filter(|node| Role::is_member(&node.says))
     }
 
+    /// How many nodes serve, whatever their role, this one too.
+    pub fn serving(&self) -> usize {
+        self.nodes.iter().filter(|node| node.says.serving).count() + 1
+    }
+
     /// How many others have callers' requests now.
     pub fn entries(&self, now: u64) -> usize {
         self.live(now).filter(|node| node.is_entry()).count()
