--- a/tests/all/quota.rs
+++ b/tests/all/quota.rs
@@ -376,3 +376,25 @@
     let at_once: u64 = (0..200).map(|_| admitted(&mut meter, 6_200)).sum();
     assert!(at_once <= 20_000, "{at_once}");
 }
+
+/// Symptom: a node that has just begun to take callers' requests refuses
+/// nearly all of them for minutes. Sequence: it stood by and had admitted one
+/// request long ago; when it steps in, the others tell what they have admitted
+/// since their start. Cause: all of that is taken out of its bucket at once.
+#[test]
+fn an_entry_that_stood_by_takes_what_it_is_told_first_for_old() {
+    let load = Load { entries: 40, rate: 190_000.0, times: 0.5, cut: false };
+    let allowance = load.allowance();
+    let ask =
+        |meter: &mut Meter, now| meter.admit(now, allowance, 2_000, false);
+    let mut meter = Meter::open(0, allowance);
+    meter.note(100, 7, 2_000, true);
+    assert_eq!(ask(&mut meter, 200), Ok(()));
+    meter.settle(60_000);
+    meter.note(60_100, 7, 9_000_000, true);
+    meter.note(60_100, 8, 9_000_000, true);
+    assert_eq!(ask(&mut meter, 60_200), Ok(()));
+    // What they tell after that counts.
+    meter.note(60_400, 7, 9_900_000, true);
+    assert!(ask(&mut meter, 60_500).is_err());
+}
