Take nodes that step back for what they are, at once

Cause, by the play of the mesh: (1) hundreds that had just started drained for ten seconds without a request, and told so only those that they heard among three hundred; (2) a node that stepped in still took nodes for active that it had been told of long before. Both counted as cut off, and their parts of all quotas were left out: 74 in 1,000 when callers came, up to 178 of 221 at single nodes.

Mended: who has had no request stands by at once; who stands by says so to all that it knows, heard or not; a draining node that is silent for longer than that takes stands by; a node that steps in forgets what it was told before; nobody counts as cut off before it could have been heard once.

--- a/src/mesh/datagram.rs
+++ b/src/mesh/datagram.rs
@@ -155,6 +155,7 @@
                     says,
                     heard_at,
                     direct_at: 0,
+                    since: now,
                     under: Vec::new(),
                     spent: Vec::new(),
                     work: Vec::new(),
--- a/src/mesh/role.rs
+++ b/src/mesh/role.rs
@@ -16,7 +16,7 @@
 //! | role | is handed out | tells and hears load | becomes |
 //! |---|---|---|---|
 //! | active | yes | yes | draining, after 3 s among too many |
-//! | draining | no | yes, as callers keep addresses | standby after 10 s |
+//! | draining | no | yes, as callers keep addresses | standby after 10 s, at once if it has had no requests |
 //! | standby | no | no | active, while there are too few |
 //!
 //! VMs with a disk come last in the order: what a fault does to the replicated
@@ -42,7 +42,7 @@
 /// How long a node still takes part after it has stepped back, in ms: callers
 /// keep an address for three times as long as they are told, and their
 /// requests take some seconds.
-const DRAIN_MS: u64 = 10_000;
+pub(super) const DRAIN_MS: u64 = 10_000;
 /// How long there have to be too few before the first standby steps in, in
 /// ms: it is told of the others each 0.6 s, and one answer may be lost.
 const MISSING_MS: u64 = 900;
@@ -165,7 +165,12 @@
         self.excess_since = None;
         self.missing_since = None;
         self.drains_since = now;
-        Role::Draining
+        // Whoever has had no request has none to drain. When all start at the
+        // same time, hundreds would else tell each other of no load.
+        match me.rate {
+            0 => Role::Standby,
+            _ => Role::Draining,
+        }
     }
 
     /// Standbys don't know each other, so each draws its place from its
--- a/src/mesh/round.rs
+++ b/src/mesh/round.rs
@@ -187,7 +187,11 @@
         if gossip.replicas.is_empty() && !has_new_role {
             return Vec::new();
         }
-        vec![Sending { to: ips(self.members(round.now)), gossip }]
+        // All that are known, whether heard at the moment or not: where
+        // hundreds have just started, each hears a part of them.
+        let known = self.nodes().iter();
+        let to = ips(known.filter(|node| Role::is_member(&node.says)));
+        vec![Sending { to, gossip }]
     }
 
     /// Asks nodes that are not heard, and seeds, whether they are there.
--- a/src/mesh/table.rs
+++ b/src/mesh/table.rs
@@ -16,7 +16,7 @@
 use super::{
     counts::Counts,
     mean_lag_ms,
-    role::{Keeper, Rate, Role, View},
+    role::{DRAIN_MS, Keeper, Rate, Role, View},
 };
 pub use super::{
     lives::{life_name, replica_hash, replica_of},
@@ -59,6 +59,8 @@
         pub heard_at: u64,
         /// When it was last heard directly, not through others.
         pub direct_at: u64,
+        /// When it was first known.
+        pub(super) since: u64,
         /// Its requests under way, by replica.
         pub(super) under: Vec<Under>,
         /// Its tokens admitted since its start, by team.
@@ -180,7 +182,7 @@
 
     /// How many others have callers' requests now.
     pub fn entries(&self, now: u64) -> usize {
-        self.live(now).filter(|node| node.is_entry()).count()
+        self.live(now).filter(|node| node.is_entry(now)).count()
     }
 
     fn is_live(&self, now: u64, node: &Node) -> bool {
@@ -240,6 +242,13 @@
         let mut keeper = self.keeper;
         let role = keeper.review(now, &self.me, &view);
         self.keeper = keeper;
+        if (before, role) == (Role::Standby, Role::Active) {
+            // What it was told of the others is old: many have stepped back
+            // since, and would count as cut off. Those that have requests tell
+            // it so within a round.
+            let since = now.saturating_sub(LIVE_MS / 2);
+            self.nodes.retain(|node| node.heard_at >= since);
+        }
         self.me.role = role as u32;
         self.has_new_role |= role != before;
         (role != before).then_some(before)
@@ -303,7 +312,7 @@
     /// How many nodes take callers' requests, this one too, and how many of
     /// them are not heard directly at the moment although they may well do so.
     pub fn reach(&self, now: u64) -> (usize, usize) {
-        let entries = self.nodes.iter().filter(|node| node.is_entry());
+        let entries = self.nodes.iter().filter(|node| node.is_entry(now));
         (entries.count() + 1, self.unheard(now).count())
     }
 
@@ -350,7 +359,8 @@
         let limit = self.unheard_ms(now);
         let can_tell = self.is_member();
         self.nodes.iter().filter(move |node| {
-            can_tell && node.is_entry() && now >= node.direct_at + limit
+            let from = node.direct_at.max(node.since);
+            can_tell && node.is_entry(now) && now >= from + limit
         })
     }
 
@@ -400,9 +410,17 @@
         self.says.serving && Role::of(&self.says) == Role::Active
     }
 
-    /// True where callers' requests come in.
-    fn is_entry(&self) -> bool {
-        self.says.serving && Role::of(&self.says) != Role::Standby
+    /// True where callers' requests may come in.
+    ///
+    /// Who was draining and has been silent for longer than that takes stands
+    /// by, and its word of it was lost.
+    fn is_entry(&self, now: u64) -> bool {
+        let may_be = match Role::of(&self.says) {
+            Role::Active => true,
+            Role::Draining => now < self.heard_at + DRAIN_MS,
+            Role::Standby => false,
+        };
+        self.says.serving && may_be
     }
 
     /// As it is told to others.
--- a/tests/all/roles.rs
+++ b/tests/all/roles.rs
@@ -110,7 +110,7 @@
         serving: 300,
         data_centres: 6,
     };
-    let me = Peer { has_disk: true, ..peer(1) };
+    let me = Peer { has_disk: true, rate: 5, ..peer(1) };
     let mut keeper = Keeper::open();
     let mut roles: Vec<(u64, Role)> = Vec::new();
     for now in (0..20_000).step_by(300) {
@@ -128,6 +128,25 @@
     assert!(ends >= drains + 10_000, "stood by after {ends}");
 }
 
+/// Symptom: two hundred nodes that have just started tell each other for ten
+/// seconds of requests that they don't have.
+#[test]
+fn a_node_without_requests_stands_by_at_once() {
+    let near: Vec<Peer> = (100..160).map(peer).collect();
+    let view = View {
+        near: near.iter().collect(),
+        rate: 0,
+        serving: 300,
+        data_centres: 6,
+    };
+    let me = Peer { has_disk: true, ..peer(1) };
+    let mut keeper = Keeper::open();
+    for now in (0..3000).step_by(300) {
+        assert_eq!(keeper.review(now, &me, &view), Role::Active);
+    }
+    assert_eq!(keeper.review(3000, &me, &view), Role::Standby);
+}
+
 /// Up to two dozen nodes, all are needed: each is a large part of them.
 #[test]
 fn all_of_ten_nodes_are_active() {
