--- a/src/mesh/datagram.rs
+++ b/src/mesh/datagram.rs
@@ -19,8 +19,8 @@
 const TOMBSTONE_MS: u64 = 60_000;
 /// Replicas named whole in one datagram, so that it fits an Ethernet frame.
 const REPLICAS_PER_DATAGRAM: usize = 12;
-/// Heartbeats told in one datagram: twice what comes in at a node where six
-/// hundred replicas meet four hundred nodes and a few of these relay them.
+/// Heartbeats told in one datagram, at 16 bytes each: forty nodes relay those
+/// of six hundred replicas, so that some twenty are told at any time.
 const BEATS_PER_DATAGRAM: usize = 32;
 /// Nodes named in one datagram besides the sender. With seventy nodes each
 /// is so heard of five times a second; with three, one in a hundred seemed
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -1,12 +1,24 @@
 //! How nodes know of each other, of the replicas, and of what all have used.
 //!
-//! Every node tells the others of itself over UDP, a few times a second.
-//! Datagrams get lost, and nothing is sent twice for it: each says how things
-//! are, not what has changed, so the next one makes up for the last.
-//! [`table`] holds what is known, apart from any I/O.
+//! Nodes that take callers' requests tell each other of themselves over UDP, a
+//! few times a second; where there are many nodes, the others stand by and ask
+//! one of these now and then. Datagrams get lost, and nothing is sent twice for
+//! it: each says how things are, not what has changed, so the next one makes up
+//! for the last.
 //!
 //! What is urgent (a replica leaves, a node stops) goes out at once, and in
 //! the regular datagrams after that.
+//!
+//! | module | does |
+//! |---|---|
+//! | [`table`] | what is known of the other nodes, and sums over them |
+//! | [`role`] | which nodes take callers' requests |
+//! | [`round`] | who is told what, and where callers may connect |
+//! | `datagram` | how datagrams are read and written |
+//! | `lives`, `replica` | what replicas say, one life after the other |
+//! | [`counts`] | requests that began, for usage reports |
+//!
+//! None of these does I/O; this module does.
 
 pub mod counts;
 mod datagram;
--- a/src/mesh/round.rs
+++ b/src/mesh/round.rs
@@ -17,7 +17,8 @@
 
 /// Every so many rounds a node that stands by asks another one.
 const STANDBY_ROUNDS: u64 = 2;
-/// Silent nodes that are greeted in each round.
+/// Up to so many silent nodes are greeted in each round, more of them only each
+/// [`SILENT_ROUNDS`].
 const FEW_SILENT: usize = 3;
 /// Silent nodes that are greeted at a time: as many as are told in a round.
 const GREETED: usize = FANOUT;
@@ -26,8 +27,8 @@
 /// Nodes that stand by are told what is urgent if they were heard within this
 /// time, in ms: each asks another node each 0.6 s.
 const STANDBY_MS: u64 = 10_000;
-/// Nodes that stand by and are told what is urgent by one other: some seventy
-/// tell them, so that each of two or three hundred is told twice.
+/// Nodes that stand by and are told what is urgent by one other: some forty
+/// tell them, so that most of three hundred are told once.
 const URGENT_STANDBYS: usize = 8;
 /// Up to so many active nodes, callers are sent to all of them wherever they
 /// are: each is a large part of what there is.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,7 +1,7 @@
 //! The messages between azuremount's processes, and the records on disk.
 //!
 //! Everything in [`generated`] comes from `proto/azuremount.proto` by
-//! `cargo run --example regenerate` and is committed. These types stay at the
+//! `cargo run -p xtask` and is committed. These types stay at the
 //! border: the parts behind it convert to their own where they decide
 //! anything, and keep a generated type only where they store it unchanged.
 
