Name in the log what a request asks for, and which replicas ended

The log could not tell whether replicas that end in series do so under one request that comes again: each retry has an id of its own. Lines of requests now have a fingerprint of method, host, path, team and body, and a replica whose connection broke is tried once more, as only one that has ended says something about the requests that were there.

--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -12,6 +12,7 @@
     Gateway,
     bodies::Share,
     dialect::Asked,
+    fingerprint,
     forward::{Attempts, Work},
     plan::{Limits, Plan, Route, Team},
     refusal::Refusal,
@@ -73,6 +74,13 @@
         })?;
     }
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let fingerprint = fingerprint::of(&fingerprint::Content {
+        method: &head.method,
+        host: &host,
+        path,
+        team: team.as_ref().map_or("", |team| &team.name),
+        body: &body,
+    });
     Ok(Work {
         gateway: gateway.clone(),
         route,
@@ -83,6 +91,7 @@
         path: path.to_owned(),
         headers: passed_on(head.headers),
         body,
+        fingerprint,
         _room: room,
         began,
         deadline,
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -317,7 +317,9 @@
             End::Well { held_ms } => {
                 routed.pool.end(now, ticket, started, Some(held_ms as f32));
             }
-            End::Failed => routed.pool.end(now, ticket, started, None),
+            End::Failed | End::Broken => {
+                routed.pool.end(now, ticket, started, None);
+            }
             End::Left => routed.pool.abandon(ticket, now, started),
         }
     }
@@ -394,6 +396,8 @@
         },
         /// By a fault of the replica.
         Failed,
+        /// The replica closed the connection before its answer was whole.
+        Broken,
         /// For a reason that says nothing about the replica.
         Left,
     }
--- a/src/gateway/flight.rs
+++ b/src/gateway/flight.rs
@@ -14,6 +14,7 @@
     gateway: Arc<Gateway>,
     service: String,
     target: Target,
+    fingerprint: u64,
     began_at: u64,
     started: bool,
     /// What it will have ended as when it is dropped.
@@ -27,6 +28,7 @@
             gateway: work.gateway.clone(),
             service: work.service.clone(),
             target: target.clone(),
+            fingerprint: work.fingerprint,
             began_at: work.now(),
             started: false,
             // Dropped on the way when the client has left.
@@ -71,5 +73,9 @@
         let ticket = self.target.ticket;
         let mut fleet = self.gateway.fleet();
         fleet.end(now, &self.service, ticket, self.started, self.end);
+        drop(fleet);
+        if self.end == End::Broken {
+            self.gateway.examine(&self.target, self.fingerprint);
+        }
     }
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -25,13 +25,14 @@
     accept::{accept, cost_of, passed_on},
     bodies::Share,
     dialect::{Answered, Asked, Sending},
+    fingerprint,
     fleet::{End, Target, blocks_of, ends_of},
     flight::Flight,
     plan::{Repeat, Route, Team},
     refusal::{Cause, Refusal, shown},
     relay,
     server::{Body, full},
-    upstream::{Failed, Line},
+    upstream::{Failed, Fault, Line},
 };
 use crate::{
     decide::route::Ask,
@@ -73,6 +74,8 @@
     pub path: String,
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// Names what is asked for; see [`fingerprint`](super::fingerprint).
+    pub fingerprint: u64,
     pub _room: Share,
     pub began: Instant,
     pub deadline: Instant,
@@ -215,6 +218,7 @@
                     info!(
                         target: "gateway",
                         request = shown(self.asked.id.as_ref()),
+                        fingerprint = fingerprint::shown(self.fingerprint),
                         replica = target.replica,
                         verdict = failed.verdict.as_str(),
                         after_ms = self.began.elapsed().as_millis() as u64,
@@ -352,7 +356,10 @@
         let response = sent.inspect_err(|failed| {
             let due = Instant::now() < self.deadline;
             if due || failed.verdict != Verdict::MayHaveRun {
-                flight.end = End::Failed;
+                flight.end = match failed.fault {
+                    Fault::Broken => End::Broken,
+                    _ => End::Failed,
+                };
             }
         })?;
         let answered = self.gateway.dialect.judge(
@@ -381,7 +388,8 @@
         flight: &mut Flight,
     ) -> Result<(), Failed> {
         let failed = |verdict, text: &str| {
-            Err(Failed { verdict, sent: true, text: text.to_owned() })
+            let text = text.to_owned();
+            Err(Failed { verdict, sent: true, fault: Fault::Other, text })
         };
         if !answered.matches {
             flight.end = End::Failed;
@@ -426,10 +434,11 @@
                 }
                 Ok(None) => break,
                 Ok(Some(Err(error))) => {
-                    flight.end = End::Failed;
+                    flight.end = End::Broken;
                     return Err(Failed {
                         verdict: Verdict::Ran,
                         sent: true,
+                        fault: Fault::Broken,
                         text: format!("the answer broke off: {error}"),
                     });
                 }
@@ -437,6 +446,7 @@
                     return Err(Failed {
                         verdict: Verdict::Ran,
                         sent: true,
+                        fault: Fault::Other,
                         text: "the answer did not end in time".to_owned(),
                     });
                 }
@@ -474,6 +484,7 @@
             .map_err(|error| Failed {
                 verdict: Verdict::NotRun,
                 sent: false,
+                fault: Fault::Other,
                 text: error.to_string(),
             })?;
         *request.headers_mut() = headers;
@@ -538,6 +549,7 @@
         info!(
             target: "gateway",
             request = shown(self.asked.id.as_ref()),
+            fingerprint = fingerprint::shown(self.fingerprint),
             team = self.team.as_ref().map_or("", |team| &team.name),
             route = self.route.name,
             plan = self.gateway.plan_version(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,8 @@
 //! | [`forward`] | one request at the replicas |
 //! | `flight` | a request under way, as the router counts it |
 //! | `relay` | answers that are passed on as they come |
+//! | `fingerprint` | a name for what a request asks for |
+//! | `ending` | whether a replica has ended, when a connection broke |
 //! | [`events`] | streams cut where an event ends |
 //! | `memory` | what replicas have been sent lately |
 //! | [`fleet`] | the replicas of each service, with a router for each |
@@ -21,7 +23,9 @@
 mod accept;
 mod bodies;
 pub mod dialect;
+mod ending;
 pub mod events;
+mod fingerprint;
 pub mod fleet;
 mod flight;
 pub mod forward;
@@ -47,6 +51,7 @@
 use self::{
     bodies::Bodies,
     dialect::Dialect,
+    ending::Endings,
     fleet::Fleet,
     plan::{Plan, Quota, Route, Team},
     refusal::{Cause, Refusal},
@@ -108,6 +113,7 @@
     pub(crate) lines: Lines,
     pub(crate) metrics: Metrics,
     bodies: Bodies,
+    endings: Endings,
     mesh: std::sync::OnceLock<mesh::Handle>,
     fleet: Mutex<Fleet>,
     /// Sorted by team.
@@ -143,6 +149,7 @@
             lines: Lines::default(),
             metrics: Metrics::open(),
             bodies: Bodies::open(options.body_memory),
+            endings: Endings::default(),
             mesh: std::sync::OnceLock::new(),
             fleet: Mutex::new(Fleet::open(
                 &options.data_centre,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -18,6 +18,8 @@
 
 use super::{
     events::Splitter,
+    fingerprint,
+    fleet::End,
     flight::Flight,
     forward::{Reply, Work},
     plan::Repeat,
@@ -117,12 +119,18 @@
         };
         let frame = match timeout_at(until, source.body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(_))) => return Piece::Broken("it broke off"),
+            Ok(Some(Err(_))) => {
+                source.flight.end = End::Broken;
+                return Piece::Broken("it broke off");
+            }
             Ok(None) if !self.events => return Piece::End,
             Ok(None) if self.splitter.is_between_events() => {
                 return Piece::End;
             }
-            Ok(None) => return Piece::Broken("it ended within an event"),
+            Ok(None) => {
+                source.flight.end = End::Broken;
+                return Piece::Broken("it ended within an event");
+            }
             Err(_) if Instant::now() >= deadline => return Piece::OutOfTime,
             Err(_) => return Piece::Broken("it fell silent"),
         };
@@ -162,7 +170,9 @@
         warn!(
             target: "gateway",
             request = self.shown(),
+            fingerprint = fingerprint::shown(self.work.fingerprint),
             route = self.work.route.name,
+            replica = self.replica(),
             last_event = self.splitter.last().unwrap_or(0),
             after_ms = self.work.began.elapsed().as_millis() as u64,
             "Stream ends early: {text}."
@@ -170,6 +180,11 @@
         Broken { verdict: Verdict::Ran, text }
     }
 
+    /// The replica that it was asked of last.
+    fn replica(&self) -> &str {
+        self.work.chosen.as_ref().map_or("", |target| &target.replica)
+    }
+
     fn shown(&self) -> &str {
         let id = self.work.asked.id.as_ref();
         id.and_then(|id| id.to_str().ok()).unwrap_or("-")
@@ -178,7 +193,9 @@
     /// Goes on at another replica; false when that is not possible.
     async fn go_on(&mut self, why: &'static str) -> bool {
         if let Some(mut source) = self.source.take() {
-            source.flight.end = super::fleet::End::Failed;
+            if source.flight.end != End::Broken {
+                source.flight.end = End::Failed;
+            }
             let replica = source.flight.replica().to_owned();
             self.work.attempts.note(&replica, Verdict::Ran);
         }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -9,6 +9,7 @@
 //! only when no byte of it can have reached the replica.
 
 use std::{
+    io,
     net::SocketAddrV4,
     sync::{Mutex, MutexGuard},
     time::Duration,
@@ -25,7 +26,7 @@
     time::{Instant, timeout, timeout_at},
 };
 
-use crate::verdict::Verdict;
+use crate::{util::common, verdict::Verdict};
 
 /// How long a new connection may take. Links of a deployment take a few
 /// milliseconds; beyond this the replica is down or cut off, and there is
@@ -52,19 +53,48 @@
     pub verdict: Verdict,
     /// Whether any byte was sent to the replica.
     pub sent: bool,
+    /// What became of the connection.
+    pub fault: Fault,
     /// What happened, for the log.
     pub text: String,
 }
 
+common! {
+    copy
+    /// What became of the connection on which an exchange failed.
+    pub enum Fault {
+        /// Nobody listens at the replica's address.
+        Refused,
+        /// The replica closed it before its answer was whole.
+        Broken,
+        /// Nothing that says how the replica is.
+        Other,
+    }
+}
+
 impl Failed {
     fn unsent(text: impl ToString) -> Failed {
         let text = text.to_string();
-        Failed { verdict: Verdict::NotRun, sent: false, text }
+        let fault = Fault::Other;
+        Failed { verdict: Verdict::NotRun, sent: false, fault, text }
     }
 
     fn doubtful(text: impl ToString) -> Failed {
         let text = text.to_string();
-        Failed { verdict: Verdict::MayHaveRun, sent: true, text }
+        let fault = Fault::Other;
+        Failed { verdict: Verdict::MayHaveRun, sent: true, fault, text }
+    }
+
+    fn broken(text: impl ToString) -> Failed {
+        Failed { fault: Fault::Broken, ..Failed::doubtful(text) }
+    }
+
+    fn unconnected(error: &io::Error) -> Failed {
+        let fault = match error.kind() {
+            io::ErrorKind::ConnectionRefused => Fault::Refused,
+            _ => Fault::Other,
+        };
+        Failed { fault, ..Failed::unsent(error) }
     }
 }
 
@@ -129,6 +159,25 @@
         }
     }
 
+    /// Whether a replica has ended, by a new connection to it, which is kept.
+    ///
+    /// False as well where that can't be told: a machine without power and
+    /// one behind a cut are both silent.
+    pub async fn has_ended(
+        &self,
+        replica: &str,
+        address: SocketAddrV4,
+    ) -> bool {
+        match timeout(CONNECT_LIMIT, connect(replica, address)).await {
+            Ok(Ok(line)) => {
+                self.put_back(line, None);
+                false
+            }
+            Ok(Err(failed)) => failed.fault == Fault::Refused,
+            Err(_) => false,
+        }
+    }
+
     fn take_idle(&self, replica: &str) -> Option<Line> {
         let now = Instant::now();
         let mut idle = self.idle();
@@ -185,7 +234,7 @@
             Ok(Ok(response)) => Ok(response),
             Ok(Err(mut failed)) => match failed.take_message() {
                 Some(_) => Err(Failed::unsent(failed.error())),
-                None => Err(Failed::doubtful(failed.error())),
+                None => Err(Failed::broken(failed.error())),
             },
             Err(_) => Err(Failed::doubtful("no answer in time")),
         }
@@ -206,7 +255,9 @@
     replica: &str,
     address: SocketAddrV4,
 ) -> Result<Line, Failed> {
-    let stream = TcpStream::connect(address).await.map_err(Failed::unsent)?;
+    let stream = TcpStream::connect(address)
+        .await
+        .map_err(|error| Failed::unconnected(&error))?;
     let _ = stream.set_nodelay(true);
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -74,6 +74,8 @@
     pub leads: Gauge,
     /// Statements that name no replica to use.
     pub unreadable: Counter,
+    /// Replicas that ended under requests of this node.
+    pub ended_replicas: Counter,
 }
 
 fn seconds() -> Histogram {
@@ -114,6 +116,7 @@
             term: Gauge::default(),
             leads: Gauge::default(),
             unreadable: Counter::default(),
+            ended_replicas: Counter::default(),
             registry: Registry::default(),
         };
         // First those that tell how control is, as collectors cut long pages.
@@ -142,6 +145,11 @@
             "Statements of replicas that can't be used",
             metrics.unreadable.clone(),
         );
+        registry.register(
+            "ended_replicas",
+            "Replicas that ended under requests of this node",
+            metrics.ended_replicas.clone(),
+        );
         registry.register(
             "latency_seconds",
             "From request to the end of its answer",
