Add a test of a request that ends replicas, which fails

Three nodes and four replicas; a request ends each replica that begins to run it, and comes again under new ids to each node in turn.

--- /dev/null
+++ b/tests/all/crashes.rs
@@ -0,0 +1,184 @@
+//! Requests that end the replicas that run them.
+
+use std::{net::SocketAddr, time::Duration};
+
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+    sync::mpsc,
+    task::JoinSet,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    nodes::Site,
+    world::{PATIENCE, events, ok, put, read_answer, serve, sighting, status},
+};
+
+/// A replica ends when it begins to run a request with this in it.
+const FATAL: &str = "fatal";
+/// Replicas that a request may end before all nodes have to know of it.
+const CRASHES: usize = 3;
+/// How soon, as nodes in touch have to know what others were told.
+const CONTACT: Duration = Duration::from_secs(3);
+/// Times that it may reach replicas after that.
+const MORE: usize = 3;
+
+/// A service whose replicas are back under another id as soon as they have
+/// ended.
+struct Service {
+    site: Site,
+    replicas: Vec<(String, SocketAddr)>,
+    started: usize,
+    ended: mpsc::UnboundedReceiver<SocketAddr>,
+    tell_ended: mpsc::UnboundedSender<SocketAddr>,
+    crashes: usize,
+}
+
+impl Service {
+    async fn open(replicas: usize) -> Service {
+        let site = Site::open(3, 0).await;
+        put(site.node(0), 1).await;
+        site.all_serve().await;
+        let (tell_ended, ended) = mpsc::unbounded_channel();
+        let mut service = Service {
+            site,
+            replicas: Vec::new(),
+            started: 0,
+            ended,
+            tell_ended,
+            crashes: 0,
+        };
+        for _ in 0..replicas {
+            service.start_replica().await;
+        }
+        service
+    }
+
+    async fn start_replica(&mut self) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        tokio::spawn(run(listener, self.tell_ended.clone()));
+        self.started += 1;
+        let id = format!("r{}", self.started);
+        for node in self.site.nodes() {
+            node.sight(sighting(&id, address, 0));
+        }
+        self.replicas.push((id, address));
+    }
+
+    /// Notes which replicas have ended, and starts others in their place.
+    async fn replace_ended(&mut self) {
+        while let Ok(address) = self.ended.try_recv() {
+            self.crashes += 1;
+            let at = self.replicas.iter().position(|one| one.1 == address);
+            let (id, _) = self.replicas.remove(at.unwrap());
+            for node in self.site.nodes() {
+                node.sight(sighting(&id, address, 2));
+            }
+            self.start_replica().await;
+        }
+    }
+
+    /// Sends a request of its own id with this body to a node.
+    async fn send(&mut self, at: usize, id: usize, body: &str) -> String {
+        let front = self.site.node(at).front().unwrap();
+        let mut client = TcpStream::connect(front).await.unwrap();
+        let length = body.len();
+        let request = format!(
+            "POST /resume/x HTTP/1.1\r\nHost: here\r\nId: {id}\r\n\
+             Content-Length: {length}\r\n\r\n{body}"
+        );
+        client.write_all(request.as_bytes()).await.unwrap();
+        let answer = read_answer(&mut client).await;
+        // A replica that ends says so a moment after its connections close.
+        sleep(Duration::from_millis(50)).await;
+        self.replace_ended().await;
+        answer
+    }
+
+    /// Sends it to one node after the other, until it has ended three
+    /// replicas and for three rounds after that; returns the answers of these.
+    async fn send_again_and_again(&mut self, body: &str) -> Vec<String> {
+        let crash = async {
+            for id in 0.. {
+                if self.crashes >= CRASHES {
+                    return;
+                }
+                self.send(id % 3, id, body).await;
+            }
+        };
+        timeout(PATIENCE, crash).await.expect("no three replicas have ended");
+        sleep(CONTACT).await;
+        self.crashes = 0;
+        let mut answers = Vec::new();
+        for id in 100..109 {
+            answers.push(self.send(id % 3, id, body).await);
+        }
+        answers
+    }
+}
+
+/// Answers a stream of three events, until it has to run a fatal request.
+async fn run(
+    listener: TcpListener,
+    tell_ended: mpsc::UnboundedSender<SocketAddr>,
+) {
+    let address = listener.local_addr().unwrap();
+    let (send, mut heads) = mpsc::unbounded_channel();
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            Ok((stream, _)) = listener.accept() => {
+                let send = send.clone();
+                connections.spawn(async move {
+                    serve(stream, &send, &respond).await;
+                });
+            }
+            Some(head) = heads.recv() => {
+                if head.contains(FATAL) {
+                    // It runs for a moment, and its first event is out.
+                    sleep(Duration::from_millis(20)).await;
+                    drop(listener);
+                    connections.shutdown().await;
+                    let _ = tell_ended.send(address);
+                    return;
+                }
+            }
+        }
+    }
+}
+
+fn respond(head: &str) -> Vec<String> {
+    if head.contains(FATAL) {
+        let mut pieces = events(1..=1);
+        pieces.push(crate::world::HANG.to_owned());
+        return pieces;
+    }
+    ok("fine")
+}
+
+/// Symptom: replicas of a service end one after the other, up to eighteen of
+/// them, and take the streams of others with them. Sequence: one caller sends
+/// a request that ends each replica that begins to run it, again and again,
+/// under new ids, to whichever node; after three crashes it still reaches one
+/// replica after the other. Cause: what a node learns of a request it keeps
+/// under the id of the attempt, and for itself.
+#[tokio::test]
+async fn a_request_that_ends_replicas_is_refused_by_all_nodes() {
+    let mut service = Service::open(4).await;
+    let answers = service.send_again_and_again(FATAL).await;
+    let crashes = service.crashes;
+    assert!(crashes <= MORE, "{crashes} more replicas have ended");
+    for answer in answers {
+        assert_eq!(status(&answer), "503", "{answer}");
+        let answer = answer.to_lowercase();
+        assert!(answer.contains("retry-after: "), "{answer}");
+        assert!(answer.contains("not run"), "{answer}");
+    }
+    // What others ask for is served all the while.
+    for at in 0..3 {
+        let answer = service.send(at, 1000 + at, "harmless").await;
+        assert_eq!(status(&answer), "200", "{answer}");
+    }
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,6 +4,7 @@
 #[allow(dead_code)]
 mod cluster;
 mod config;
+mod crashes;
 mod decide;
 mod disk;
 mod explain;
--- a/tests/all/nodes.rs
+++ b/tests/all/nodes.rs
@@ -22,7 +22,7 @@
 /// The port between nodes.
 const PORT: u16 = 7701;
 
-struct Site {
+pub struct Site {
     /// Members that may lose their disks at once.
     tolerance: usize,
     ips: Vec<Ipv4Addr>,
@@ -32,7 +32,7 @@
 
 impl Site {
     /// Starts `disks` nodes with a disk and `others` without.
-    async fn open(disks: usize, others: usize) -> Site {
+    pub async fn open(disks: usize, others: usize) -> Site {
         Site::open_tolerant(disks, others, 1).await
     }
 
@@ -60,7 +60,7 @@
         site
     }
 
-    async fn start(&mut self, at: usize, first: bool) {
+    pub async fn start(&mut self, at: usize, first: bool) {
         let folder = self.folders[at].as_ref();
         let options = node::Options {
             folder: folder.map(|folder| folder.0.clone()),
@@ -81,7 +81,7 @@
         self.nodes[at] = Some(node);
     }
 
-    async fn stop(&mut self, at: usize) {
+    pub async fn stop(&mut self, at: usize) {
         if let Some(node) = self.nodes[at].take() {
             node.shutdown(Duration::ZERO).await;
         }
@@ -94,10 +94,15 @@
         self.start(at, false).await;
     }
 
-    fn node(&self, at: usize) -> &node::Handle {
+    pub fn node(&self, at: usize) -> &node::Handle {
         self.nodes[at].as_ref().unwrap()
     }
 
+    /// Those that run.
+    pub fn nodes(&self) -> impl Iterator<Item = &node::Handle> {
+        self.nodes.iter().flatten()
+    }
+
     /// The version that a node reads through the quorum, once it can.
     async fn read(&self, at: usize) -> u64 {
         let read = async {
@@ -125,7 +130,7 @@
         timeout(PATIENCE, known).await.expect(when);
     }
 
-    async fn all_serve(&self) {
+    pub async fn all_serve(&self) {
         let serve = async {
             let running = || self.nodes.iter().flatten();
             while !running().all(|node| {
