Keep requests away from replicas that have ended three of them

Callers saw streams break off as replicas of a service ended one after the other, up to eighteen in a series. One caller's request ended each replica that began to run it, and came again under a new id, at any node; after the third crash it still reached eleven more.

Cause: what a node learns of a request lives under the id of the attempt, as long as the attempt, in that node. Nothing that outlives an attempt, or is told to others, names what was asked for.

Now requests at a replica that ended are noted by what they ask for, told to all nodes in their datagrams (at once from the second crash on), told again each two seconds, given to nodes that start, and kept on disks. Three crashes without a success keep a request away for ten minutes, and longer each time it ends one more; it is refused at once, with that time. Bystanders are at one end, not three; a success clears; where many replicas end together, it does not count.

Ruled out: repeats of our own (no second attempt in the series), and that the request is only often there (by the log, two descriptions broke off 17 and 16 times and never ended well; 65 others once, none twice).

The test's stand-in began its stream anew instead of behind the last event when it was asked to go on, so that the node gave it up before the crash; it sends the head alone now. With that the test fails on the code before as it did.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -8,6 +8,7 @@
 pub mod moving;
 pub mod place;
 pub mod prefix;
+pub mod quarantine;
 pub mod quota;
 pub mod retry;
 pub mod route;
--- /dev/null
+++ b/src/decide/quarantine.rs
@@ -0,0 +1,358 @@
+//! Requests that are kept from replicas, as they end those that run them.
+//!
+//! Some request ends each replica that begins to run it, and its caller sends
+//! it again and again, each time under another id and at any node. Each time
+//! it takes a replica away for seconds, with all that others had there. So
+//! nodes remember which requests were under way at a replica that ended, by
+//! what they ask for, and tell each other. Three such ends without a success
+//! keep a request away.
+//!
+//! All that were under way are noted, as nobody can tell the one that did it
+//! from those beside it. Three things tell them apart afterwards: bystanders
+//! are at one end, not at three; they succeed elsewhere, and a success clears
+//! whatever was noted before it; and where many replicas end together, that
+//! has another cause, and none of it counts.
+//!
+//! Ways not taken: sending a suspect to a replica that has nothing else (there
+//! is none to spare under load); refusing after two ends (a stream that went
+//! on elsewhere is at two when a second replica ends by chance); the log of
+//! control (a commit a crash, and none behind a cut).
+
+use crate::util::{common, position};
+
+/// Replicas that a request may end before it is kept away.
+///
+/// Where one of eighteen replicas ends each second, a bystander of a second's
+/// length meets two in a row once in 300 times, three once in 6,000.
+pub const CRASHES: usize = 3;
+/// How long a request is kept away after its third crash, in ms; each further
+/// one doubles it. A team that mends its request sends another one; a service
+/// that is mended is tried again after this.
+const KEPT_MS: i64 = 600_000;
+/// The longest that it is kept away, in ms.
+const LONGEST_KEPT_MS: i64 = 3_600_000;
+/// Crashes are remembered for so long after a request's last one, in ms:
+/// beyond the longest time that it is kept away, so that the first crash after
+/// that keeps it away again.
+const REMEMBER_MS: i64 = 2 * LONGEST_KEPT_MS;
+/// A success is remembered for so long, in ms: longer than word of a crash
+/// before it may go round.
+const REMEMBER_SUCCESS_MS: i64 = 60_000;
+/// Replicas that end within this time of each other end together, in ms. A
+/// request that goes from one to the next takes longer for three.
+const TOGETHER_MS: u64 = 500;
+/// So many replicas besides a request's own, and this part of its service's,
+/// have to end together for another cause than the request.
+const LEAST_TOGETHER: usize = 3;
+/// See [`LEAST_TOGETHER`].
+const PART_TOGETHER: f32 = 0.25;
+/// Requests remembered, in some 300 kB: those at sixty ends with thirty under
+/// way at each.
+const MOST: usize = 2048;
+/// Crashes remembered of one request: what the longest time takes.
+const MOST_CRASHES: usize = 8;
+/// For so long news are told, in ms: in four rounds of the mesh, as a datagram
+/// may be lost.
+const TELL_MS: i64 = 1300;
+/// News told at a time, the newest: what is under way at one replica.
+const TOLD: usize = 64;
+/// Between two times that a request with several crashes is told, in ms, for
+/// nodes that missed it behind a cut or have just started.
+const AGAIN_MS: i64 = 2000;
+/// Such requests told at a time.
+const TOLD_AGAIN: usize = 4;
+/// Crashes from which on a request is told again, and kept on disks.
+const TOLD_FROM: usize = 2;
+/// Such requests told to a node that starts, and kept on disks.
+const MOST_TOLD: usize = 64;
+
+common! {
+    copy
+    /// A replica ended while a request was under way there.
+    pub struct Crash {
+        /// What the request asks for.
+        pub fingerprint: u64,
+        /// The replica's life.
+        pub replica: u64,
+        /// When, by this node's clock, in ms; less than none before its start.
+        pub at: i64,
+    }
+}
+
+common! {
+    copy
+    /// A request ended well.
+    pub struct Success {
+        /// What it asks for.
+        pub fingerprint: u64,
+        /// When, as for a crash.
+        pub at: i64,
+    }
+}
+
+common! {
+    /// What is told to other nodes.
+    pub struct Word {
+        /// Crashes.
+        pub crashes: Vec<Crash>,
+        /// Successes that came after crashes.
+        pub successes: Vec<Success>,
+    }
+}
+
+common! {
+    copy
+    /// Why a request is kept away.
+    pub struct Reason {
+        /// Replicas that ended under it.
+        pub crashes: usize,
+        /// Since the last of them, in ms.
+        pub age_ms: u64,
+        /// Until it may come again, in ms.
+        pub wait_ms: u64,
+    }
+}
+
+common! {
+    copy
+    /// Who told of something.
+    pub enum Source {
+        /// This node saw it, or is the only one that was told.
+        Own,
+        /// A node that tells all others itself.
+        Other,
+    }
+}
+
+common! {
+    struct Record {
+        fingerprint: u64,
+        /// Sorted by time.
+        crashes: Vec<Crash>,
+        /// The last success; what was noted before it is gone.
+        succeeded_at: Option<i64>,
+        /// When it was last told again.
+        told_at: Option<i64>,
+    }
+}
+
+/// What is known of requests at replicas that ended.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    /// Sorted by fingerprint.
+    records: Vec<Record>,
+    /// Crashes to be told, with the time when they became known here.
+    crashes: Vec<(i64, Crash)>,
+    /// The same of successes.
+    successes: Vec<(i64, Success)>,
+}
+
+impl Quarantine {
+    /// Notes a crash; tells how many there are of its request now, or nothing
+    /// if it is not news.
+    pub fn crash(
+        &mut self,
+        now: i64,
+        crash: Crash,
+        source: Source,
+    ) -> Option<usize> {
+        let at = self.record(crash.fingerprint);
+        let record = &mut self.records[at];
+        if let Some(success) = record.succeeded_at
+            && crash.at <= success
+        {
+            // Whoever tells it has missed the success.
+            let fingerprint = crash.fingerprint;
+            self.tell_success(now, Success { fingerprint, at: success });
+            return None;
+        }
+        let mut known = record.crashes.iter();
+        if known.any(|one| one.replica == crash.replica) {
+            return None;
+        }
+        let after = record.crashes.partition_point(|one| one.at <= crash.at);
+        record.crashes.insert(after, crash);
+        if record.crashes.len() > MOST_CRASHES {
+            record.crashes.remove(0);
+        }
+        let count = record.crashes.len();
+        if source == Source::Own {
+            self.crashes.push((now, crash));
+        }
+        self.bound(crash.fingerprint);
+        Some(count)
+    }
+
+    /// Notes that a request has ended well; tells how many crashes that
+    /// clears, if any.
+    pub fn succeed(
+        &mut self,
+        now: i64,
+        success: Success,
+        source: Source,
+    ) -> Option<usize> {
+        // Nearly all requests have never been at a replica that ended.
+        let at = self.find(&success.fingerprint).ok()?;
+        let record = &mut self.records[at];
+        let before = record.crashes.len();
+        record.crashes.retain(|one| one.at > success.at);
+        let cleared = before - record.crashes.len();
+        if cleared == 0 {
+            return None;
+        }
+        record.succeeded_at = record.succeeded_at.max(Some(success.at));
+        self.crashes.retain(|(_, one)| {
+            one.fingerprint != success.fingerprint || one.at > success.at
+        });
+        if source == Source::Own {
+            self.tell_success(now, success);
+        }
+        Some(cleared)
+    }
+
+    /// Why a request may not go to a replica now; `replicas` tells how many its
+    /// service has.
+    pub fn keeps(
+        &self,
+        now: i64,
+        fingerprint: u64,
+        replicas: impl FnOnce() -> usize,
+    ) -> Option<Reason> {
+        let at = self.find(&fingerprint).ok()?;
+        let record = &self.records[at];
+        let last = record.crashes.last()?;
+        if record.crashes.len() < CRASHES {
+            return None;
+        }
+        let part = (replicas() as f32 * PART_TOGETHER) as usize;
+        let many = part.max(LEAST_TOGETHER);
+        let counted = record.crashes.iter();
+        let counted = counted.filter(|one| !self.is_mass(record, one, many));
+        let crashes = counted.count();
+        let more = crashes.checked_sub(CRASHES)?;
+        let kept_ms = (KEPT_MS << more).min(LONGEST_KEPT_MS);
+        let age_ms = now - last.at;
+        let wait_ms = kept_ms - age_ms;
+        (wait_ms > 0).then_some(Reason {
+            crashes,
+            age_ms: age_ms.max(0) as u64,
+            wait_ms: wait_ms as u64,
+        })
+    }
+
+    /// Whether `many` replicas without the request ended at the same time, so
+    /// that the cause lies elsewhere: a data centre that lost its power takes
+    /// a request to three ends that it has nothing to do with.
+    fn is_mass(&self, own: &Record, crash: &Crash, many: usize) -> bool {
+        let is_own =
+            |replica| own.crashes.iter().any(|one| one.replica == replica);
+        let mut others: Vec<u64> = self
+            .records
+            .iter()
+            .flat_map(|record| &record.crashes)
+            .filter(|one| one.at.abs_diff(crash.at) <= TOGETHER_MS)
+            .map(|one| one.replica)
+            .filter(|replica| !is_own(*replica))
+            .collect();
+        others.sort_unstable();
+        others.dedup();
+        others.len() >= many
+    }
+
+    /// What goes into the next datagrams: news, and now and then what is known
+    /// of requests with several crashes.
+    pub fn tell(&mut self, now: i64) -> Word {
+        self.crashes.retain(|(at, _)| now < at + TELL_MS);
+        self.successes.retain(|(at, _)| now < at + TELL_MS);
+        let newest = self.crashes.iter().rev().take(TOLD);
+        let mut crashes: Vec<Crash> = newest.map(|(_, one)| *one).collect();
+        let due = self
+            .records
+            .iter_mut()
+            .filter(|one| one.crashes.len() >= TOLD_FROM)
+            .filter(|one| one.told_at.is_none_or(|at| now >= at + AGAIN_MS))
+            .take(TOLD_AGAIN);
+        for record in due {
+            record.told_at = Some(now);
+            crashes.extend(&record.crashes);
+        }
+        let newest = self.successes.iter().rev().take(TOLD);
+        Word { crashes, successes: newest.map(|(_, one)| *one).collect() }
+    }
+
+    /// What a node that starts has to know, and what is kept on disks.
+    pub fn several(&self) -> Word {
+        let crashes = self
+            .records
+            .iter()
+            .filter(|one| one.crashes.len() >= TOLD_FROM)
+            .take(MOST_TOLD)
+            .flat_map(|one| one.crashes.iter().copied())
+            .collect();
+        Word { crashes, successes: Vec::new() }
+    }
+
+    /// Drops what is past its time.
+    pub fn expire(&mut self, now: i64) {
+        self.records.retain(|record| {
+            let crash = record.crashes.last();
+            crash.is_some_and(|one| now < one.at + REMEMBER_MS)
+                || record
+                    .succeeded_at
+                    .is_some_and(|at| now < at + REMEMBER_SUCCESS_MS)
+        });
+    }
+
+    /// Requests that something is known of.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// True while nothing is known of any request.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    fn find(&self, fingerprint: &u64) -> Result<usize, usize> {
+        position(&self.records, fingerprint, |one| &one.fingerprint)
+    }
+
+    fn record(&mut self, fingerprint: u64) -> usize {
+        self.find(&fingerprint).unwrap_or_else(|at| {
+            let record = Record {
+                fingerprint,
+                crashes: Vec::new(),
+                succeeded_at: None,
+                told_at: None,
+            };
+            self.records.insert(at, record);
+            at
+        })
+    }
+
+    fn tell_success(&mut self, now: i64, success: Success) {
+        let mut told = self.successes.iter();
+        if !told.any(|(_, one)| one.fingerprint == success.fingerprint) {
+            self.successes.push((now, success));
+        }
+    }
+
+    /// Forgets the request with the fewest crashes, the oldest of these, where
+    /// there are too many; never the one that was just noted.
+    fn bound(&mut self, newest: u64) {
+        if self.records.len() <= MOST {
+            return;
+        }
+        let least = self
+            .records
+            .iter()
+            .enumerate()
+            .filter(|(_, one)| one.fingerprint != newest)
+            .min_by_key(|(_, one)| {
+                (one.crashes.len(), one.crashes.last().map(|last| last.at))
+            });
+        if let Some((at, _)) = least {
+            self.records.remove(at);
+        }
+    }
+}
--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -62,17 +62,6 @@
     let (head, body) = request.into_parts();
     let mut room = gateway.bodies.share();
     let body = read_body(body, limits, deadline, &mut room).await?;
-    if let Some(team) = &team
-        && let Some(quota) = team.quota
-    {
-        let cost = cost_of(&asked, quota.plain_tokens);
-        let urgent = route.priority == 0;
-        let admitted = gateway.admit(&team.name, quota, cost, urgent);
-        admitted.map_err(|refusal| Refusal {
-            route: route.name.clone(),
-            ..refusal
-        })?;
-    }
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let fingerprint = fingerprint::of(&fingerprint::Content {
         method: &head.method,
@@ -81,6 +70,16 @@
         team: team.as_ref().map_or("", |team| &team.name),
         body: &body,
     });
+    let named = |refusal| Refusal { route: route.name.clone(), ..refusal };
+    gateway.keep_away(fingerprint, &service).map_err(named)?;
+    if let Some(team) = &team
+        && let Some(quota) = team.quota
+    {
+        let cost = cost_of(&asked, quota.plain_tokens);
+        let urgent = route.priority == 0;
+        let admitted = gateway.admit(&team.name, quota, cost, urgent);
+        admitted.map_err(named)?;
+    }
     Ok(Work {
         gateway: gateway.clone(),
         route,
--- a/src/gateway/ending.rs
+++ b/src/gateway/ending.rs
@@ -77,6 +77,7 @@
             let ended = gateway.lines.has_ended(replica, address).await;
             let fingerprints = gateway.endings.take(replica);
             if ended {
+                gateway.note_crashes(replica, &fingerprints);
                 gateway.metrics.ended_replicas.inc();
                 info!(
                     target: "gateway",
--- a/src/gateway/flight.rs
+++ b/src/gateway/flight.rs
@@ -17,6 +17,8 @@
     fingerprint: u64,
     began_at: u64,
     started: bool,
+    /// An answer that is whole proves that its replica has survived it.
+    proves: bool,
     /// What it will have ended as when it is dropped.
     pub end: End,
 }
@@ -31,14 +33,20 @@
             fingerprint: work.fingerprint,
             began_at: work.now(),
             started: false,
+            proves: false,
             // Dropped on the way when the client has left.
             end: End::Left,
         }
     }
 
     /// The answer began.
-    pub fn began(&mut self, answered: &Answered) {
+    ///
+    /// `proves` is set where its end will show that the replica lived on: a
+    /// failure may come before it has run, and an answer without a length
+    /// looks whole when its replica ends.
+    pub fn began(&mut self, answered: &Answered, proves: bool) {
         self.started = true;
+        self.proves = proves;
         let now = self.gateway.timer.now();
         let mut fleet = self.gateway.fleet();
         fleet.began(now, &self.service, &self.target, answered.load);
@@ -48,6 +56,9 @@
     pub fn finish(&mut self, failure: bool) {
         let now = self.gateway.timer.now();
         let held_ms = now.saturating_sub(self.began_at) as u32;
+        if self.proves && !failure {
+            self.gateway.note_success(self.fingerprint);
+        }
         self.end = match failure {
             true => End::Failed,
             false => End::Well { held_ms },
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -269,6 +269,10 @@
         if !self.attempts.may_go_on(route.repeat, route.attempts) {
             return false;
         }
+        let kept = self.gateway.keep_away(self.fingerprint, &self.service);
+        if kept.is_err() {
+            return false;
+        }
         let entries = self.gateway.entries();
         let now = self.now();
         self.gateway.fleet().repeat(now, &self.service, entries)
@@ -368,7 +372,8 @@
             response.headers(),
         );
         self.check(&answered, &mut flight)?;
-        flight.began(&answered);
+        let proves = response.status().is_success() && is_framed(&response);
+        flight.began(&answered, proves);
         self.gateway.count_began(self.team.as_ref());
         let streams = self.route.repeat.is_stream();
         if streams && response.status().is_success() {
@@ -573,6 +578,13 @@
     answer.status().is_server_error()
 }
 
+/// True where the end of an answer can be told from a connection that broke.
+fn is_framed(answer: &Response<Incoming>) -> bool {
+    let headers = answer.headers();
+    headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// The head of an answer, for the client.
 fn answer_head(head: http::response::Parts, method: &Method) -> Response<()> {
     let length = head.headers.get(header::CONTENT_LENGTH).cloned();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 //! | `ending` | whether a replica has ended, when a connection broke |
 //! | [`events`] | streams cut where an event ends |
 //! | `memory` | what replicas have been sent lately |
+//! | `suspects` | requests that may have ended replicas |
 //! | [`fleet`] | the replicas of each service, with a router for each |
 //! | [`upstream`] | connections with replicas |
 //! | [`refusal`] | answers of the gateway's own |
@@ -34,6 +35,7 @@
 pub mod refusal;
 mod relay;
 pub mod server;
+mod suspects;
 pub mod upstream;
 
 use std::sync::{
@@ -43,7 +45,7 @@
 
 use rand::RngExt;
 use tokio::{
-    sync::watch,
+    sync::{Notify, watch},
     time::{Duration, Instant, timeout_at},
 };
 use tracing::info;
@@ -60,6 +62,7 @@
 use crate::{
     board::Cell,
     decide::{
+        quarantine::Quarantine,
         quota::{Allowance, Meter, Tolerance},
         retry::Bound,
     },
@@ -114,6 +117,9 @@
     pub(crate) metrics: Metrics,
     bodies: Bodies,
     endings: Endings,
+    quarantine: Mutex<Quarantine>,
+    /// A request with several crashes became known.
+    pub(crate) has_suspects: Notify,
     mesh: std::sync::OnceLock<mesh::Handle>,
     fleet: Mutex<Fleet>,
     /// Sorted by team.
@@ -150,6 +156,8 @@
             metrics: Metrics::open(),
             bodies: Bodies::open(options.body_memory),
             endings: Endings::default(),
+            quarantine: Mutex::default(),
+            has_suspects: Notify::new(),
             mesh: std::sync::OnceLock::new(),
             fleet: Mutex::new(Fleet::open(
                 &options.data_centre,
@@ -199,6 +207,7 @@
         let Some(mesh) = self.mesh.get() else { return };
         let now = self.timer.now();
         let plan = self.plan.read();
+        self.expire_suspects();
         let mut fleet = self.fleet();
         let table = mesh.table();
         fleet.refresh(now, &table, plan.as_ref().as_ref());
@@ -268,6 +277,7 @@
                 tokens: meter.own(),
             })
             .collect();
+        let (crashes, successes) = self.suspects();
         let mut fleet = self.fleet();
         let cached = fleet.take_cached(self.timer.now());
         Own {
@@ -275,6 +285,8 @@
             spent,
             work: fleet.work(),
             cached,
+            crashes,
+            successes,
             begun: self.begun.load(Ordering::Relaxed),
         }
     }
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -7,9 +7,12 @@
 use tokio::time::Instant;
 use tracing::info;
 
-use super::server::{Body, full};
+use super::{
+    fingerprint,
+    server::{Body, full},
+};
 use crate::{
-    decide::quota::Shortage,
+    decide::{quarantine::Reason, quota::Shortage},
     metrics::{Metrics, Outcome},
     util::common,
     verdict::Verdict,
@@ -43,6 +46,13 @@
             /// When it would have to, in ms.
             limit_ms: u64,
         },
+        /// Replicas that ended while such a request was there.
+        Crashes {
+            /// What it asks for.
+            fingerprint: u64,
+            /// How many, and how long it is kept away for them.
+            reason: Reason,
+        },
     }
 }
 
@@ -168,6 +178,14 @@
                 replica, foretold_ms, limit_ms,
                 "Refused: {text}."
             ),
+            Some(Cause::Crashes { fingerprint, reason }) => info!(
+                target: "gateway",
+                request, route, status, verdict, after_ms, retry_after_ms,
+                fingerprint = fingerprint::shown(*fingerprint),
+                crashes = reason.crashes,
+                age_ms = reason.age_ms,
+                "Refused: {text}."
+            ),
         }
     }
 
--- a/src/mesh/datagram.rs
+++ b/src/mesh/datagram.rs
@@ -206,7 +206,12 @@
         gossip.peers = self.peers_for(now, asked);
         match asked.has_disk || Role::of(asked) != Role::Standby {
             true => self.with_load(now, gossip, own),
-            false => Gossip { scope: Scope::Nothing as u32, ..gossip },
+            false => Gossip {
+                scope: Scope::Nothing as u32,
+                crashes: own.crashes,
+                successes: own.successes,
+                ..gossip
+            },
         }
     }
 
@@ -237,6 +242,8 @@
             spent: own.spent,
             work: own.work,
             cached: own.cached,
+            crashes: own.crashes,
+            successes: own.successes,
             usage: self.counts.latest_of(self.me.incarnation, self.told),
             relayed: self.relayed(now),
             unheard: self.unheard(now).map(|node| node.says.ip).collect(),
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -52,7 +52,7 @@
 use crate::{
     timer::Timer,
     util::wall_ms,
-    wire::{Cached, Gossip, Peer},
+    wire::{Cached, Crash, Gossip, Peer, Success},
 };
 
 /// Between two datagrams to the same node.
@@ -107,6 +107,14 @@
     fn own(&self) -> Own;
     /// Another node has sent parts of prompts to replicas.
     fn cached(&self, cached: Vec<Cached>);
+    /// Requests were at replicas that ended, or ended well after that;
+    /// `passes_on` where the node that says so tells nobody else.
+    fn suspects(
+        &self,
+        crashes: &[Crash],
+        successes: &[Success],
+        passes_on: bool,
+    );
     /// Something has changed, or a period has passed.
     fn news(self: Arc<Self>, news: News);
 }
@@ -257,6 +265,11 @@
         if !cached.is_empty() {
             host.cached(cached);
         }
+        if !gossip.crashes.is_empty() || !gossip.successes.is_empty() {
+            let from = gossip.from.as_ref();
+            let stands_by = from.is_some_and(|from| !Role::is_member(from));
+            host.suspects(&gossip.crashes, &gossip.successes, stands_by);
+        }
         let now = shared.timer.now();
         let news = shared.table().hear(now, wall_ms() as i64, gossip);
         if news != News::default() {
--- a/src/mesh/round.rs
+++ b/src/mesh/round.rs
@@ -138,7 +138,11 @@
             let gossip = self.compose(round.now, round.wall_ms, own);
             return self.with_usage_for_some(round, gossip, to);
         }
-        let gossip = self.compose_urgent(round.now, round.wall_ms);
+        let gossip = Gossip {
+            crashes: own.crashes,
+            successes: own.successes,
+            ..self.compose_urgent(round.now, round.wall_ms)
+        };
         let standbys = self.next_standbys(round.now);
         vec![
             Sending { to, gossip: gossip.clone() },
--- a/src/mesh/table.rs
+++ b/src/mesh/table.rs
@@ -24,7 +24,9 @@
 };
 use crate::{
     util::{common, position},
-    wire::{Began, Cached, Peer, RecordUsage, Spent, Under, Work},
+    wire::{
+        Began, Cached, Crash, Peer, RecordUsage, Spent, Success, Under, Work,
+    },
 };
 
 /// A node that was not heard for this long is not handed out, in ms.
@@ -112,6 +114,10 @@
     pub work: Vec<Work>,
     /// Parts of prompts that replicas have been sent lately.
     pub cached: Vec<Cached>,
+    /// Requests at replicas that ended.
+    pub crashes: Vec<Crash>,
+    /// Requests that have ended well after such crashes.
+    pub successes: Vec<Success>,
     /// Callers' requests since the start.
     pub begun: u64,
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -76,6 +76,8 @@
     pub unreadable: Counter,
     /// Replicas that ended under requests of this node.
     pub ended_replicas: Counter,
+    /// Requests that became known with enough crashes to be kept away.
+    pub suspects: Counter,
 }
 
 fn seconds() -> Histogram {
@@ -117,6 +119,7 @@
             leads: Gauge::default(),
             unreadable: Counter::default(),
             ended_replicas: Counter::default(),
+            suspects: Counter::default(),
             registry: Registry::default(),
         };
         // First those that tell how control is, as collectors cut long pages.
@@ -150,6 +153,11 @@
             "Replicas that ended under requests of this node",
             metrics.ended_replicas.clone(),
         );
+        registry.register(
+            "suspects",
+            "Requests kept away from replicas, as some ended under them",
+            metrics.suspects.clone(),
+        );
         registry.register(
             "latency_seconds",
             "From request to the end of its answer",
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -61,7 +61,7 @@
     },
     timer::Timer,
     util::random_id,
-    wire::{Cached, Peer, PutPlan, Sighting},
+    wire::{Cached, Crash, Peer, PutPlan, Sighting, Success},
 };
 
 pub use self::plan::PutError;
@@ -488,6 +488,15 @@
         self.gateway.note_cached(&cached);
     }
 
+    fn suspects(
+        &self,
+        crashes: &[Crash],
+        successes: &[Success],
+        passes_on: bool,
+    ) {
+        self.gateway.hear_suspects(crashes, successes, passes_on);
+    }
+
     fn news(self: Arc<Self>, news: News) {
         self.gateway.refresh();
         self.follow_mesh();
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -74,7 +74,8 @@
         let replicas =
             mesh.map_or(Vec::new(), |mesh| mesh.table().usable(now));
         let whole = self.node.knows_caches.load(Ordering::Relaxed);
-        Ok(Response::new(Sightings { whole, replicas }))
+        let crashes = self.node.gateway.several_crashes();
+        Ok(Response::new(Sightings { whole, replicas, crashes }))
     }
 
     async fn recall(
--- a/src/node/recall.rs
+++ b/src/node/recall.rs
@@ -29,7 +29,8 @@
     control::server::{MESSAGE_LIMIT, connect},
     util::wall_ms,
     wire::{
-        Caches, Empty, Memory, Sighting, Sightings, nodes_client::NodesClient,
+        Caches, Crash, Empty, Memory, Sighting, Sightings,
+        nodes_client::NodesClient,
     },
 };
 
@@ -91,6 +92,7 @@
 
 /// Takes what this node wrote before it started.
 fn remember(node: &Node, memory: Memory) {
+    remember_crashes(node, &memory);
     let old_ms = wall_ms().abs_diff(memory.wall_ms);
     if old_ms > MEMORY_LIMIT_MS {
         info!(target: "node", old_ms, "What the disk remembers is too old.");
@@ -103,6 +105,20 @@
     take(node, &memory.caches.unwrap_or_default(), "the disk");
 }
 
+/// Takes what this node knew of requests that may have ended replicas, however
+/// long ago it was written: the quarantine itself knows how long it lasts.
+fn remember_crashes(node: &Node, memory: &Memory) {
+    // A clock that has jumped back makes it seem newer than it is.
+    let old_ms = wall_ms().saturating_sub(memory.wall_ms);
+    let old_ms = old_ms.min(u32::MAX.into()) as u32;
+    let crashes: Vec<Crash> = memory
+        .crashes
+        .iter()
+        .map(|one| Crash { age_ms: one.age_ms.saturating_add(old_ms), ..*one })
+        .collect();
+    node.gateway.hear_suspects(&crashes, &[], false);
+}
+
 /// Asks others for the plan and the replicas until both are known.
 ///
 /// Gossip brings the plan as well, but at the next round where a datagram is
@@ -131,6 +147,7 @@
     match timeout(FIRST_LIMIT, ask_replicas(node, from)).await {
         Ok(Ok(known)) => {
             let from = from.to_string();
+            node.gateway.hear_suspects(&known.crashes, &[], false);
             take_replicas(node, known.replicas, &from, |says| says);
             known.whole
         }
@@ -196,7 +213,9 @@
 pub(super) async fn save(node: Arc<Node>, folder: PathBuf) {
     let mut fails = false;
     while !node.has_stopped() {
-        sleep(SAVE).await;
+        // What a request has done has to outlast a loss of power right after.
+        let suspects = node.gateway.has_suspects.notified();
+        let _ = timeout(SAVE, suspects).await;
         if !node.knows_caches.load(Ordering::Relaxed) {
             continue;
         }
@@ -220,6 +239,7 @@
         caches: Some(Caches { whole: true, cached: node.gateway.cached() }),
         replicas: mesh.map_or(Vec::new(), |mesh| mesh.table().usable(now)),
         wall_ms: wall_ms(),
+        crashes: node.gateway.several_crashes(),
     }
 }
 
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -915,7 +915,28 @@
     #[prost(uint64, tag = "14")]
     pub born: u64,
 }
-/// The replicas that a node may use.
+/// A replica ended while a request was under way there.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Crash {
+    /// What the request asks for.
+    #[prost(fixed64, tag = "1")]
+    pub fingerprint: u64,
+    /// The hash of the replica's id.
+    #[prost(fixed64, tag = "2")]
+    pub replica: u64,
+    /// Since it ended.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+}
+/// A request ended well; crashes before that say nothing about it.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Success {
+    #[prost(fixed64, tag = "1")]
+    pub fingerprint: u64,
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
+}
+/// The replicas that a node may use, and requests that may have ended some.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Sightings {
     /// The sender has been told itself, or nobody could tell it.
@@ -923,6 +944,8 @@
     pub whole: bool,
     #[prost(message, repeated, tag = "2")]
     pub replicas: ::prost::alloc::vec::Vec<Sighting>,
+    #[prost(message, repeated, tag = "3")]
+    pub crashes: ::prost::alloc::vec::Vec<Crash>,
 }
 /// Requests of the sender that are under way at a replica.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -985,6 +1008,8 @@
     /// The time of day when it was written, in ms since 1970.
     #[prost(uint64, tag = "3")]
     pub wall_ms: u64,
+    #[prost(message, repeated, tag = "4")]
+    pub crashes: ::prost::alloc::vec::Vec<Crash>,
 }
 /// Requests that began at one incarnation of a node, by window.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -1045,6 +1070,10 @@
     /// 0: all, 1: nothing, 2: only its requests under way.
     #[prost(uint32, tag = "15")]
     pub scope: u32,
+    #[prost(message, repeated, tag = "16")]
+    pub crashes: ::prost::alloc::vec::Vec<Crash>,
+    #[prost(message, repeated, tag = "17")]
+    pub successes: ::prost::alloc::vec::Vec<Success>,
 }
 /// Generated client implementations.
 pub mod members_client {
--- a/tests/all/crashes.rs
+++ b/tests/all/crashes.rs
@@ -12,7 +12,10 @@
 
 use crate::{
     nodes::Site,
-    world::{PATIENCE, events, ok, put, read_answer, serve, sighting, status},
+    world::{
+        CLOSE, HANG, PATIENCE, Replica, World, events, ok, put, read_answer,
+        serve, sighting, status,
+    },
 };
 
 /// A replica ends when it begins to run a request with this in it.
@@ -119,7 +122,38 @@
     }
 }
 
-/// Answers a stream of three events, until it has to run a fatal request.
+impl Service {
+    /// Stops these nodes together and starts them again with their disks.
+    async fn restart(&mut self, which: &[usize]) {
+        for &at in which {
+            self.site.stop(at).await;
+        }
+        for &at in which {
+            self.site.start(at, false).await;
+        }
+        self.site.all_serve().await;
+        for node in self.site.nodes() {
+            for (id, address) in &self.replicas {
+                node.sight(sighting(id, *address, 0));
+            }
+        }
+    }
+
+    /// Waits until all nodes refuse what is fatal.
+    async fn is_refused(&mut self, when: &str) {
+        let refused = async {
+            for at in 0..3 {
+                while status(&self.send(at, 500 + at, FATAL).await) != "503" {
+                    sleep(Duration::from_millis(200)).await;
+                }
+            }
+        };
+        timeout(PATIENCE, refused).await.expect(when);
+    }
+}
+
+/// Answers what is harmless, and begins to answer what is fatal before it ends
+/// with all its connections.
 async fn run(
     listener: TcpListener,
     tell_ended: mpsc::UnboundedSender<SocketAddr>,
@@ -137,7 +171,7 @@
             }
             Some(head) = heads.recv() => {
                 if head.contains(FATAL) {
-                    // It runs for a moment, and its first event is out.
+                    // The head of its answer is out.
                     sleep(Duration::from_millis(20)).await;
                     drop(listener);
                     connections.shutdown().await;
@@ -151,8 +185,10 @@
 
 fn respond(head: &str) -> Vec<String> {
     if head.contains(FATAL) {
+        // Only the head of a stream.
         let mut pieces = events(1..=1);
-        pieces.push(crate::world::HANG.to_owned());
+        pieces.truncate(1);
+        pieces.push(HANG.to_owned());
         return pieces;
     }
     ok("fine")
@@ -163,7 +199,9 @@
 /// a request that ends each replica that begins to run it, again and again,
 /// under new ids, to whichever node; after three crashes it still reaches one
 /// replica after the other. Cause: what a node learns of a request it keeps
-/// under the id of the attempt, and for itself.
+/// under the id of the attempt, and for itself. Evidence: by what they asked
+/// for, 33 of the streams that broke off in an incident were two requests, 17
+/// and 16 times and never well; 65 others broke off once each.
 #[tokio::test]
 async fn a_request_that_ends_replicas_is_refused_by_all_nodes() {
     let mut service = Service::open(4).await;
@@ -182,3 +220,41 @@
         assert_eq!(status(&answer), "200", "{answer}");
     }
 }
+
+/// Symptom: after a loss of power to all nodes a request ends three replicas
+/// more. Sequence: it is kept away; one node is stopped and started, then all
+/// are at once. Cause: what was known of it was in the memory of the nodes.
+#[tokio::test]
+async fn a_request_is_kept_away_after_one_or_all_have_restarted() {
+    let mut service = Service::open(4).await;
+    service.send_again_and_again(FATAL).await;
+    service.crashes = 0;
+    service.restart(&[1]).await;
+    service.is_refused("one has restarted").await;
+    service.restart(&[0, 1, 2]).await;
+    service.is_refused("all have restarted").await;
+    // It may have come before a node that starts had asked the others.
+    let crashes = service.crashes;
+    assert!(crashes <= MORE, "{crashes} more replicas have ended");
+}
+
+/// Symptom: callers are refused for ten minutes as a replica loses some of its
+/// answers. Sequence: it closes the connection in the middle of an answer,
+/// again and again, and serves others meanwhile. Cause: each connection that
+/// broke was taken for the end of its replica.
+#[tokio::test]
+async fn connections_that_break_at_living_replicas_count_for_nothing() {
+    let replica = Replica::spawn(|head| match head.contains("/again/") {
+        true => vec![CLOSE.to_owned()],
+        false => ok("fine"),
+    })
+    .await;
+    let world = World::open(&[("r", replica.address)]).await;
+    for _ in 0..5 {
+        let answer = world.get("/again/x").await;
+        assert_eq!(status(&answer), "502", "{answer}");
+        // What is tried then is known by the next time.
+        sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(status(&world.get("/once/x").await), "200");
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -17,6 +17,7 @@
 mod nodes;
 mod packing;
 mod product;
+mod quarantine;
 mod quota;
 mod raft;
 #[allow(dead_code)]
--- a/tests/all/mesh_scale.rs
+++ b/tests/all/mesh_scale.rs
@@ -200,6 +200,7 @@
             work: vec![Work { service: 5, ms: begun * 90 }],
             cached: cached.collect(),
             begun,
+            ..Own::default()
         }
     }
 
--- /dev/null
+++ b/tests/all/quarantine.rs
@@ -0,0 +1,219 @@
+//! Which requests are kept from replicas, without any I/O.
+
+use azuremount::decide::quarantine::{
+    Crash, Quarantine, Reason, Source, Success,
+};
+
+use crate::fixed_seeds;
+
+/// Replicas of the service.
+const REPLICAS: usize = 18;
+/// When the tests begin, in ms.
+const START: i64 = 10_000;
+/// More than the longest time that a request is kept away, in ms.
+const LONG: i64 = 3_700_000;
+
+fn crash(fingerprint: u64, replica: u64, at: i64) -> Crash {
+    Crash { fingerprint, replica, at }
+}
+
+/// A replica ended under these requests.
+fn end(known: &mut Quarantine, replica: u64, at: i64, requests: &[u64]) {
+    for &fingerprint in requests {
+        known.crash(at, crash(fingerprint, replica, at), Source::Own);
+    }
+}
+
+fn keeps(known: &Quarantine, now: i64, fingerprint: u64) -> Option<Reason> {
+    known.keeps(now, fingerprint, || REPLICAS)
+}
+
+/// Symptom: a request ends one replica after the other. Cause: nobody counts.
+/// Here three ends are enough, and the refusal says until when.
+#[test]
+fn three_ends_keep_a_request_away() {
+    let mut known = Quarantine::default();
+    for replica in 0..2 {
+        end(&mut known, replica, START + 700 * replica as i64, &[7]);
+        assert_eq!(keeps(&known, START + 1000, 7), None);
+    }
+    end(&mut known, 2, START + 1400, &[7]);
+    let reason = keeps(&known, START + 1500, 7).unwrap();
+    assert_eq!((reason.crashes, reason.age_ms), (3, 100));
+    let free = START + 1500 + reason.wait_ms as i64;
+    assert!(keeps(&known, free - 1, 7).is_some());
+    assert_eq!(keeps(&known, free, 7), None);
+    // Tried again and no better: one more end is enough now, for longer.
+    end(&mut known, 3, free, &[7]);
+    assert!(keeps(&known, free, 7).unwrap().wait_ms > reason.wait_ms);
+}
+
+/// Symptom: callers whose streams broke off are refused when they come again.
+/// Sequence: replicas end under one request, each with twenty others.
+#[test]
+fn bystanders_of_one_end_are_not_kept_away() {
+    let mut known = Quarantine::default();
+    for replica in 0..30 {
+        let mut there: Vec<u64> =
+            (0..20).map(|at| 1000 + replica * 100 + at).collect();
+        there.push(7);
+        end(&mut known, replica, START + 600 * replica as i64, &there);
+    }
+    let now = START + 20_000;
+    assert!(keeps(&known, now, 7).is_some());
+    for replica in 0..30 {
+        for at in 0..20 {
+            assert_eq!(keeps(&known, now, 1000 + replica * 100 + at), None);
+        }
+    }
+}
+
+/// Symptom: after a data centre's replicas lost their power in three waves,
+/// callers are refused for ten minutes. Cause: a request that was sent on from
+/// one wave to the next counts as if it had ended all three.
+#[test]
+fn bystanders_of_many_ends_at_once_are_not_kept_away() {
+    let mut known = Quarantine::default();
+    for wave in 0..3 {
+        for replica in 0..6 {
+            let at = START + 1500 * wave + 20 * replica;
+            let name = (wave * 6 + replica) as u64;
+            let there =
+                [1000 + name, if replica == 0 { 9 } else { 2000 + name }];
+            end(&mut known, name, at, &there);
+        }
+    }
+    assert_eq!(keeps(&known, START + 5000, 9), None);
+}
+
+/// Symptom: a request that ends replicas goes on to do so, as others do the
+/// same at the same time. Two of them, each ending a replica each 0.6 s, are
+/// no wave.
+#[test]
+fn two_requests_that_end_replicas_do_not_hide_each_other() {
+    let mut known = Quarantine::default();
+    for step in 0..3 {
+        let at = START + 600 * step;
+        end(&mut known, 2 * step as u64, at, &[7]);
+        end(&mut known, 2 * step as u64 + 1, at + 100, &[8]);
+    }
+    assert!(keeps(&known, START + 2000, 7).is_some());
+    assert!(keeps(&known, START + 2000, 8).is_some());
+}
+
+/// Symptom: what a team asks all the time is refused, as replicas that ended
+/// were always running it. Cause: nobody sees that it ends well as often.
+#[test]
+fn a_success_clears_what_was_noted_before_it() {
+    let mut known = Quarantine::default();
+    for replica in 0..6 {
+        let at = START + 1000 * replica as i64;
+        end(&mut known, replica, at, &[7]);
+        let success = Success { fingerprint: 7, at: at + 200 };
+        assert_eq!(known.succeed(at + 200, success, Source::Own), Some(1));
+        assert_eq!(keeps(&known, at + 300, 7), None);
+    }
+    // Late word of an end before it changes nothing, and its teller is told.
+    let (now, late) = (START + 6000, crash(7, 50, START + 5100));
+    assert_eq!(known.crash(now, late, Source::Other), None);
+    assert_eq!(known.tell(now + 2000).successes, []);
+    assert_eq!(known.crash(now + 2000, late, Source::Other), None);
+    assert_eq!(known.tell(now + 2000).successes.len(), 1);
+    // And one that has never been at an end leaves no trace.
+    let success = Success { fingerprint: 8, at: now };
+    assert_eq!(known.succeed(now, success, Source::Own), None);
+    assert_eq!(known.len(), 1);
+}
+
+/// Symptom: one end counts three times. Cause: three nodes tell of it.
+#[test]
+fn an_end_counts_once_whoever_tells_of_it() {
+    let mut known = Quarantine::default();
+    let now = START + 900;
+    assert_eq!(known.crash(START, crash(7, 1, START), Source::Own), Some(1));
+    assert_eq!(known.crash(now, crash(7, 1, START + 4), Source::Other), None);
+    assert_eq!(known.crash(now, crash(7, 1, START - 3), Source::Other), None);
+    assert_eq!(keeps(&known, now, 7), None);
+}
+
+/// Symptom: one node keeps a request away and the next one does not. Sequence:
+/// each of three nodes sees one end, and the word of one is lost at first.
+#[test]
+fn what_each_node_saw_adds_up_at_all_of_them() {
+    let mut nodes = [(); 3].map(|()| Quarantine::default());
+    for (at, known) in nodes.iter_mut().enumerate() {
+        end(known, at as u64, START + at as i64, &[7]);
+    }
+    for round in 0..4 {
+        let now = START + 300 * (round + 1);
+        let words = nodes.each_mut().map(|known| known.tell(now));
+        for (from, word) in words.iter().enumerate() {
+            for (to, known) in nodes.iter_mut().enumerate() {
+                let is_lost = from == 1 && round < 2;
+                if from == to || is_lost {
+                    continue;
+                }
+                for one in &word.crashes {
+                    known.crash(now, *one, Source::Other);
+                }
+            }
+        }
+    }
+    for known in &nodes {
+        assert!(keeps(known, START + 1500, 7).is_some());
+    }
+    // One that starts later is told as well, by whomever it hears.
+    let mut late = Quarantine::default();
+    for one in nodes[0].tell(START + 10_000).crashes {
+        late.crash(START + 10_000, one, Source::Other);
+    }
+    assert!(keeps(&late, START + 10_000, 7).is_some());
+}
+
+/// Symptom: a node's memory and its datagrams grow for as long as replicas
+/// end. Sequence: ten thousand requests are at ends, of which one is at three.
+#[test]
+fn what_is_known_is_bounded_and_forgotten() {
+    let mut known = Quarantine::default();
+    for replica in 0..3 {
+        end(&mut known, replica, START + 500 * replica as i64, &[7]);
+    }
+    for other in 0..10_000 {
+        end(&mut known, 100 + other / 30, START + 2000, &[1000 + other]);
+    }
+    assert!(known.len() <= 2048, "{}", known.len());
+    let word = known.tell(START + 2500);
+    assert!(word.crashes.len() <= 64 + 4 * 8, "{}", word.crashes.len());
+    assert!(keeps(&known, START + 3000, 7).is_some());
+    known.expire(START + 3 * LONG);
+    assert!(known.is_empty());
+}
+
+/// Whatever is told in whatever order, and however often, nodes that were told
+/// the same keep the same requests away.
+#[test]
+fn the_order_of_words_does_not_matter() {
+    fixed_seeds(60, |input| {
+        let mut words = Vec::new();
+        for _ in 0..input.int_in_range(1..=24)? {
+            let fingerprint = input.int_in_range(1..=3)?;
+            let replica = input.int_in_range(1..=6)?;
+            let at = START + 50 * replica as i64;
+            words.push(crash(fingerprint, replica, at));
+        }
+        let mut one = Quarantine::default();
+        let mut other = Quarantine::default();
+        let now = START + 1000;
+        for word in &words {
+            one.crash(now, *word, Source::Other);
+        }
+        for word in words.iter().rev().chain(&words) {
+            other.crash(now, *word, Source::Other);
+        }
+        for fingerprint in 1..=3 {
+            let told = keeps(&one, now, fingerprint);
+            assert_eq!(told, keeps(&other, now, fingerprint));
+        }
+        Ok(())
+    });
+}
