Add a story of an accepted request that ends all engines, which fails

Its stream goes on at one engine after the other until its deadline: here five engines end, where three are the most.

--- a/tests/all/cluster.rs
+++ b/tests/all/cluster.rs
@@ -346,6 +346,12 @@
         self.processes[name].child.is_some()
     }
 
+    /// True where it was not killed and has not ended by itself.
+    pub fn lives(&mut self, name: &str) -> bool {
+        let child = self.processes.get_mut(name).unwrap().child.as_mut();
+        child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
     pub fn pid(&mut self, name: &str) -> u32 {
         self.child(name).id()
     }
--- a/tests/all/scenario.rs
+++ b/tests/all/scenario.rs
@@ -202,6 +202,12 @@
                 Ok(String::new())
             }
             Step::WrongResumes => self.wrong_resumes(),
+            Step::RunningModels => {
+                let cluster = self.cluster();
+                let names = cluster.names(Role::Model);
+                let running = names.iter().filter(|name| cluster.lives(name));
+                Ok(running.count().to_string())
+            }
             Step::Entries(entry) => self.entries(entry),
             Step::Leave { endpoint, entry } => {
                 self.tell_entry(endpoint, entry, "leave")
@@ -676,6 +682,7 @@
     reclaim_data_centre
     silent_connections
     stream_endpoint_dies
+    stream_ends_endpoints
     stream_entry_killed
     stream_entry_stops
     stream_reclaim
--- a/tests/all/steps.rs
+++ b/tests/all/steps.rs
@@ -120,6 +120,8 @@
     },
     /// Resumed streams that did not continue what had been shown.
     WrongResumes,
+    /// How many model engines run.
+    RunningModels,
     /// The entries that an entry hands out.
     Entries(String),
     /// An endpoint's notice that it leaves, told to an entry.
