Try a request again that is kept away, at one node first

Found on reading the mend: whoever is kept away can't succeed any more, and a success is what clears a bystander. What a team asks all the time is at every end of a service whose replicas end one after the other for another reason, and would be refused for up to an hour after that.

After two minutes, and twice as long after each further crash, one node tries it once; the next one in an order that all find alike waits five seconds more. A success frees it everywhere, a crash keeps it away for longer.

--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -13,6 +13,11 @@
 //! whatever was noted before it; and where many replicas end together, that
 //! has another cause, and none of it counts.
 //!
+//! Whoever is kept away can't succeed any more, and may be a bystander after
+//! all: what a team asks all the time is at every end of a service that fails
+//! for another reason. So a request is tried again after a while, at one node
+//! first; it is free if that ends well, and kept away for longer if not.
+//!
 //! Ways not taken: sending a suspect to a replica that has nothing else (there
 //! is none to spare under load); refusing after two ends (a stream that went
 //! on elsewhere is at two when a second replica ends by chance); the log of
@@ -26,14 +31,17 @@
 /// length meets two in a row once in 300 times, three once in 6,000.
 pub const CRASHES: usize = 3;
 /// How long a request is kept away after its third crash, in ms; each further
-/// one doubles it. A team that mends its request sends another one; a service
-/// that is mended is tried again after this.
-const KEPT_MS: i64 = 600_000;
-/// The longest that it is kept away, in ms.
+/// one doubles it. Three trials take fourteen minutes then, and cost no more
+/// replicas than it took to find the request out.
+const KEPT_MS: i64 = 120_000;
+/// The longest that it is kept away before it is tried again, in ms.
 const LONGEST_KEPT_MS: i64 = 3_600_000;
+/// Between two trials of one request, in ms, at one node or at the next one:
+/// longer than one takes to show how it ends, and all to be told.
+const TRIAL_MS: i64 = 5000;
 /// Crashes are remembered for so long after a request's last one, in ms:
-/// beyond the longest time that it is kept away, so that the first crash after
-/// that keeps it away again.
+/// beyond the longest time that it is kept away, so that one more crash is
+/// enough after that.
 const REMEMBER_MS: i64 = 2 * LONGEST_KEPT_MS;
 /// A success is remembered for so long, in ms: longer than word of a crash
 /// before it may go round.
@@ -108,11 +116,18 @@
         pub crashes: usize,
         /// Since the last of them, in ms.
         pub age_ms: u64,
-        /// Until it may come again, in ms.
+        /// Until it may be tried again, in ms; 0 from then on.
         pub wait_ms: u64,
     }
 }
 
+impl Reason {
+    /// When it is worth to come back, in ms.
+    pub fn retry_after_ms(&self) -> u64 {
+        self.wait_ms.max(TRIAL_MS as u64)
+    }
+}
+
 common! {
     copy
     /// Who told of something.
@@ -133,6 +148,8 @@
         succeeded_at: Option<i64>,
         /// When it was last told again.
         told_at: Option<i64>,
+        /// When this node last tried it again.
+        tried_at: Option<i64>,
     }
 }
 
@@ -210,8 +227,8 @@
         Some(cleared)
     }
 
-    /// Why a request may not go to a replica now; `replicas` tells how many its
-    /// service has.
+    /// Why a request is kept from replicas, if it is; `replicas` tells how many
+    /// its service has.
     pub fn keeps(
         &self,
         now: i64,
@@ -229,17 +246,42 @@
         let counted = record.crashes.iter();
         let counted = counted.filter(|one| !self.is_mass(record, one, many));
         let crashes = counted.count();
-        let more = crashes.checked_sub(CRASHES)?;
-        let kept_ms = (KEPT_MS << more).min(LONGEST_KEPT_MS);
+        if crashes < CRASHES {
+            return None;
+        }
+        let kept_ms = kept_ms(crashes);
         let age_ms = now - last.at;
-        let wait_ms = kept_ms - age_ms;
-        (wait_ms > 0).then_some(Reason {
+        Some(Reason {
             crashes,
             age_ms: age_ms.max(0) as u64,
-            wait_ms: wait_ms as u64,
+            wait_ms: (kept_ms - age_ms).max(0) as u64,
         })
     }
 
+    /// Whether this node tries a request again that it keeps away for `reason`.
+    ///
+    /// `rank` tells how many nodes go before it: each waits for the one before,
+    /// so that a request that is as bad as ever ends one replica, not one for
+    /// each node.
+    pub fn try_again(
+        &mut self,
+        now: i64,
+        fingerprint: u64,
+        reason: Reason,
+        rank: usize,
+    ) -> bool {
+        let Ok(at) = self.find(&fingerprint) else { return false };
+        let record = &mut self.records[at];
+        let Some(last) = record.crashes.last() else { return false };
+        let due = last.at + kept_ms(reason.crashes) + TRIAL_MS * rank as i64;
+        let rests = record.tried_at.is_some_and(|at| now < at + TRIAL_MS);
+        let tries = now >= due && !rests;
+        if tries {
+            record.tried_at = Some(now);
+        }
+        tries
+    }
+
     /// Whether `many` replicas without the request ended at the same time, so
     /// that the cause lies elsewhere: a data centre that lost its power takes
     /// a request to three ends that it has nothing to do with.
@@ -324,6 +366,7 @@
                 crashes: Vec::new(),
                 succeeded_at: None,
                 told_at: None,
+                tried_at: None,
             };
             self.records.insert(at, record);
             at
@@ -356,3 +399,9 @@
         }
     }
 }
+
+/// How long a request with so many crashes is kept away, in ms.
+fn kept_ms(crashes: usize) -> i64 {
+    let more = crashes.saturating_sub(CRASHES);
+    (KEPT_MS << more).min(LONGEST_KEPT_MS)
+}
--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -12,11 +12,11 @@
     Gateway,
     bodies::Share,
     dialect::Asked,
-    fingerprint,
     forward::{Attempts, Work},
     plan::{Limits, Plan, Route, Team},
     refusal::Refusal,
 };
+use crate::fingerprint;
 
 /// The longest that a client may pause within a body.
 const BODY_PAUSE: Duration = Duration::from_millis(3000);
@@ -63,13 +63,13 @@
     let mut room = gateway.bodies.share();
     let body = read_body(body, limits, deadline, &mut room).await?;
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-    let fingerprint = fingerprint::of(&fingerprint::Content {
-        method: &head.method,
-        host: &host,
-        path,
-        team: team.as_ref().map_or("", |team| &team.name),
-        body: &body,
-    });
+    let fingerprint = fingerprint::of(&[
+        head.method.as_str().as_bytes(),
+        host.as_bytes(),
+        path.as_bytes(),
+        team.as_ref().map_or("", |team| &team.name).as_bytes(),
+        &body,
+    ]);
     let named = |refusal| Refusal { route: route.name.clone(), ..refusal };
     gateway.keep_away(fingerprint, &service).map_err(named)?;
     if let Some(team) = &team
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -25,7 +25,6 @@
     accept::{accept, cost_of, passed_on},
     bodies::Share,
     dialect::{Answered, Asked, Sending},
-    fingerprint,
     fleet::{End, Target, blocks_of, ends_of},
     flight::Flight,
     plan::{Repeat, Route, Team},
@@ -36,6 +35,7 @@
 };
 use crate::{
     decide::route::Ask,
+    fingerprint,
     metrics::{Labels, Running},
     verdict::Verdict,
 };
@@ -74,7 +74,7 @@
     pub path: String,
     pub headers: HeaderMap,
     pub body: Bytes,
-    /// Names what is asked for; see [`fingerprint`](super::fingerprint).
+    /// Names what is asked for; see [`fingerprint`].
     pub fingerprint: u64,
     pub _room: Share,
     pub began: Instant,
@@ -269,8 +269,8 @@
         if !self.attempts.may_go_on(route.repeat, route.attempts) {
             return false;
         }
-        let kept = self.gateway.keep_away(self.fingerprint, &self.service);
-        if kept.is_err() {
+        let kept = self.gateway.kept_away(self.fingerprint, &self.service);
+        if kept.is_some() {
             return false;
         }
         let entries = self.gateway.entries();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,7 +10,6 @@
 //! | [`forward`] | one request at the replicas |
 //! | `flight` | a request under way, as the router counts it |
 //! | `relay` | answers that are passed on as they come |
-//! | `fingerprint` | a name for what a request asks for |
 //! | `ending` | whether a replica has ended, when a connection broke |
 //! | [`events`] | streams cut where an event ends |
 //! | `memory` | what replicas have been sent lately |
@@ -26,7 +25,6 @@
 pub mod dialect;
 mod ending;
 pub mod events;
-mod fingerprint;
 pub mod fleet;
 mod flight;
 pub mod forward;
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -7,12 +7,10 @@
 use tokio::time::Instant;
 use tracing::info;
 
-use super::{
-    fingerprint,
-    server::{Body, full},
-};
+use super::server::{Body, full};
 use crate::{
     decide::{quarantine::Reason, quota::Shortage},
+    fingerprint,
     metrics::{Metrics, Outcome},
     util::common,
     verdict::Verdict,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -18,7 +18,6 @@
 
 use super::{
     events::Splitter,
-    fingerprint,
     fleet::End,
     flight::Flight,
     forward::{Reply, Work},
@@ -26,7 +25,7 @@
     server::{Body, Broken},
     upstream::Line,
 };
-use crate::verdict::Verdict;
+use crate::{fingerprint, verdict::Verdict};
 
 /// A stream that can go on elsewhere does so after this silence. Clients
 /// leave after two seconds or more; replicas under load pause for some tenths
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -9,11 +9,14 @@
 use tracing::{info, warn};
 
 use super::{
-    Gateway, fingerprint,
+    Gateway,
     refusal::{Cause, Refusal},
 };
 use crate::{
-    decide::quarantine::{self, CRASHES, Quarantine, Source, Success, Word},
+    decide::quarantine::{
+        self, CRASHES, Quarantine, Reason, Source, Success, Word,
+    },
+    fingerprint,
     mesh::table,
     wire::{self, Crash},
 };
@@ -94,25 +97,56 @@
         self.quarantine().expire(now);
     }
 
-    /// Refuses a request that ends the replicas that run it.
-    pub(super) fn keep_away(
+    /// Why a request is kept from the replicas of a service, if it is.
+    pub(super) fn kept_away(
         &self,
         fingerprint: u64,
         service: &str,
-    ) -> Result<(), Refusal> {
+    ) -> Option<Reason> {
         let quarantine = self.quarantine();
         if quarantine.is_empty() {
-            return Ok(());
+            return None;
         }
         let replicas = || self.fleet().load(service).0;
-        let now = self.signed_now();
-        let Some(reason) = quarantine.keeps(now, fingerprint, replicas) else {
+        quarantine.keeps(self.signed_now(), fingerprint, replicas)
+    }
+
+    /// Refuses a request that ends the replicas that run it, unless it is
+    /// time to try it again here.
+    pub(super) fn keep_away(
+        &self,
+        fingerprint: u64,
+        service: &str,
+    ) -> Result<(), Refusal> {
+        let Some(reason) = self.kept_away(fingerprint, service) else {
             return Ok(());
         };
+        let now = self.signed_now();
+        let rank = match self.mesh.get() {
+            Some(mesh) if reason.wait_ms == 0 => {
+                mesh.table().rank(self.timer.now(), fingerprint)
+            }
+            _ => 0,
+        };
+        let mut quarantine = self.quarantine();
+        let tries = quarantine.try_again(now, fingerprint, reason, rank);
+        drop(quarantine);
+        if tries {
+            info!(
+                target: "gateway",
+                fingerprint = fingerprint::shown(fingerprint),
+                crashes = reason.crashes,
+                age_ms = reason.age_ms,
+                rank,
+                "Request is tried again."
+            );
+            return Ok(());
+        }
         let text = "replicas ended under it";
         let cause = Cause::Crashes { fingerprint, reason };
         let cause = Some(Box::new(cause));
-        Err(Refusal { cause, ..Refusal::later(text, reason.wait_ms) })
+        let wait_ms = reason.retry_after_ms();
+        Err(Refusal { cause, ..Refusal::later(text, wait_ms) })
     }
 
     /// What is told to other nodes in the next datagrams.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod decide;
 pub mod duty;
 pub mod entry;
+mod fingerprint;
 pub mod gateway;
 pub mod http_server;
 pub mod logs;
--- a/src/mesh/table.rs
+++ b/src/mesh/table.rs
@@ -23,7 +23,7 @@
     replica::{Replica, State},
 };
 use crate::{
-    util::{common, position},
+    util::{common, mix, position},
     wire::{
         Began, Cached, Crash, Peer, RecordUsage, Spent, Success, Under, Work,
     },
@@ -315,6 +315,16 @@
         })
     }
 
+    /// How many nodes that take callers' requests go before this one in what
+    /// one of them has to do first: an order for each `subject`, which all find
+    /// alike that hear each other.
+    pub fn rank(&self, now: u64, subject: u64) -> usize {
+        let place = |ip: u32| mix(subject ^ mix(ip.into()));
+        let own = place(self.me.ip);
+        let others = self.live(now).filter(|node| node.is_entry(now));
+        others.filter(|node| place(node.says.ip) < own).count()
+    }
+
     /// How many nodes take callers' requests, this one too, and how many of
     /// them are not heard directly at the moment although they may well do so.
     pub fn reach(&self, now: u64) -> (usize, usize) {
