Count the endpoints that end under a request at entries, too

A caller of the product's own interface waited until its deadline, and all engines ended: an accepted request's stream went on at one after the other, and at those that were back, for as long as its time lasted.

Endpoints that failed were avoided until all had, and then tried again; nobody asked whether they had ended, or counted.

Entries now do as gateways do, by the same rules, each for itself: after three the request fails at once, and is refused when it comes again. A plain call that may be repeated stops there, too.

The story's entries reach the engines without a relay, as one in between takes connections for an endpoint that has ended; with that it fails on the code before as well.

--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -15,7 +15,7 @@
 //! silent for good without anybody noticing; so an attempt after a failed one
 //! asks for a fresh connection.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{io::ErrorKind, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode};
@@ -173,6 +173,17 @@
         }
     }
 
+    /// Whether nobody listens at an address any more.
+    ///
+    /// False as well where that can't be told, as behind a cut.
+    pub async fn has_ended(&self, address: SocketAddr) -> bool {
+        let connected = timeout(CONNECT_LIMIT, TcpStream::connect(address));
+        match connected.await {
+            Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
+            Ok(Ok(_)) | Err(_) => false,
+        }
+    }
+
     /// Sends a call on a new connection, and waits for the answer's head.
     ///
     /// # Errors
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -12,6 +12,7 @@
 //! | [`plain`] | calls to plain services, at most once where it matters |
 //! | [`chat`] | what is checked of a chat request |
 //! | [`model`] | model requests, from acceptance to the end |
+//! | [`suspects`] | requests that may have ended endpoints |
 //! | [`requests`] | the model requests known here |
 //! | [`peers`] | copies of requests at a second entry |
 //! | [`dispatch`] | connections to endpoints |
@@ -36,6 +37,7 @@
 pub mod refusal;
 pub mod requests;
 pub mod state;
+pub mod suspects;
 pub mod sync;
 
 use std::{
@@ -184,6 +186,7 @@
         requests: Table::default(),
         peers: Peers::default(),
         admission: Admission::default(),
+        quarantine: Mutex::default(),
         retries: Mutex::new(Budget::open(10, random_id())),
         dispatcher: Dispatcher::open(),
         metrics: Metrics::open(),
--- a/src/entry/model.rs
+++ b/src/entry/model.rs
@@ -26,6 +26,7 @@
     refusal::Refusal,
     requests::{New, Outcome, Owner, Record},
     state::Shared,
+    suspects,
 };
 use crate::{
     config::Service,
@@ -34,6 +35,7 @@
         prefix,
         route::{Ask, Choice},
     },
+    fingerprint,
     metrics::Labels,
     util::random_id,
     verdict::Verdict,
@@ -72,6 +74,10 @@
     if let Some(known) = state.requests.get(&id) {
         return same_request(known, &body);
     }
+    state.keep_away(
+        fingerprint_of(&caller.team, &service.name, &body),
+        &service.name,
+    )?;
     let arrived = state.now();
     let cost = f64::from(chat.prompt_tokens()) + chat.most as f64;
     let permit = admission::admit(
@@ -125,6 +131,10 @@
     Ok(record)
 }
 
+fn fingerprint_of(team: &str, service: &str, body: &[u8]) -> u64 {
+    fingerprint::of(&[team.as_bytes(), service.as_bytes(), body])
+}
+
 fn same_request(
     known: Arc<Record>,
     body: &[u8],
@@ -181,6 +191,7 @@
 }
 
 struct Run<'a> {
+    fingerprint: u64,
     state: &'a Shared,
     record: &'a Arc<Record>,
     chat: &'a Chat,
@@ -199,6 +210,11 @@
         chat: &'a Chat,
     ) -> Run<'a> {
         Run {
+            fingerprint: fingerprint_of(
+                &record.team,
+                &record.service,
+                &record.body,
+            ),
             state,
             record,
             chat,
@@ -241,6 +257,7 @@
             ));
             match self.attempt(&endpoint, &choice).await {
                 Attempt::Whole => {
+                    self.state.note_success(self.fingerprint);
                     self.state.retries().succeeded();
                     return Outcome::Finished;
                 }
@@ -273,6 +290,15 @@
                         failed.verdict.as_str(),
                         failed.text
                     ));
+                    let state = self.state;
+                    state
+                        .note_failure(self.fingerprint, &endpoint, &failed)
+                        .await;
+                    let service = &self.record.service;
+                    let kept = state.kept_away(self.fingerprint, service);
+                    if let Some(reason) = kept {
+                        return Outcome::Failed(suspects::told(reason));
+                    }
                     self.avoid.push((endpoint.id, endpoint.incarnation));
                     self.fresh = true;
                     attempt += 1;
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -21,7 +21,6 @@
 use std::time::Duration;
 
 use http::{HeaderMap, StatusCode, header};
-use sha2::{Digest, Sha256};
 use tokio::time::sleep;
 use tracing::{info, warn};
 
@@ -39,6 +38,7 @@
 use crate::{
     config::Service,
     decide::route::{Ask, Choice},
+    fingerprint,
     http_server::{Request, Response},
     metrics::Labels,
     util::random_id,
@@ -152,6 +152,8 @@
     state: &Shared,
     work: Work,
 ) -> Result<Answer, Refusal> {
+    let fingerprint = fingerprint::of(&parts_of(&work));
+    state.keep_away(fingerprint, &work.service.name)?;
     let caller = &work.caller;
     let start_by = caller.deadline;
     let permit =
@@ -171,6 +173,9 @@
         match result {
             Ok(answer) => {
                 state.retries().succeeded();
+                if answer.status.is_success() {
+                    state.note_success(fingerprint);
+                }
                 return Ok(answer);
             }
             Err(failed) => {
@@ -179,7 +184,12 @@
                     "{} failed: {}.", endpoint.id, failed.text
                 );
                 verdict = verdict.and(failed.verdict);
+                state.note_failure(fingerprint, &endpoint, &failed).await;
                 avoid.push((endpoint.id, endpoint.incarnation));
+                let service = &work.service.name;
+                if state.kept_away(fingerprint, service).is_some() {
+                    break;
+                }
             }
         }
         let wait = state.retries().wait_ms(attempt + 1);
@@ -200,6 +210,8 @@
 // ---- Calls that may not -----------------------------------------------------
 
 async fn call_once(state: Shared, work: Work) -> Result<Response, Refusal> {
+    let fingerprint = fingerprint::of(&parts_of(&work));
+    state.keep_away(fingerprint, &work.service.name)?;
     let key = work.caller.key.clone().unwrap_or_default();
     let caller = &work.caller;
     let permit = admission::admit(
@@ -283,6 +295,8 @@
                     target: "plain",
                     "{} may have run {key}: {}.", endpoint.id, failed.text
                 );
+                let fingerprint = fingerprint::of(&parts_of(work));
+                state.note_failure(fingerprint, &endpoint, &failed).await;
                 return Err(settle_doubt(state, key, owner, failed));
             }
         }
@@ -415,18 +429,17 @@
 
 /// What makes two requests the same one.
 fn digest(work: &Work) -> Vec<u8> {
-    let mut hasher = Sha256::new();
-    for part in [
+    fingerprint::digest(&parts_of(work)).to_vec()
+}
+
+fn parts_of(work: &Work) -> [&[u8]; 5] {
+    [
         work.caller.team.as_bytes(),
         work.service.name.as_bytes(),
         work.method.as_str().as_bytes(),
         work.path.as_bytes(),
         &work.body,
-    ] {
-        hasher.update((part.len() as u64).to_le_bytes());
-        hasher.update(part);
-    }
-    hasher.finalize().to_vec()
+    ]
 }
 
 fn pick(
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -12,7 +12,7 @@
     board::Cell,
     config::Config,
     control::client::Client,
-    decide::retry::Budget,
+    decide::{quarantine::Quarantine, retry::Budget},
     metrics::Metrics,
     settings,
     timer::Timer,
@@ -81,6 +81,8 @@
     pub peers: Peers,
     /// Who may start.
     pub admission: Admission,
+    /// Requests that may have ended endpoints.
+    pub quarantine: Mutex<Quarantine>,
     /// How many retries there may be.
     pub retries: Mutex<Budget>,
     /// Connections to endpoints.
@@ -105,6 +107,11 @@
         self.fleet.lock().unwrap_or_else(|held| held.into_inner())
     }
 
+    /// Requests that may have ended endpoints, locked.
+    pub fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
+        self.quarantine.lock().unwrap_or_else(|held| held.into_inner())
+    }
+
     /// The retry budget, locked.
     pub fn retries(&self) -> MutexGuard<'_, Budget> {
         self.retries.lock().unwrap_or_else(|held| held.into_inner())
--- a/tests/all/scenario.rs
+++ b/tests/all/scenario.rs
@@ -84,6 +84,7 @@
                 plains,
                 piece_ms,
                 within_ms,
+                direct,
             } => {
                 let flags = endpoint_flags(*piece_ms, *within_ms);
                 self.open(Shape {
@@ -99,7 +100,7 @@
                     ],
                     model_flags: flags.clone(),
                     plain_flags: flags,
-                    relay_endpoints: true,
+                    relay_endpoints: !direct.unwrap_or(false),
                 })
             }
             Step::Start(target) => self.act(target, Cluster::start),
--- a/tests/all/steps.rs
+++ b/tests/all/steps.rs
@@ -23,6 +23,10 @@
         /// Milliseconds that an endpoint goes on after SIGTERM.
         #[arg(key)]
         within_ms: Option<u64>,
+        /// Entries reach endpoints without a relay, which would take their
+        /// connections after they have ended.
+        #[arg(key)]
+        direct: Option<bool>,
     },
     /// Starts a process that was killed.
     Start(String),
