Let the soak send a request that ends each replica that runs it

A replica that crashes takes the proxy before it along: until now one went on taking connections for it, as no port of a process that ended does.

--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -84,6 +84,7 @@
             sleep(Duration::from_millis(pause)).await;
             self.cure(Instant::now()).await?;
             self.look();
+            self.replace_ended().await?;
             self.harm().await?;
             if self.besides.random_bool(BESIDES) {
                 self.harm_besides().await?;
@@ -297,6 +298,16 @@
         Ok(())
     }
 
+    /// Replaces the replicas that a request has ended.
+    async fn replace_ended(&mut self) -> std::io::Result<()> {
+        for at in 0..self.replicas.len() {
+            if self.replicas[at].has_ended() {
+                self.replace(at).await?;
+            }
+        }
+        Ok(())
+    }
+
     /// Replaces the replicas that have left, so that some are there.
     pub async fn refill(&mut self) -> std::io::Result<()> {
         for at in 0..self.replicas.len() {
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -4,6 +4,7 @@
 
 mod caller;
 mod cloud;
+mod fatal;
 mod faults;
 mod http;
 mod operator;
@@ -133,6 +134,7 @@
     served: u64,
     refused: u64,
     failed: u64,
+    ended: u32,
     p50_ms: u64,
     p99_ms: u64,
     breaches: usize,
@@ -229,12 +231,14 @@
         tasks.push(tokio::spawn(operator::change(shared.clone(), number)));
     }
     tasks.push(tokio::spawn(operator::read(shared.clone())));
+    tasks.push(tokio::spawn(fatal::repeat(shared.clone())));
     let mut faults = Faults::new(shared.clone(), site, replicas, cloud);
     let until = Instant::now() + Duration::from_secs(arguments.seconds);
     faults.play(until).await?;
     faults.refill().await?;
     // Callers go on while the nodes come back.
     recover(&shared, &mut faults).await;
+    fatal::judge(&shared).await;
     shared.running.store(false, Ordering::Relaxed);
     for task in tasks {
         if let Err(error) = task.await {
@@ -249,6 +253,7 @@
         served: counts.served,
         refused: counts.refused,
         failed: counts.failed,
+        ended: shared.ledger.ends(),
         p50_ms,
         p99_ms,
         breaches,
--- a/soak/src/promise.rs
+++ b/soak/src/promise.rs
@@ -68,6 +68,8 @@
     /// Accepted calls for each duty and subject.
     calls: BTreeMap<String, Vec<Call>>,
     excused_until: Option<Instant>,
+    /// Replicas that the fatal request has ended.
+    ends: u32,
     counts: Counts,
     /// Configurations: sent, and when acknowledged.
     sent: u64,
@@ -126,6 +128,16 @@
         }
     }
 
+    /// A replica ends, as it has to run the fatal request.
+    pub fn ends_under_fatal(&self) {
+        self.state().ends += 1;
+    }
+
+    /// Replicas that have ended so.
+    pub fn ends(&self) -> u32 {
+        self.state().ends
+    }
+
     /// A caller has its answer.
     pub fn served(&self, took: Duration) {
         self.state().counts.served += 1;
--- a/soak/src/replica.rs
+++ b/soak/src/replica.rs
@@ -1,6 +1,7 @@
 //! Replicas: they announce themselves, run requests, and fail at times.
 
 use std::{
+    future::pending,
     net::{Ipv4Addr, SocketAddrV4},
     sync::{Arc, Mutex},
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -14,10 +15,15 @@
 use hyper::body::{Frame, Incoming};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use serde_json::json;
-use tokio::{net::TcpListener, task::JoinHandle, time::sleep};
+use tokio::{
+    net::TcpListener,
+    sync::Notify,
+    task::{AbortHandle, JoinHandle},
+    time::sleep,
+};
 
 use crate::{
-    SERVICE, Shared, TEAM,
+    SERVICE, Shared, TEAM, fatal,
     http::{Body, Failed, call, full, serve},
     promise::Kind,
     proxy::Proxy,
@@ -78,7 +84,9 @@
             id: id.clone(),
             shared: shared.clone(),
             rng: Arc::new(Mutex::new(rng)),
+            end: Arc::new(Notify::new()),
         };
+        let end = runner.end.clone();
         let handler = move |request| {
             let runner = runner.clone();
             async move { runner.run(request).await }
@@ -87,7 +95,17 @@
         let born = now_ms();
         let life = Life { id, born, address: proxy.address };
         let beats = beat(shared, life, leaving.clone());
-        let tasks = vec![serve(listener, handler), tokio::spawn(beats)];
+        let mut tasks = vec![serve(listener, handler), tokio::spawn(beats)];
+        let others: Vec<AbortHandle> =
+            tasks.iter().map(JoinHandle::abort_handle).collect();
+        let link = proxy.clone();
+        tasks.push(tokio::spawn(async move {
+            end.notified().await;
+            for task in others {
+                task.abort();
+            }
+            link.close();
+        }));
         Ok(Replica { proxy, number, born, tasks, leaving })
     }
 
@@ -118,6 +136,12 @@
         for task in &self.tasks {
             task.abort();
         }
+        self.proxy.close();
+    }
+
+    /// True where it serves nobody any more.
+    pub fn has_ended(&self) -> bool {
+        self.tasks[0].is_finished()
     }
 
     /// Says that it leaves, goes on for a while, and ends.
@@ -203,6 +227,7 @@
     id: String,
     shared: Arc<Shared>,
     rng: Arc<Mutex<StdRng>>,
+    end: Arc<Notify>,
 }
 
 impl Runner {
@@ -240,6 +265,12 @@
             ledger.breach(format!("{id}: counted for another team"));
         }
         let path = request.uri().path();
+        if path == fatal::PATH {
+            ledger.ends_under_fatal();
+            self.end.notify_one();
+            // Until its connection is gone.
+            return pending().await;
+        }
         let kind = Kind::ALL.iter().find(|one| path.starts_with(one.prefix()));
         let kind = kind.copied().unwrap_or(Kind::Again);
         ledger.ran(kind, &id);
