Don't take the end of a replica that leaves for a crash

Callers of a long request that asks for the same each time would be at the ends of three replicas while a service is replaced, and refused for minutes. Ends that were announced are no longer noted, at nodes and entries.

--- a/src/entry/endpoints.rs
+++ b/src/entry/endpoints.rs
@@ -20,7 +20,10 @@
 use serde_json::{Value, json};
 use tracing::info;
 
-use super::{refusal::Refusal, state::Shared};
+use super::{
+    refusal::Refusal,
+    state::{Shared, State},
+};
 use crate::{
     control::roster::ENDPOINT_LEASE_MS,
     http_server::{Request, Response},
@@ -312,7 +315,8 @@
     Ok(Response::json(StatusCode::OK, &json!({})))
 }
 
-fn has_left(state: &Shared, id: &str, incarnation: u64) -> bool {
+/// True for an endpoint that has said that it leaves.
+pub(super) fn has_left(state: &State, id: &str, incarnation: u64) -> bool {
     state.board.departed.read().iter().any(|record| {
         record.leaving
             && record
--- a/src/entry/suspects.rs
+++ b/src/entry/suspects.rs
@@ -8,7 +8,9 @@
 use tokio::time::sleep;
 use tracing::warn;
 
-use super::{dispatch::Failed, refusal::Refusal, state::State};
+use super::{
+    dispatch::Failed, endpoints::has_left, refusal::Refusal, state::State,
+};
 use crate::{
     decide::quarantine::{Crash, Reason, Source, Success},
     fingerprint,
@@ -39,6 +41,10 @@
         if !self.dispatcher.has_ended(address).await {
             return;
         }
+        // One that said that it leaves ends with what it still has.
+        if has_left(self, &endpoint.id, endpoint.incarnation) {
+            return;
+        }
         let now = self.now() as i64;
         let replica = mix(name_hash(&endpoint.id) ^ endpoint.incarnation);
         let crash = Crash { fingerprint, replica, at: now };
--- a/src/gateway/ending.rs
+++ b/src/gateway/ending.rs
@@ -14,6 +14,7 @@
 use tracing::info;
 
 use super::{Gateway, fleet::Target};
+use crate::mesh::table::State;
 
 /// Before a new connection is tried, so that a process that ends has closed
 /// all that it had open, and all requests there have noticed.
@@ -60,8 +61,17 @@
 }
 
 impl Gateway {
+    /// True for a replica that has said that it leaves.
+    fn has_left(&self, replica: &str) -> bool {
+        let Some(mesh) = self.mesh.get() else { return false };
+        let table = mesh.table();
+        let mut replicas = table.replicas().iter();
+        let known = replicas.find(|one| one.says.id == replica);
+        known.is_some_and(|one| one.state != State::Ready)
+    }
+
     /// A replica closed a connection before its answer was whole: finds out
-    /// whether it has ended.
+    /// whether it has crashed.
     pub(super) fn examine(
         self: &Arc<Gateway>,
         target: &Target,
@@ -76,7 +86,9 @@
             let (replica, address) = (&target.replica, target.address);
             let ended = gateway.lines.has_ended(replica, address).await;
             let fingerprints = gateway.endings.take(replica);
-            if ended {
+            // One that said that it leaves ends with what it still has: a long
+            // request would be at the ends of all replicas that are replaced.
+            if ended && !gateway.has_left(replica) {
                 gateway.note_crashes(replica, &fingerprints);
                 gateway.metrics.ended_replicas.inc();
                 info!(
--- a/tests/all/crashes.rs
+++ b/tests/all/crashes.rs
@@ -20,6 +20,11 @@
 
 /// A replica ends when it begins to run a request with this in it.
 const FATAL: &str = "fatal";
+/// A replica tells the test that it runs a request with this in it, and ends a
+/// moment later.
+const LAST: &str = "last";
+/// That moment.
+const MOMENT: Duration = Duration::from_millis(300);
 /// Replicas that a request may end before all nodes have to know of it.
 const CRASHES: usize = 3;
 /// How soon, as nodes in touch have to know what others were told.
@@ -86,14 +91,7 @@
     /// Sends a request of its own id with this body to a node.
     async fn send(&mut self, at: usize, id: usize, body: &str) -> String {
         let front = self.site.node(at).front().unwrap();
-        let mut client = TcpStream::connect(front).await.unwrap();
-        let length = body.len();
-        let request = format!(
-            "POST /resume/x HTTP/1.1\r\nHost: here\r\nId: {id}\r\n\
-             Content-Length: {length}\r\n\r\n{body}"
-        );
-        client.write_all(request.as_bytes()).await.unwrap();
-        let answer = read_answer(&mut client).await;
+        let answer = ask(front, "/resume/x", id, body).await;
         // A replica that ends says so a moment after its connections close.
         sleep(Duration::from_millis(50)).await;
         self.replace_ended().await;
@@ -152,6 +150,17 @@
     }
 }
 
+async fn ask(front: SocketAddr, path: &str, id: usize, body: &str) -> String {
+    let mut client = TcpStream::connect(front).await.unwrap();
+    let length = body.len();
+    let request = format!(
+        "POST {path} HTTP/1.1\r\nHost: here\r\nId: {id}\r\n\
+         Content-Length: {length}\r\n\r\n{body}"
+    );
+    client.write_all(request.as_bytes()).await.unwrap();
+    read_answer(&mut client).await
+}
+
 /// Answers what is harmless, and begins to answer what is fatal before it ends
 /// with all its connections.
 async fn run(
@@ -170,6 +179,11 @@
                 });
             }
             Some(head) = heads.recv() => {
+                if head.contains(LAST) {
+                    let _ = tell_ended.send(address);
+                    sleep(MOMENT).await;
+                    return;
+                }
                 if head.contains(FATAL) {
                     // The head of its answer is out.
                     sleep(Duration::from_millis(20)).await;
@@ -184,7 +198,7 @@
 }
 
 fn respond(head: &str) -> Vec<String> {
-    if head.contains(FATAL) {
+    if head.contains(FATAL) || head.contains(LAST) {
         // Only the head of a stream.
         let mut pieces = events(1..=1);
         pieces.truncate(1);
@@ -258,3 +272,27 @@
     }
     assert_eq!(status(&world.get("/once/x").await), "200");
 }
+
+/// Symptom: callers of a service are refused for minutes after its replicas
+/// were replaced one after the other. Sequence: each says that it leaves, and
+/// ends with a long request still under way; its caller asks again, and is at
+/// the end of three. Cause: an end that was announced was taken for a crash.
+#[tokio::test]
+async fn replicas_that_said_that_they_leave_have_not_crashed() {
+    let mut service = Service::open(1).await;
+    for id in 0..4 {
+        let front = service.site.node(id % 3).front().unwrap();
+        let asked = tokio::spawn(ask(front, "/stream/x", id, LAST));
+        let running = timeout(PATIENCE, service.ended.recv()).await;
+        let running = running.expect("refused").unwrap();
+        let (replica, _) = service.replicas.pop().unwrap();
+        for node in service.site.nodes() {
+            node.sight(sighting(&replica, running, 1));
+        }
+        let answer = asked.await.unwrap();
+        assert_eq!(status(&answer), "200", "{answer}");
+        service.start_replica().await;
+        // What was noted of it goes round.
+        sleep(Duration::from_millis(400)).await;
+    }
+}
