Tell of requests at several ends in turn

Found on reading: those with the lowest numbers were told again and again, and named first to nodes that start. With some dozens of bystanders at two ends each, one at three might never be told to a node that had missed it. Now the one that was told longest ago goes first, and a node that starts is told those with the most crashes.

--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -23,6 +23,8 @@
 //! on elsewhere is at two when a second replica ends by chance); the log of
 //! control (a commit a crash, and none behind a cut).
 
+use std::cmp::Reverse;
+
 use crate::util::{common, position};
 
 /// Replicas that a request may end before it is kept away.
@@ -308,13 +310,15 @@
         self.successes.retain(|(at, _)| now < at + TELL_MS);
         let newest = self.crashes.iter().rev().take(TOLD);
         let mut crashes: Vec<Crash> = newest.map(|(_, one)| *one).collect();
-        let due = self
+        let mut due: Vec<&mut Record> = self
             .records
             .iter_mut()
             .filter(|one| one.crashes.len() >= TOLD_FROM)
             .filter(|one| one.told_at.is_none_or(|at| now >= at + AGAIN_MS))
-            .take(TOLD_AGAIN);
-        for record in due {
+            .collect();
+        // In turn, however many there are.
+        due.sort_by_key(|one| one.told_at);
+        for record in due.into_iter().take(TOLD_AGAIN) {
             record.told_at = Some(now);
             crashes.extend(&record.crashes);
         }
@@ -324,10 +328,12 @@
 
     /// What a node that starts has to know, and what is kept on disks.
     pub fn several(&self) -> Word {
-        let crashes = self
-            .records
-            .iter()
-            .filter(|one| one.crashes.len() >= TOLD_FROM)
+        let known = self.records.iter();
+        let mut several: Vec<&Record> =
+            known.filter(|one| one.crashes.len() >= TOLD_FROM).collect();
+        several.sort_by_key(|one| Reverse(one.crashes.len()));
+        let crashes = several
+            .into_iter()
             .take(MOST_TOLD)
             .flat_map(|one| one.crashes.iter().copied())
             .collect();
--- a/tests/all/quarantine.rs
+++ b/tests/all/quarantine.rs
@@ -1,7 +1,7 @@
 //! Which requests are kept from replicas, without any I/O.
 
 use azuremount::decide::quarantine::{
-    Crash, Quarantine, Reason, Source, Success,
+    Crash, Quarantine, Reason, Source, Success, Word,
 };
 
 use crate::fixed_seeds;
@@ -219,6 +219,29 @@
     assert!(known.is_empty());
 }
 
+/// Symptom: a node that starts lets a request end three replicas although all
+/// others keep it away. Sequence: a hundred bystanders are at two ends each;
+/// four requests are told at a time, and sixty-four to a node that starts.
+/// Cause: those with the lowest numbers were told, again and again.
+#[test]
+fn requests_at_several_ends_are_told_in_turn() {
+    let mut known = Quarantine::default();
+    for replica in 0..3 {
+        end(&mut known, replica, START, &[u64::MAX]);
+    }
+    for bystander in 0..100 {
+        end(&mut known, 10, START, &[bystander]);
+        end(&mut known, 11, START, &[bystander]);
+    }
+    let is_told = |word: &Word| {
+        word.crashes.iter().any(|one| one.fingerprint == u64::MAX)
+    };
+    assert!(is_told(&known.several()));
+    let after = START + 2000;
+    let told = (0..30).any(|round| is_told(&known.tell(after + 300 * round)));
+    assert!(told, "not within nine seconds");
+}
+
 /// Whatever is told in whatever order, and however often, nodes that were told
 /// the same keep the same requests away.
 #[test]
