Judge the soak's fatal request by replicas that are all new

With the count of crashes taken out of the nodes the check found nothing: by the time that it looked, the caller had ended all replicas that were left. They are replaced now before it looks.

--- a/soak/src/fatal.rs
+++ b/soak/src/fatal.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     KEY, Shared,
+    faults::Faults,
     http::{Failed, connect},
 };
 
@@ -23,6 +24,8 @@
 const MORE: u32 = 3;
 /// How soon nodes that run and hear each other have to know.
 const CONTACT: Duration = Duration::from_secs(3);
+/// Until all nodes know new replicas.
+const KNOWN: Duration = Duration::from_millis(1500);
 /// How long its caller waits.
 const PATIENCE: Duration = Duration::from_secs(2);
 
@@ -40,13 +43,19 @@
     }
 }
 
-/// Sends it to each node, after the last fault, and counts what it ends.
-pub async fn judge(shared: &Shared) {
+/// Sends it to each node, after the last fault, and counts what it ends of
+/// replicas that are all new.
+pub async fn judge(
+    shared: &Shared,
+    faults: &mut Faults,
+) -> std::io::Result<()> {
     sleep(CONTACT).await;
     let before = shared.ledger.ends();
     if before < ENDS {
-        return;
+        return Ok(());
     }
+    faults.refill().await?;
+    sleep(KNOWN).await;
     for round in 0..3 {
         for (at, proxy) in shared.fronts().iter().enumerate() {
             let number = 100_000 + round * 1000 + at as u64;
@@ -59,6 +68,7 @@
         let text = format!("{more} replicas more after {before}");
         shared.ledger.breach(format!("{PATH} has ended {text}"));
     }
+    Ok(())
 }
 
 async fn send(
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -238,7 +238,7 @@
     faults.refill().await?;
     // Callers go on while the nodes come back.
     recover(&shared, &mut faults).await;
-    fatal::judge(&shared).await;
+    fatal::judge(&shared, &mut faults).await?;
     shared.running.store(false, Ordering::Relaxed);
     for task in tasks {
         if let Err(error) = task.await {
