--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -56,7 +56,7 @@
 const LEAST_TOGETHER: usize = 3;
 /// See [`LEAST_TOGETHER`].
 const PART_TOGETHER: f32 = 0.25;
-/// Requests remembered, in some 300 kB: those at sixty ends with thirty under
+/// Requests remembered, in some 400 kB: those at sixty ends with thirty under
 /// way at each.
 const MOST: usize = 2048;
 /// Crashes remembered of one request: what the longest time takes.
