Give nodes time to see a crash before the test speaks for the replica

The stand-in told the nodes 50 ms after a crash that its replica was gone, which one that crashes never says. On a slow machine that could come before the node had looked, so that the crash would count as an announced end and the test fail. It has not failed; seen on reading. It waits 300 ms now; the checks are the same.

--- a/tests/all/crashes.rs
+++ b/tests/all/crashes.rs
@@ -32,6 +32,10 @@
 /// Times that it may reach replicas after that.
 const MORE: usize = 3;
 
+/// Before the test speaks for a replica that has ended: long beyond what a node
+/// takes to see it, as one that has crashed says nothing itself.
+const SEEN: Duration = Duration::from_millis(300);
+
 /// A service whose replicas are back under another id as soon as they have
 /// ended.
 struct Service {
@@ -92,8 +96,7 @@
     async fn send(&mut self, at: usize, id: usize, body: &str) -> String {
         let front = self.site.node(at).front().unwrap();
         let answer = ask(front, "/resume/x", id, body).await;
-        // A replica that ends says so a moment after its connections close.
-        sleep(Duration::from_millis(50)).await;
+        sleep(SEEN).await;
         self.replace_ended().await;
         answer
     }
