Add tests of replicas that end without a refused connection, which fail

Callers see: a request that ends each replica that runs it goes on doing so for as long as it is sent, where the third end is to be the last but three. Sequence: something accepts connections while the replica is away and closes or resets them (a relay, a host that takes over the port), or its machine goes dark, or it is back under its id with a later birth.

Hypothesis: an end is noted only where a new connection is refused. The fifth test holds what must not count: replicas that break one answer each, and live.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod crashes;
 mod decide;
 mod disk;
+mod endings;
 mod explain;
 mod gateway;
 mod large_plan;
