See by what replicas say whether they have ended under a request

Callers saw: a request that ends each replica that runs it went on doing so where something accepts connections while the replica is away, where its machine goes dark, or where it is back under its id. Cause: an end was noted only where a new connection was refused, and only after a connection had broken.

Now a case is opened when a connection breaks, and when a request is given up after a second's silence. It is watched for 2.6 s at most: refused, another life of the replica, another replica at its address, or no heartbeat of it at any node while others' arrive, are an end; a heartbeat said later, an answer, or word that it leaves are none. A cut between this node and the replica, a full queue and a limit of connections so count for nothing: heartbeats go on. Where no replica at all is heard nothing is concluded. Crashes are noted at the time when they showed, so that a success after that clears them.

The test of replicas that break answers and live passes before and after. Ruled out by the verdicts as they were logged: other nodes not being told (they were, once an end was noted).

Costs: a dark machine is known 2.6 s after it fell silent, not at once; a count that starts anew without a birth is still taken for late word, and ends by silence.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -356,11 +356,16 @@
         service: &str,
         replica: &str,
     ) -> bool {
+        now < self.answered_at(service, replica) + ANSWERING_MS
+    }
+
+    /// When a replica last began to answer this node; 0 if it never did.
+    pub fn answered_at(&self, service: &str, replica: &str) -> u64 {
         let at = position(&self.services, service, |one| one.name.as_str());
-        let Ok(at) = at else { return false };
+        let Ok(at) = at else { return 0 };
         let places = &self.services[at].places;
         position(places, replica, |one| one.replica.as_str())
-            .is_ok_and(|at| now < places[at].answered_at + ANSWERING_MS)
+            .map_or(0, |at| places[at].answered_at)
     }
 
     /// True when a replica of that id may be given work.
--- a/src/gateway/flight.rs
+++ b/src/gateway/flight.rs
@@ -5,10 +5,15 @@
 use super::{
     Gateway,
     dialect::Answered,
+    ending::Sign,
     fleet::{End, Target},
     forward::Work,
 };
 
+/// A replica that has said nothing to a request for so long when that is given
+/// up may have ended, in ms: beyond the pauses that an engine makes.
+const SILENT_MS: u64 = 1000;
+
 /// A request under way at a replica; counted until dropped.
 pub(super) struct Flight {
     gateway: Arc<Gateway>,
@@ -16,6 +21,8 @@
     target: Target,
     fingerprint: u64,
     began_at: u64,
+    /// When something last came of it.
+    heard_at: u64,
     started: bool,
     /// An answer that is whole proves that its replica has survived it.
     proves: bool,
@@ -32,6 +39,7 @@
             target: target.clone(),
             fingerprint: work.fingerprint,
             began_at: work.now(),
+            heard_at: work.now(),
             started: false,
             proves: false,
             // Dropped on the way when the client has left.
@@ -48,6 +56,7 @@
         self.started = true;
         self.proves = proves;
         let now = self.gateway.timer.now();
+        self.heard_at = now;
         let mut fleet = self.gateway.fleet();
         fleet.began(now, &self.service, &self.target, answered.load);
     }
@@ -66,8 +75,9 @@
     }
 
     /// Something came.
-    pub fn progress(&self) {
+    pub fn progress(&mut self) {
         let now = self.gateway.timer.now();
+        self.heard_at = now;
         let ticket = self.target.ticket;
         self.gateway.fleet().progress(now, &self.service, ticket);
     }
@@ -85,8 +95,14 @@
         let mut fleet = self.gateway.fleet();
         fleet.end(now, &self.service, ticket, self.started, self.end);
         drop(fleet);
-        if self.end == End::Broken {
-            self.gateway.examine(&self.target, self.fingerprint);
-        }
+        let sign = match self.end {
+            End::Broken => Sign::Broken,
+            End::Failed | End::Left if now >= self.heard_at + SILENT_MS => {
+                Sign::Silent
+            }
+            _ => return,
+        };
+        let service = &self.service;
+        self.gateway.examine(service, &self.target, self.fingerprint, sign);
     }
 }
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -34,9 +34,14 @@
         self.timer.now() as i64
     }
 
-    /// A replica ended under these requests.
-    pub(super) fn note_crashes(&self, replica: &str, requests: &[u64]) {
-        let at = self.signed_now();
+    /// A replica ended under these requests at some time.
+    pub(super) fn note_crashes(
+        &self,
+        replica: &str,
+        requests: &[u64],
+        at: u64,
+    ) {
+        let at = at as i64;
         let replica = table::replica_hash(replica);
         let mut most = 0;
         for &fingerprint in requests {
--- a/src/mesh/lives.rs
+++ b/src/mesh/lives.rs
@@ -34,6 +34,22 @@
 /// Stands between a replica's id and the birth of one of its lives.
 const LIFE: char = '@';
 
+/// What is known of a life since some moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// It was heard.
+    Lives,
+    /// It said that it leaves.
+    Leaves,
+    /// Another life of its replica, or another replica at its address, was
+    /// heard, and it was not.
+    Followed,
+    /// It was not heard, and others were.
+    Silent,
+    /// No replica was heard, so that this says nothing.
+    Unknown,
+}
+
 /// What the life of a replica that began at `born` is called; 0 when that is
 /// not told.
 ///
@@ -122,6 +138,35 @@
         self.present_besides(says).map(|one| one.says.id.clone())
     }
 
+    /// What is known of a life since a moment that is not longer ago than
+    /// replicas are remembered.
+    pub fn fate(&self, life: &str, since: u64) -> Fate {
+        let heard = |one: &&Replica| one.heard_at > since;
+        let found = position(&self.replicas, life, |one| one.says.id.as_str());
+        let Ok(at) = found else { return Fate::Unknown };
+        let own = &self.replicas[at];
+        let others =
+            || self.replicas.iter().filter(|one| one.hash != own.hash);
+        let follows = |one: &Replica| {
+            let is_life = replica_of(&one.says.id) == replica_of(life);
+            let place = (one.says.ip, one.says.port);
+            is_life || place == (own.says.ip, own.says.port)
+        };
+        let is_followed = others()
+            .filter(|one| {
+                one.state == State::Ready && one.since > own.heard_at
+            })
+            .filter(heard)
+            .any(follows);
+        match own.state {
+            _ if is_followed => Fate::Followed,
+            State::Leaving | State::Gone => Fate::Leaves,
+            State::Ready if heard(&own) => Fate::Lives,
+            State::Ready if others().any(|one| heard(&one)) => Fate::Silent,
+            State::Ready => Fate::Unknown,
+        }
+    }
+
     /// Where the lives of a replica are.
     fn lives_at(&self, replica: &str) -> impl Iterator<Item = usize> + use<> {
         // A life that never told when it began is called as its replica is.
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -15,14 +15,14 @@
 //! | [`role`] | which nodes take callers' requests |
 //! | [`round`] | who is told what, and where callers may connect |
 //! | `datagram` | how datagrams are read and written |
-//! | `lives`, `replica` | what replicas say, one life after the other |
+//! | [`lives`], `replica` | what replicas say, one life after the other |
 //! | [`counts`] | requests that began, for usage reports |
 //!
 //! None of these does I/O; this module does.
 
 pub mod counts;
 mod datagram;
-mod lives;
+pub mod lives;
 mod replica;
 pub mod role;
 pub mod round;
