Take over replicas that appear together at once, not one by one

Cause: each replica that appears is a piece of news, at each node that hears of it, and each made the node look at all replicas anew: a thousand that start together, a thousand times.

Change: what appears within 50 ms of the last look is taken over together. What leaves is taken over at once as before, before the replica has its answer, and so is a replica of a service that has none.

The nodes test waits for the replica's number in the file now, as a length says nothing since levels of quotas stand there too.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -46,7 +46,7 @@
 use rand::RngExt;
 use tokio::{
     sync::{Notify, watch},
-    time::{Duration, Instant, timeout_at},
+    time::{Duration, Instant, sleep, timeout_at},
 };
 use tracing::info;
 
@@ -69,6 +69,10 @@
     wire::Cached,
 };
 
+/// Replicas that appear within this time are taken over together: with three
+/// thousand that start, each node would else look at all of them for each.
+const REFRESH_PAUSE: Duration = Duration::from_millis(50);
+
 /// A node that was started so long ago knows all that it will.
 const STARTING: Duration = Duration::from_millis(1000);
 /// The longest that a request waits for what a node lacks at its start: twice
@@ -121,6 +125,10 @@
     tolerance: Tolerance,
     /// When the mesh was last looked at.
     refreshed_at: AtomicU64,
+    /// When replicas were last taken over from the mesh.
+    renewed_at: AtomicU64,
+    /// They will be in a moment.
+    is_due: AtomicBool,
     /// Plan or replicas may have changed.
     changed: watch::Sender<()>,
     opened: Instant,
@@ -161,6 +169,8 @@
             windows: options.windows,
             tolerance: options.tolerance,
             refreshed_at: AtomicU64::new(0),
+            renewed_at: AtomicU64::new(0),
+            is_due: AtomicBool::new(false),
             changed: watch::Sender::new(()),
             opened: Instant::now(),
             begun: AtomicU64::new(0),
@@ -200,6 +210,7 @@
     pub fn refresh(&self) {
         let Some(mesh) = self.mesh.get() else { return };
         let now = self.timer.now();
+        self.renewed_at.store(now, Ordering::Relaxed);
         let plan = self.plan.read();
         self.expire_suspects();
         let mut fleet = self.fleet();
@@ -234,6 +245,30 @@
         }
     }
 
+    /// The same, at once or, where it was done a moment ago, once for all that
+    /// changes within the next one.
+    pub fn refresh_soon(self: &Arc<Gateway>) {
+        let pause_ms = REFRESH_PAUSE.as_millis() as u64;
+        let last = self.renewed_at.load(Ordering::Relaxed);
+        if self.timer.now() >= last + pause_ms {
+            return self.refresh();
+        }
+        if self.is_due.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        let gateway = self.clone();
+        tokio::spawn(async move {
+            sleep(REFRESH_PAUSE).await;
+            gateway.is_due.store(false, Ordering::Relaxed);
+            gateway.refresh();
+        });
+    }
+
+    /// True where a service has replicas that may be given work.
+    pub fn has_replicas(&self, service: &str) -> bool {
+        self.fleet().has_replicas(service)
+    }
+
     /// What other nodes are told of this one's requests.
     pub fn own(&self) -> Own {
         let spent = self.spent();
--- a/src/mesh/datagram.rs
+++ b/src/mesh/datagram.rs
@@ -100,14 +100,19 @@
             }
         }
         for says in gossip.replicas {
-            news.replicas |= self.sight(now, says, relays);
+            let leaves = State::from_u32(says.state) != State::Ready;
+            let changed = self.sight(now, says, relays);
+            news.replicas |= changed;
+            news.leaves |= changed && leaves;
         }
         for beat in gossip.beats {
             self.hear_beat(now, &beat, relays);
         }
         self.counts.note(Began { node: incarnation, windows: gossip.usage });
         for hash in gossip.left {
-            news.replicas |= self.hear_left(now, hash);
+            let changed = self.hear_left(now, hash);
+            news.replicas |= changed;
+            news.leaves |= changed;
         }
         for relayed in gossip.relayed {
             self.counts.note(relayed);
--- a/src/mesh/table.rs
+++ b/src/mesh/table.rs
@@ -127,6 +127,8 @@
 pub struct News {
     /// A replica appeared, or changed its state.
     pub replicas: bool,
+    /// One of them takes no more work.
+    pub leaves: bool,
     /// A node appeared.
     pub nodes: bool,
     /// This node stood by, and callers are sent to it from now on.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -337,6 +337,7 @@
         let Some(mesh) = node.mesh.get() else { return };
         let now = node.gateway.timer.now();
         let id = says.id.clone();
+        let service = says.service.clone();
         let (state, leaves_ms) = (says.state, says.leaves_ms);
         let mut table = mesh.table();
         let former = table.former_life(&says);
@@ -350,7 +351,10 @@
             );
             // Refreshed before the replica has its answer: from then on it
             // counts on getting no new work if it said that it leaves.
-            node.gateway.refresh();
+            match state == 0 && node.gateway.has_replicas(&service) {
+                true => node.gateway.refresh_soon(),
+                false => node.gateway.refresh(),
+            }
             mesh.urge();
         }
     }
@@ -502,7 +506,13 @@
     }
 
     fn news(self: Arc<Self>, news: News) {
-        self.gateway.refresh();
+        // Who leaves must get nothing more from now on. Replicas that appear
+        // can wait a moment for others: a thousand of them may start at once.
+        let appears = news.replicas || news.nodes;
+        match appears && !news.leaves {
+            true => self.gateway.refresh_soon(),
+            false => self.gateway.refresh(),
+        }
         self.follow_mesh();
         if news.steps_in {
             // It was told little while it stood by.
--- a/tests/all/nodes.rs
+++ b/tests/all/nodes.rs
@@ -8,6 +8,7 @@
 
 use azuremount::{
     control::seat,
+    mesh::table::replica_hash,
     node::{self, PutError},
     timer::Timer,
 };
@@ -258,9 +259,13 @@
     site.all_know_caches("one restarted").await;
     let saved = site.folders[0].as_ref().unwrap().0.join("memory");
     let written = async {
-        // With a part in it, the file is longer than its sum, a flag, the
-        // time of day and one replica.
-        while std::fs::metadata(&saved).map_or(0, |file| file.len()) < 60 {
+        // With a part in it, the file has the number of the part's replica.
+        let number = replica_hash("r").to_le_bytes();
+        let named = || {
+            let file: Vec<u8> = std::fs::read(&saved).unwrap_or_default();
+            file.windows(8).any(|bytes| bytes == number)
+        };
+        while !named() {
             sleep(Duration::from_millis(50)).await;
         }
     };
