Pass over what a replica is repeated to have said

Nodes repeat three replicas in each datagram, so that every gap is filled; with 3,000 replicas nearly all of that is known. Each was looked up six times by name, partly by names that were put together for it.

Change: a statement of a ready life that is not newer than the known one ends at the first look-up. It changed nothing before either: what ends former lives or brings one back is newer, or says that it leaves.

The play of the mesh in one process at 300 nodes and 3,000 replicas (nodes_know_each_other, release build, a scratch copy with that number of replicas): 22.2 s before, 12.4 s after. A profile of it before: 21% comparing names, 10% lives_at, 13% hear (which looks for heartbeats by number).

--- a/src/mesh/lives.rs
+++ b/src/mesh/lives.rs
@@ -80,6 +80,9 @@
             self.remember(now, says);
             return false;
         }
+        if self.says_nothing_new(&says) {
+            return false;
+        }
         let says = self.with_present_life(says);
         let heard_at = now.saturating_sub(u64::from(says.age_ms));
         if self.is_outlived(heard_at, &says) {
@@ -115,6 +118,21 @@
         }
     }
 
+    /// True for what a life that is ready has said before: most of what nodes
+    /// repeat to each other, where there are many replicas.
+    fn says_nothing_new(&self, says: &Sighting) -> bool {
+        let found = position(&self.replicas, says.id.as_str(), |one| {
+            one.says.id.as_str()
+        });
+        found.is_ok_and(|at| {
+            let known = &self.replicas[at];
+            known.state == State::Ready
+                && State::from_u32(says.state) == State::Ready
+                && says.born == known.says.born
+                && says.sequence <= known.says.sequence
+        })
+    }
+
     /// A goodbye that doesn't tell which life says it is the present one's.
     fn with_present_life(&self, says: Sighting) -> Sighting {
         if says.born != 0 || State::from_u32(says.state) != State::Gone {
