Count the teller's own use in what it says of a quota, and goodbyes first

Found on reading both mends. What an entry tells one that starts was the use of the others as it knows it, without its own: a tenth too little among ten entries. And a replica that had said that it leaves, and was followed by another one at its address within 2.6 s, counted as one that had ended; what it said of itself goes first now.

--- a/src/decide/quota/mod.rs
+++ b/src/decide/quota/mod.rs
@@ -213,7 +213,7 @@
     pub struct Level {
         /// Units in it; less than none is a debt.
         pub units: i64,
-        /// Units each second that others have used lately.
+        /// Units each second that it and others have used lately.
         pub used: u64,
         /// Entries keep to their parts.
         pub is_paced: bool,
@@ -282,7 +282,7 @@
         let unseen = self.others_rate * allowance.lag_ms;
         knows.then_some(Level {
             units: self.level as i64,
-            used: (self.others_rate * 1000.0) as u64,
+            used: ((self.others_rate + self.pace.own_rate()) * 1000.0) as u64,
             is_paced: now < self.pace.until || self.level < unseen,
         })
     }
--- a/src/decide/quota/pace.rs
+++ b/src/decide/quota/pace.rs
@@ -37,6 +37,11 @@
         Pace { saved: pace.rate(allowance) * PACE_SAVED_MS, ..pace }
     }
 
+    /// What this entry has admitted on average, in units a ms.
+    pub fn own_rate(&self) -> f64 {
+        self.own_rate
+    }
+
     /// Takes what others use, in units a ms, and until when all are paced.
     pub fn learn(&mut self, others_rate: f64, until: u64) {
         self.others_rate = others_rate;
--- a/src/mesh/lives.rs
+++ b/src/mesh/lives.rs
@@ -177,8 +177,10 @@
             .filter(heard)
             .any(follows);
         match own.state {
+            // What it said of itself goes before what came after it.
+            State::Leaving => Fate::Leaves,
             _ if is_followed => Fate::Followed,
-            State::Leaving | State::Gone => Fate::Leaves,
+            State::Gone => Fate::Leaves,
             State::Ready if heard(&own) => Fate::Lives,
             State::Ready if others().any(|one| heard(&one)) => Fate::Silent,
             State::Ready => Fate::Unknown,
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -1090,7 +1090,7 @@
     /// Units that are left; less than none is a debt.
     #[prost(sint64, tag = "2")]
     pub units: i64,
-    /// Units each second that others use.
+    /// Units each second that the sender and others use.
     #[prost(uint64, tag = "3")]
     pub used: u64,
     /// Entries keep to their parts of the quota.
