--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -20,10 +20,8 @@
 //! Sizing by the load of the last seconds so has two resting points. Many
 //! replicas read little, so some are let go; the others then read more than
 //! they can, and stay overloaded for half a minute while replacements warm
-//! up. One day's 175 replicas were let go to 95 within a second that way, and
-//! requests served in time fell from 0.8 to 0.2. So the load is forgotten
-//! slowly, the number stays near what operators had sized the deployment to,
-//! and small differences are left as they are.
+//! up. So the load is forgotten slowly, the number stays near what operators
+//! had sized the deployment to, and small differences are left as they are.
 
 use crate::util::common;
 
@@ -33,10 +31,7 @@
 /// token doubles.
 const READING: f32 = 0.4;
 /// The same where that takes a second or more: entries then choose replicas
-/// nearly blindly, and prompts meet although other replicas are idle. Played
-/// with 68 and 74 entries, which know it after 0.75 s, on a day of high load
-/// each: 0.76 and 0.75 of the worth was served in time with 0.2 here, 0.79 and
-/// 0.80 with 0.1, and replicas cost the same, as fewer ordinary ones stood in.
+/// nearly blindly, and prompts meet although other replicas are idle.
 const READING_BLIND: f32 = 0.1;
 /// How late others' requests are known when [`READING_BLIND`] holds, in ms.
 const BLIND_MS: f32 = 1000.0;
@@ -52,9 +47,7 @@
 const FOUND: f32 = 0.85;
 /// The part of the replicas found at the start that is to be there after the
 /// loss of one data centre: with them go caches, which hold the prompts of
-/// the last quarter of a minute or so. On a quiet day with 140 replicas this,
-/// [`FORGET_MS`], [`WATCH_MS`] and [`SPARE`] together lowered the tokens that are read again from 22 to 16 million, and the worst
-/// seconds went from 0.58 to 0.68 served in time.
+/// the last quarter of a minute or so.
 const KEPT: f32 = 0.8;
 /// How fast a past peak of the load is forgotten, in ms for half of it: long
 /// against a wave of the load and against the time that a new replica takes
--- a/src/decide/quota/mod.rs
+++ b/src/decide/quota/mod.rs
@@ -51,11 +51,12 @@
 //! # Entries that start
 //!
 //! An entry that starts knows nothing of what has been used. Were its bucket
-//! full, each of those that start together would give out the quota anew: 35
-//! of 86 that had lost power did so to a team that flooded. So it
+//! full, each of those that start together would give out the quota anew. So it
 //! [joins](Meter::join) with an empty bucket and asks an entry that knows for
-//! the [`Level`] of its own. Until it is told it keeps to its part of the
-//! rate, which is all that there is to go by when all have started together.
+//! the [`Level`] of its own. It takes the others to go on as it is told, until
+//! each has had time to tell what it uses itself. As long as nobody has told
+//! it anything it keeps to its part of the rate, which is all that there is to
+//! go by when all have started together.
 
 mod pace;
 
@@ -100,9 +101,8 @@
 /// at a flood of so many times the quota; they can't tell how large it is.
 const PACED_FLOOD: f64 = 8.0;
 /// A request of so many times the average counts as large: from there on all
-/// are refused alike, whatever their size. With 0.5 short tags take half of
-/// what long prompts lack; played, that lost 0.018 of a day's worth with a
-/// flood, on three sites.
+/// are refused alike, whatever their size. Higher, short requests take what
+/// long prompts lack.
 const LARGE: f64 = 0.15;
 /// What the size of the most urgent requests counts for.
 const URGENT: f64 = 0.1;
--- a/src/duty/scale.rs
+++ b/src/duty/scale.rs
@@ -187,11 +187,8 @@
 
 /// How late entries would know of each other if all nodes were.
 ///
-/// Forty active nodes of 68 know of each other in 0.15 s, and few replicas
-/// would do for that once all are warm. But a start with cold caches needs
-/// more, and there are as many prompts: with replicas sized for 0.15 s, 0.79
-/// of the worth was served in time in the first 20 s of a quiet day with 140
-/// replicas, with this 0.87, at no higher price.
+/// Active nodes know of each other sooner, and few replicas would do for that
+/// once all are warm. But a start with cold caches needs more.
 fn sizing_lag_ms(table: &Table) -> f32 {
     mean_lag_ms(table.serving()) as f32
 }
