Use a replica as soon as its own heartbeat is acknowledged

Callers saw, in four tests of the gateway: a request whose replica fails is not tried at the second one, which had announced itself some ms before. Cause: the change that takes over together what appears within 50 ms did so for a replica's own heartbeats as well; the tests that had been run with it were not those of the gateway, which was a mistake.

What comes as word from other nodes, which is nearly all of it, is still taken over together.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -382,12 +382,6 @@
         })
     }
 
-    /// True where a service has replicas that may be given work.
-    pub fn has_replicas(&self, service: &str) -> bool {
-        position(&self.services, service, |one| one.name.as_str())
-            .is_ok_and(|at| !self.services[at].places.is_empty())
-    }
-
     /// Replicas of a service that may be given work, and requests thought to
     /// be under way at all of them.
     pub fn load(&self, service: &str) -> (usize, u32, f32) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -264,11 +264,6 @@
         });
     }
 
-    /// True where a service has replicas that may be given work.
-    pub fn has_replicas(&self, service: &str) -> bool {
-        self.fleet().has_replicas(service)
-    }
-
     /// What other nodes are told of this one's requests.
     pub fn own(&self) -> Own {
         let spent = self.spent();
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -337,7 +337,6 @@
         let Some(mesh) = node.mesh.get() else { return };
         let now = node.gateway.timer.now();
         let id = says.id.clone();
-        let service = says.service.clone();
         let (state, leaves_ms) = (says.state, says.leaves_ms);
         let mut table = mesh.table();
         let former = table.former_life(&says);
@@ -351,10 +350,7 @@
             );
             // Refreshed before the replica has its answer: from then on it
             // counts on getting no new work if it said that it leaves.
-            match state == 0 && node.gateway.has_replicas(&service) {
-                true => node.gateway.refresh_soon(),
-                false => node.gateway.refresh(),
-            }
+            node.gateway.refresh();
             mesh.urge();
         }
     }
