Give prompts that come in parts a module of their own

What a starting node asks of another one shares how an answer that doesn't come is logged. Moves only; no logic is changed, and the whole suite passes.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -9,6 +9,7 @@
 
 use super::{
     memory::Memory,
+    parts::{BLOCK_TOKENS, blocks_in, blocks_of_part, paths_of},
     plan::{Plan, Service},
 };
 use crate::{
@@ -34,9 +35,6 @@
 /// A replica that answered some request this recently is at work, in ms, and
 /// another one that waits there may just stand in line.
 const ANSWERING_MS: u64 = 1000;
-/// Prompt tokens in a block of the router's index. Coarse: prompts here come
-/// in parts of hundreds to thousands of tokens.
-pub const BLOCK_TOKENS: u32 = 512;
 /// Milliseconds to read a token of prompt, at first; the router learns it.
 const TOKEN_MS: f32 = 0.02;
 /// Milliseconds that a running request adds to the next one's first token:
@@ -551,53 +549,3 @@
         },
     }
 }
-
-/// The blocks of a prompt that comes in parts.
-///
-/// Each block's hash covers all parts up to its own, so two prompts share a
-/// block exactly when they share everything before it too.
-pub fn blocks_of(parts: &[(u64, u32)]) -> Vec<u64> {
-    paths_of(parts)
-        .flat_map(|(path, tokens)| {
-            (0..blocks_in(tokens)).map(move |at| block(path, at))
-        })
-        .collect()
-}
-
-/// Tokens up to the end of each of the blocks that [`blocks_of`] gives.
-pub fn ends_of(parts: &[(u64, u32)]) -> Vec<u32> {
-    let mut ends = Vec::new();
-    let mut before = 0;
-    for &(_, tokens) in parts {
-        let count = blocks_in(tokens);
-        let within = (1..=count).map(|at| (at * BLOCK_TOKENS).min(tokens));
-        ends.extend(within.map(|end| before + end));
-        before += tokens;
-        if let Some(last) = ends.last_mut() {
-            *last = before;
-        }
-    }
-    ends
-}
-
-fn blocks_of_part(cached: &Cached) -> Vec<u64> {
-    (0..cached.blocks).map(|at| block(cached.path, at)).collect()
-}
-
-/// What stands for each part and all before it, with the part's tokens.
-fn paths_of(parts: &[(u64, u32)]) -> impl Iterator<Item = (u64, u32)> {
-    parts.iter().scan(0u64, |path, &(part, tokens)| {
-        let mixed = path.rotate_left(17) ^ part;
-        *path = mixed.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        Some((*path, tokens))
-    })
-}
-
-fn blocks_in(tokens: u32) -> u32 {
-    ((tokens + BLOCK_TOKENS / 2) / BLOCK_TOKENS).max(1)
-}
-
-fn block(path: u64, at: u32) -> u64 {
-    let mixed = (path ^ u64::from(at)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    mixed ^ (mixed >> 29)
-}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 //! | [`events`] | streams cut where an event ends |
 //! | `memory` | what replicas have been sent lately |
 //! | `suspects` | requests that may have ended replicas |
+//! | [`parts`] | prompts that come in parts |
 //! | `quotas` | what teams may still use |
 //! | [`fleet`] | the replicas of each service, with a router for each |
 //! | [`upstream`] | connections with replicas |
@@ -30,6 +31,7 @@
 mod flight;
 pub mod forward;
 mod memory;
+pub mod parts;
 pub mod plan;
 mod quotas;
 pub mod refusal;
--- a/src/node/recall.rs
+++ b/src/node/recall.rs
@@ -21,7 +21,7 @@
 
 use prost::Message;
 use rand::seq::IteratorRandom;
-use tokio::time::{sleep, timeout};
+use tokio::time::{error::Elapsed, sleep, timeout};
 use tracing::{info, warn};
 
 use super::{Node, plan};
@@ -154,41 +154,41 @@
 
 /// Asks another node what is left of quotas; true when it knew.
 async fn learn_levels(node: &Node, from: Ipv4Addr) -> bool {
-    match timeout(FIRST_LIMIT, ask_levels(node, from)).await {
-        Ok(Ok(known)) if !known.levels.is_empty() => {
+    let answer = timeout(FIRST_LIMIT, ask_levels(node, from)).await;
+    match answered(answer, "quotas", from) {
+        Some(known) if !known.levels.is_empty() => {
             node.gateway.learn_levels(known, &from.to_string());
             true
         }
-        Ok(Ok(_)) => false,
-        Ok(Err(status)) => {
-            let text = status.message();
-            info!(target: "node", "No quotas from {from}: {text}.");
-            false
-        }
-        Err(_) => {
-            info!(target: "node", "No quotas from {from}: silent.");
-            false
-        }
+        _ => false,
     }
 }
 
 /// Asks another node for the replicas; true when it knew.
 async fn learn_replicas(node: &Node, from: Ipv4Addr) -> bool {
-    match timeout(FIRST_LIMIT, ask_replicas(node, from)).await {
-        Ok(Ok(known)) => {
-            let from = from.to_string();
-            node.gateway.hear_suspects(&known.crashes, &[], false);
-            take_replicas(node, known.replicas, &from, |says| says);
-            known.whole
-        }
+    let answer = timeout(FIRST_LIMIT, ask_replicas(node, from)).await;
+    let Some(known) = answered(answer, "replicas", from) else { return false };
+    node.gateway.hear_suspects(&known.crashes, &[], false);
+    take_replicas(node, known.replicas, &from.to_string(), |says| says);
+    known.whole
+}
+
+/// What a node answered; logs why it did not.
+fn answered<T>(
+    answer: Result<Result<T, tonic::Status>, Elapsed>,
+    what: &str,
+    from: Ipv4Addr,
+) -> Option<T> {
+    match answer {
+        Ok(Ok(known)) => Some(known),
         Ok(Err(status)) => {
             let text = status.message();
-            info!(target: "node", "No replicas from {from}: {text}.");
-            false
+            info!(target: "node", "No {what} from {from}: {text}.");
+            None
         }
         Err(_) => {
-            info!(target: "node", "No replicas from {from}: silent.");
-            false
+            info!(target: "node", "No {what} from {from}: silent.");
+            None
         }
     }
 }
--- a/tests/all/decide.rs
+++ b/tests/all/decide.rs
@@ -9,7 +9,7 @@
     retry::Budget,
     route::{Ask, Identity, Policy, Pool, Standing, Weights},
 };
-use azuremount::gateway::fleet::{blocks_of, ends_of};
+use azuremount::gateway::parts::{blocks_of, ends_of};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 fn identities(count: usize) -> Vec<Identity> {
