--- a/src/gateway/ending.rs
+++ b/src/gateway/ending.rs
@@ -150,10 +150,10 @@
         }
         loop {
             let now = self.timer.now();
-            // One that said that it leaves ends with what it still has: a long
-            // request would be at the ends of all replicas that are replaced.
             let is_over = now >= since + UNHEARD_MS;
             match self.fate(target, since) {
+                // It ends with what it still has: a long request would be at
+                // the ends of all replicas that are replaced.
                 Fate::Leaves => return Verdict::Nothing,
                 Fate::Followed => return Verdict::Ended("another life"),
                 _ if refused => return Verdict::Ended("refused"),
--- a/tests/all/endings.rs
+++ b/tests/all/endings.rs
@@ -24,7 +24,9 @@
 
 use crate::{
     nodes::Site,
-    world::{HANG, events, ok, put, read_answer, serve, sighting, status},
+    world::{
+        CLOSE, HANG, events, ok, put, read_answer, serve, sighting, status,
+    },
 };
 
 /// A replica ends when it begins to run a request with this in it.
@@ -170,7 +172,7 @@
 
 fn respond(head: &str) -> Vec<String> {
     if head.contains(BREAKS) {
-        return vec![crate::world::CLOSE.to_owned()];
+        return vec![CLOSE.to_owned()];
     }
     if head.contains(FATAL) {
         // Only the head of a stream.
