Log and count the rate of requests that replicas name

The platform's header is read into the answer's `limit`; changes are logged with what was known before, requests log the rate their replica had named, and a gauge counts such replicas. Nothing is decided by it yet.

A limit counts from when its answer came in; that there is none counts from when the request was sent that was answered without one, as answers overtake each other.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -10,5 +10,6 @@
 pub mod prefix;
 pub mod quarantine;
 pub mod quota;
+pub mod rate_limit;
 pub mod retry;
 pub mod route;
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -66,6 +66,21 @@
         pub load: Option<u32>,
         /// How long the replica keeps an idle connection, in ms.
         pub keep_ms: Option<u64>,
+        /// The rate of requests that it takes.
+        pub limit: Limit,
+    }
+}
+
+common! {
+    /// What an answer says of the rate of requests that its replica takes.
+    #[derive(Copy)]
+    pub enum Limit {
+        /// Any.
+        None,
+        /// So many requests a second from all nodes together.
+        PerSecond(f32),
+        /// Something that can't be read: what was known before holds.
+        Unreadable,
     }
 }
 
--- a/src/gateway/flight.rs
+++ b/src/gateway/flight.rs
@@ -82,6 +82,11 @@
         self.gateway.fleet().progress(now, &self.service, ticket);
     }
 
+    /// When it was begun, in ms.
+    pub fn began_at(&self) -> u64 {
+        self.began_at
+    }
+
     /// The replica.
     pub fn replica(&self) -> &str {
         &self.target.replica
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -372,6 +372,7 @@
             response.status(),
             response.headers(),
         );
+        self.gateway.note_limit(&target.replica, flight.began_at(), &answered);
         self.check(&answered, &mut flight)?;
         let proves = response.status().is_success() && is_framed(&response);
         flight.began(&answered, proves);
@@ -565,6 +566,8 @@
             foretold_ms = chosen.map_or(0, |one| one.predicted_ms as u64),
             cached = chosen.map_or(0, |target| target.cached_tokens),
             fetches = chosen.is_some_and(|one| one.fetch_from.is_some()),
+            takes_per_s = chosen
+                .map_or(0.0, |one| self.gateway.named_rate(&one.replica)),
             ran = self.attempts.ran,
             turned_away = self.attempts.turned_away,
             status = status.as_u16(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 //! | `suspects` | requests that may have ended replicas |
 //! | [`parts`] | prompts that come in parts |
 //! | `quotas` | what teams may still use |
+//! | `rate_limits` | what replicas say of the rate that they take |
 //! | [`fleet`] | the replicas of each service, with a router for each |
 //! | [`upstream`] | connections with replicas |
 //! | [`refusal`] | answers of the gateway's own |
@@ -34,6 +35,7 @@
 pub mod parts;
 pub mod plan;
 mod quotas;
+mod rate_limits;
 pub mod refusal;
 mod relay;
 pub mod server;
@@ -63,7 +65,10 @@
 };
 use crate::{
     board::Cell,
-    decide::{quarantine::Quarantine, quota::Tolerance, retry::Bound},
+    decide::{
+        quarantine::Quarantine, quota::Tolerance, rate_limit::RateLimits,
+        retry::Bound,
+    },
     mesh::{self, table::Own},
     metrics::Metrics,
     timer::Timer,
@@ -116,6 +121,7 @@
     bodies: Bodies,
     endings: Endings,
     quarantine: Mutex<Quarantine>,
+    rate_limits: Mutex<RateLimits>,
     /// A request with several crashes became known.
     pub(crate) has_suspects: Notify,
     mesh: std::sync::OnceLock<mesh::Handle>,
@@ -160,6 +166,7 @@
             bodies: Bodies::open(options.body_memory),
             endings: Endings::default(),
             quarantine: Mutex::default(),
+            rate_limits: Mutex::default(),
             has_suspects: Notify::new(),
             mesh: std::sync::OnceLock::new(),
             fleet: Mutex::new(Fleet::open(
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -78,6 +78,8 @@
     pub ended_replicas: Counter,
     /// Requests that became known with enough crashes to be kept away.
     pub suspects: Counter,
+    /// Replicas that have named the rate of requests that they take.
+    pub limited_replicas: Gauge,
 }
 
 fn seconds() -> Histogram {
@@ -120,6 +122,7 @@
             unreadable: Counter::default(),
             ended_replicas: Counter::default(),
             suspects: Counter::default(),
+            limited_replicas: Gauge::default(),
             registry: Registry::default(),
         };
         // First those that tell how control is, as collectors cut long pages.
@@ -158,6 +161,11 @@
             "Requests kept away from replicas, as some ended under them",
             metrics.suspects.clone(),
         );
+        registry.register(
+            "limited_replicas",
+            "Replicas known to take a limited rate of requests",
+            metrics.limited_replicas.clone(),
+        );
         registry.register(
             "latency_seconds",
             "From request to the end of its answer",
