Add tests of replicas that name the rate they take, which fail

Replicas that name a rate get whatever the router gives them: a single node sent 99 requests within 4 s to one that takes 2 a second, and six nodes together 44 to one that takes 1.

--- a/tests/all/crashes.rs
+++ b/tests/all/crashes.rs
@@ -3,8 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use tokio::{
-    io::AsyncWriteExt,
-    net::{TcpListener, TcpStream},
+    net::TcpListener,
     sync::mpsc,
     task::JoinSet,
     time::{sleep, timeout},
@@ -13,8 +12,8 @@
 use crate::{
     nodes::Site,
     world::{
-        CLOSE, HANG, PATIENCE, Replica, World, events, ok, put, read_answer,
-        serve, sighting, status,
+        CLOSE, HANG, PATIENCE, Replica, World, ask, events, ok, put, serve,
+        sighting, status,
     },
 };
 
@@ -153,17 +152,6 @@
     }
 }
 
-async fn ask(front: SocketAddr, path: &str, id: usize, body: &str) -> String {
-    let mut client = TcpStream::connect(front).await.unwrap();
-    let length = body.len();
-    let request = format!(
-        "POST {path} HTTP/1.1\r\nHost: here\r\nId: {id}\r\n\
-         Content-Length: {length}\r\n\r\n{body}"
-    );
-    client.write_all(request.as_bytes()).await.unwrap();
-    read_answer(&mut client).await
-}
-
 /// Answers what is harmless, and begins to answer what is fatal before it ends
 /// with all its connections.
 async fn run(
--- a/tests/all/endings.rs
+++ b/tests/all/endings.rs
@@ -15,8 +15,7 @@
     wire::Sighting,
 };
 use tokio::{
-    io::AsyncWriteExt,
-    net::{TcpListener, TcpStream},
+    net::TcpListener,
     sync::mpsc,
     task::JoinSet,
     time::{Instant, sleep, timeout},
@@ -24,9 +23,7 @@
 
 use crate::{
     nodes::Site,
-    world::{
-        CLOSE, HANG, events, ok, put, read_answer, serve, sighting, status,
-    },
+    world::{CLOSE, HANG, ask, events, ok, put, serve, sighting, status},
 };
 
 /// A replica ends when it begins to run a request with this in it.
@@ -214,7 +211,7 @@
     /// left.
     async fn send(&self, at: usize, id: usize, body: &str) -> String {
         let front = self.site.node(at % 3).front().unwrap();
-        let answer = timeout(LEAVES, ask(front, id, body)).await;
+        let answer = timeout(LEAVES, ask(front, "/resume/x", id, body)).await;
         answer.unwrap_or_default()
     }
 
@@ -244,17 +241,6 @@
     }
 }
 
-async fn ask(front: SocketAddr, id: usize, body: &str) -> String {
-    let mut client = TcpStream::connect(front).await.unwrap();
-    let length = body.len();
-    let request = format!(
-        "POST /resume/x HTTP/1.1\r\nHost: here\r\nId: {id}\r\n\
-         Content-Length: {length}\r\n\r\n{body}"
-    );
-    client.write_all(request.as_bytes()).await.unwrap();
-    read_answer(&mut client).await
-}
-
 async fn check(remains: Remains) {
     let service = Service::open(8, remains).await;
     let beyond = service.ends_beyond(FATAL).await;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -22,6 +22,7 @@
 mod quarantine;
 mod quota;
 mod raft;
+mod rate_limits;
 #[allow(dead_code)]
 mod relay;
 mod requests;
--- a/tests/all/world.rs
+++ b/tests/all/world.rs
@@ -15,7 +15,7 @@
     duty::{self, Badge, Cloud, Order},
     gateway::{
         self, Windows,
-        dialect::{Answered, Asked, Dialect, Sending},
+        dialect::{Answered, Asked, Dialect, Limit, Sending},
         plan::{Draft, Invalid, Limits, Quota, Repeat, Route, Service, Team},
     },
     node,
@@ -77,6 +77,12 @@
             matches: echoed.is_none() || echoed == asked,
             load: None,
             keep_ms: None,
+            limit: match headers.get("limit") {
+                Some(rate) => {
+                    Limit::PerSecond(rate.to_str().unwrap().parse().unwrap())
+                }
+                None => Limit::None,
+            },
         }
     }
 }
@@ -250,6 +256,23 @@
     }
 }
 
+/// Sends a request of its own id to a node, on a connection of its own.
+pub async fn ask(
+    front: SocketAddr,
+    path: &str,
+    id: usize,
+    body: &str,
+) -> String {
+    let mut client = TcpStream::connect(front).await.unwrap();
+    let length = body.len();
+    let request = format!(
+        "POST {path} HTTP/1.1\r\nHost: here\r\nId: {id}\r\n\
+         Content-Length: {length}\r\n\r\n{body}"
+    );
+    client.write_all(request.as_bytes()).await.unwrap();
+    read_answer(&mut client).await
+}
+
 /// Puts a plan in force, however long it takes the first leader to stand.
 pub async fn put(node: &node::Handle, version: u64) {
     let put = async {
