Divide a limit among more nodes, in thinner shares

Shares still give out no more at once than the replica bears: the same plays of nodes that restart in turn hold.

--- a/src/decide/rate_limit.rs
+++ b/src/decide/rate_limit.rs
@@ -27,8 +27,9 @@
 
 use crate::util::position;
 
-/// Requests a second of one share, where the limit has so many.
-const SHARE_PER_S: f32 = 1.0;
+/// Shares of a limit for each request a second, besides one. Each share can
+/// give out one request at once, whatever its rate, so a small limit has few.
+const SHARES_PER_RATE: f32 = 1.5;
 /// The least that is sent to a replica, in requests a second: one that gets
 /// nothing could never say that it takes more again.
 const LEAST_PER_S: f32 = 0.1;
@@ -161,7 +162,8 @@
 /// and how many there are.
 pub fn share(rate: f32, rank: usize, nodes: usize) -> f32 {
     let rate = rate.max(LEAST_PER_S);
-    let shares = ((rate / SHARE_PER_S) as usize).clamp(1, nodes.max(1));
+    let shares = 1 + (rate * SHARES_PER_RATE) as usize;
+    let shares = shares.clamp(1, nodes.max(1));
     if rank < shares { rate / shares as f32 } else { 0.0 }
 }
 
