--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -7,6 +7,7 @@
 mod fatal;
 mod faults;
 mod http;
+mod limit;
 mod operator;
 mod promise;
 mod proxy;
@@ -90,7 +91,10 @@
     pub ledger: Ledger,
     ips: Vec<Ipv4Addr>,
     fronts: OnceLock<Vec<Proxy>>,
+    /// What replicas name.
+    limits: limit::Limits,
     running: AtomicBool,
+    judged: AtomicBool,
 }
 
 impl Shared {
@@ -99,6 +103,11 @@
         self.running.load(Ordering::Relaxed)
     }
 
+    /// True once the last fault is over, and replicas name no other limits.
+    pub fn is_judged(&self) -> bool {
+        self.judged.load(Ordering::Relaxed)
+    }
+
     fn any(&self, port: u16) -> SocketAddrV4 {
         let ip = self.ips.choose(&mut rand::rng());
         SocketAddrV4::new(*ip.expect("there are nodes"), port)
@@ -191,7 +200,9 @@
         ledger: Ledger::open(),
         ips: site.nodes.iter().map(|node| node.ip).collect(),
         fronts: OnceLock::new(),
+        limits: limit::Limits::default(),
         running: AtomicBool::new(true),
+        judged: AtomicBool::new(false),
     });
     cloud::spawn(api, shared.clone()).await?;
     let row = play(arguments, shared.clone(), site, cloud).await?;
@@ -232,6 +243,7 @@
     }
     tasks.push(tokio::spawn(operator::read(shared.clone())));
     tasks.push(tokio::spawn(fatal::repeat(shared.clone())));
+    tasks.push(tokio::spawn(limit::vary(shared.clone())));
     let mut faults = Faults::new(shared.clone(), site, replicas, cloud);
     let until = Instant::now() + Duration::from_secs(arguments.seconds);
     faults.play(until).await?;
@@ -239,6 +251,8 @@
     // Callers go on while the nodes come back.
     recover(&shared, &mut faults).await;
     fatal::judge(&shared, &mut faults).await?;
+    shared.judged.store(true, Ordering::Relaxed);
+    limit::judge(&shared).await;
     shared.running.store(false, Ordering::Relaxed);
     for task in tasks {
         if let Err(error) = task.await {
--- a/soak/src/replica.rs
+++ b/soak/src/replica.rs
@@ -10,7 +10,7 @@
 use azuremount_platform::standin as wire;
 use bytes::Bytes;
 use futures_util::stream;
-use http::{Method, Request, Response, StatusCode};
+use http::{HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -25,6 +25,7 @@
 use crate::{
     SERVICE, Shared, TEAM, fatal,
     http::{Body, Failed, call, full, serve},
+    limit::Limit,
     promise::Kind,
     proxy::Proxy,
 };
@@ -85,11 +86,12 @@
             shared: shared.clone(),
             rng: Arc::new(Mutex::new(rng)),
             end: Arc::new(Notify::new()),
+            limit: shared.limits.open(),
         };
         let end = runner.end.clone();
         let handler = move |request| {
             let runner = runner.clone();
-            async move { runner.run(request).await }
+            async move { runner.answer(request).await }
         };
         let leaving = Arc::new(Mutex::new(false));
         let born = now_ms();
@@ -228,6 +230,7 @@
     shared: Arc<Shared>,
     rng: Arc<Mutex<StdRng>>,
     end: Arc<Notify>,
+    limit: Arc<Limit>,
 }
 
 impl Runner {
@@ -235,6 +238,20 @@
         lock(&self.rng).random_bool(part)
     }
 
+    /// Runs a request, and names the limit in its answer if there is one.
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<Body>, Failed> {
+        let per_s = self.limit.arrive();
+        let mut response = self.run(request).await?;
+        if let Some(per_s) = per_s {
+            let value = HeaderValue::from_str(&format!("{per_s:.2}"))?;
+            response.headers_mut().insert(wire::LIMIT, value);
+        }
+        Ok(response)
+    }
+
     async fn run(
         &self,
         request: Request<Incoming>,
