Add tests of outages after which sound requests are refused, which fail

Callers that all ask the same of twelve replicas are refused for minutes after half of the replicas have ended at one moment: behind relays that close, with replicas that return under their ids, and with machines that go dark. Without a network: six ends at one moment that nodes notice one after the other count as six ends of the request, and so do ends at which others' connections broke before it was sent. A third test guards what must not be lost by the mend, and passes.

--- a/tests/all/endings.rs
+++ b/tests/all/endings.rs
@@ -16,20 +16,24 @@
 };
 use tokio::{
     net::TcpListener,
-    sync::mpsc,
+    sync::{Notify, mpsc},
     task::JoinSet,
     time::{Instant, sleep, timeout},
 };
 
 use crate::{
     nodes::Site,
-    world::{CLOSE, HANG, ask, events, ok, put, serve, sighting, status},
+    world::{
+        CLOSE, HANG, WAIT, ask, events, ok, put, serve, sighting, status,
+    },
 };
 
 /// A replica ends when it begins to run a request with this in it.
 const FATAL: &str = "fatal";
 /// A replica that lives closes the connection of a request with this in it.
 const BREAKS: &str = "breaks";
+/// A replica takes a while to answer a request with this in it.
+const SLOW: &str = "slow";
 /// Between two heartbeats of a replica.
 const BEAT: Duration = Duration::from_millis(300);
 /// How long a replica is away.
@@ -64,6 +68,8 @@
     live: Mutex<Vec<(Sighting, u64)>>,
     started: AtomicUsize,
     ended: AtomicUsize,
+    /// Ends each second replica at once.
+    outage: Notify,
 }
 
 impl Shared {
@@ -107,6 +113,22 @@
         id
     }
 
+    /// A replica ends with all that it has.
+    fn end(
+        &self,
+        id: &str,
+        is_away: &AtomicBool,
+        connections: &mut JoinSet<()>,
+    ) {
+        self.ended.fetch_add(1, Ordering::Relaxed);
+        is_away.store(true, Ordering::Relaxed);
+        let mut live = self.live.lock().unwrap();
+        live.retain(|(says, _)| says.id != id);
+        if self.remains != Remains::Silent {
+            connections.abort_all();
+        }
+    }
+
     async fn run(self: Arc<Shared>, listener: TcpListener) {
         let address = listener.local_addr().unwrap();
         let mut id = self.appear(address, None);
@@ -115,7 +137,14 @@
         let mut kept = Vec::new();
         let is_away = AtomicBool::new(false);
         let mut back_at: Option<Instant> = None;
+        let is_hit = self.started.load(Ordering::Relaxed).is_multiple_of(2);
         loop {
+            let outage = async {
+                match is_hit {
+                    true => self.outage.notified().await,
+                    false => std::future::pending().await,
+                }
+            };
             let back = async {
                 match back_at {
                     Some(at) => tokio::time::sleep_until(at).await,
@@ -144,13 +173,11 @@
                     }
                     // The head of its answer is out.
                     sleep(Duration::from_millis(20)).await;
-                    self.ended.fetch_add(1, Ordering::Relaxed);
-                    is_away.store(true, Ordering::Relaxed);
-                    let mut live = self.live.lock().unwrap();
-                    live.retain(|(says, _)| says.id != id);
-                    if self.remains != Remains::Silent {
-                        connections.abort_all();
-                    }
+                    self.end(&id, &is_away, &mut connections);
+                    back_at = Some(Instant::now() + AWAY);
+                }
+                () = outage => {
+                    self.end(&id, &is_away, &mut connections);
                     back_at = Some(Instant::now() + AWAY);
                 }
                 () = back => {
@@ -168,6 +195,9 @@
 }
 
 fn respond(head: &str) -> Vec<String> {
+    if head.contains(SLOW) {
+        return std::iter::once(WAIT.to_owned()).chain(ok("fine")).collect();
+    }
     if head.contains(BREAKS) {
         return vec![CLOSE.to_owned()];
     }
@@ -183,13 +213,22 @@
 
 /// Nodes before a service whose replicas leave these remains.
 struct Service {
-    site: Site,
+    _site: Site,
     shared: Arc<Shared>,
 }
 
 impl Service {
     async fn open(replicas: usize, remains: Remains) -> Service {
-        let site = Site::open(3, 0).await;
+        Service::open_at(0, replicas, remains).await
+    }
+
+    /// The same with `others` nodes besides the three that have a disk.
+    async fn open_at(
+        others: usize,
+        replicas: usize,
+        remains: Remains,
+    ) -> Service {
+        let site = Site::open(3, others).await;
         put(site.node(0), 1).await;
         site.all_serve().await;
         let shared = Arc::new(Shared {
@@ -198,19 +237,21 @@
             live: Mutex::default(),
             started: AtomicUsize::new(0),
             ended: AtomicUsize::new(0),
+            outage: Notify::new(),
         });
         for _ in 0..replicas {
             shared.start();
         }
         tokio::spawn(shared.clone().beat());
         sleep(Duration::from_millis(700)).await;
-        Service { site, shared }
+        Service { _site: site, shared }
     }
 
     /// Sends a request of its own id to a node; nothing for a caller that has
     /// left.
     async fn send(&self, at: usize, id: usize, body: &str) -> String {
-        let front = self.site.node(at % 3).front().unwrap();
+        let nodes = &self.shared.nodes;
+        let front = nodes[at % nodes.len()].front().unwrap();
         let answer = timeout(LEAVES, ask(front, "/resume/x", id, body)).await;
         answer.unwrap_or_default()
     }
@@ -298,3 +339,67 @@
     let answer = service.send(0, 300, BREAKS).await;
     assert_ne!(status(&answer), "503", "{answer}");
 }
+
+/// Callers that all ask the same.
+const CALLERS: usize = 16;
+/// How long they ask before half of the replicas end, and after that.
+const CALM: Duration = Duration::from_millis(2000);
+const AFTER: Duration = Duration::from_millis(7000);
+/// The part of what they ask at last that has to be served.
+const SERVED: f64 = 0.98;
+
+/// Half of all replicas end at once while all callers ask the same; the part
+/// that is served once they are back.
+async fn served_after_outage(remains: Remains) -> f64 {
+    let service = Arc::new(Service::open_at(3, 12, remains).await);
+    let began = Instant::now();
+    let mut callers = JoinSet::new();
+    for caller in 0..CALLERS {
+        let service = service.clone();
+        callers.spawn(async move {
+            let mut answers = Vec::new();
+            for turn in 0.. {
+                if began.elapsed() > CALM + AFTER {
+                    break;
+                }
+                let id = caller * 10_000 + turn;
+                let answer = service.send(id, id, SLOW).await;
+                answers.push((began.elapsed(), status(&answer) == "200"));
+                if status(&answer) != "200" {
+                    sleep(Duration::from_millis(100)).await;
+                }
+            }
+            answers
+        });
+    }
+    sleep(CALM).await;
+    service.shared.outage.notify_waiters();
+    let answers: Vec<(Duration, bool)> =
+        callers.join_all().await.into_iter().flatten().collect();
+    let last = answers.iter().filter(|one| one.0 > CALM + AFTER / 2);
+    let last: Vec<bool> = last.map(|one| one.1).collect();
+    let served = last.iter().filter(|is_served| **is_served).count();
+    served as f64 / last.len() as f64
+}
+
+/// Guards against sound requests that are refused after an outage of half of
+/// the replicas, behind relays that close connections while they are away.
+#[tokio::test]
+async fn an_outage_behind_relays_keeps_nobody_away() {
+    let served = served_after_outage(Remains::Closes).await;
+    assert!(served >= SERVED, "{served}");
+}
+
+/// The same where replicas are back under their ids.
+#[tokio::test]
+async fn an_outage_of_replicas_that_return_keeps_nobody_away() {
+    let served = served_after_outage(Remains::Reborn).await;
+    assert!(served >= SERVED, "{served}");
+}
+
+/// The same where machines go dark.
+#[tokio::test]
+async fn an_outage_of_machines_that_go_dark_keeps_nobody_away() {
+    let served = served_after_outage(Remains::Silent).await;
+    assert!(served >= SERVED, "{served}");
+}
--- a/tests/all/quarantine.rs
+++ b/tests/all/quarantine.rs
@@ -270,3 +270,50 @@
         Ok(())
     });
 }
+
+/// Guards against sound requests that are kept away as many replicas end at
+/// once under what all callers ask, and nodes notice it one after the other.
+#[test]
+fn an_end_has_one_moment_whoever_notices_it_when() {
+    let mut known = Quarantine::default();
+    for replica in 0..6 {
+        let late = 400 * replica as i64;
+        // Sent to the replica while it was away already, at another node, of
+        // which this one hears first.
+        known.crash(
+            START + 3000,
+            crash(7, replica, START + late),
+            Source::Other,
+        );
+        known.crash(START + 3000, crash(7, replica, START), Source::Other);
+    }
+    let replicas = || 12;
+    assert_eq!(known.keeps(START + 3000, 7, replicas), None);
+}
+
+/// Guards against a request that counts for ends before which it can't have
+/// been sent: others were under way there, and their connections broke before.
+#[test]
+fn a_request_that_met_replicas_after_their_end_has_not_ended_them() {
+    let mut known = Quarantine::default();
+    for replica in 0..4 {
+        let at = START + 1500 * replica as i64;
+        let other = 100 + replica;
+        end(&mut known, replica, at, &[other]);
+        end(&mut known, replica, at + 1200, &[7]);
+    }
+    assert_eq!(keeps(&known, START + 8000, 7), None);
+}
+
+/// Guards against a request that is found out no more, as its ends were dated
+/// by what else was there.
+#[test]
+fn a_request_that_was_there_counts_beside_others() {
+    let mut known = Quarantine::default();
+    for replica in 0..3 {
+        let at = START + 1500 * replica as i64;
+        end(&mut known, replica, at, &[100 + replica]);
+        end(&mut known, replica, at + 30, &[7]);
+    }
+    assert_eq!(keeps(&known, START + 8000, 7).unwrap().crashes, 3);
+}
