--- a/tests/all/mesh.rs
+++ b/tests/all/mesh.rs
@@ -410,6 +410,33 @@
 }
 
 /// What a node has to tell of a request at two replicas that ended.
+/// Guards against limits that two nodes divide by different orders, and against
+/// shares of nodes that have no callers.
+#[test]
+fn nodes_that_hear_each_other_find_the_same_order() {
+    let mut tables: Vec<Table> =
+        (1..=5).map(|ip| Table::open(peer(ip, 1))).collect();
+    for table in &mut tables {
+        for ip in 1..=5 {
+            table.hear(10, 0, gossip(ip, 1));
+        }
+    }
+    for subject in 0..20 {
+        let mut ranks: Vec<usize> = tables
+            .iter()
+            .map(|table| table.place(20, subject).unwrap())
+            .map(|(rank, nodes)| {
+                assert_eq!(nodes, 5);
+                rank
+            })
+            .collect();
+        ranks.sort_unstable();
+        assert_eq!(ranks, [0, 1, 2, 3, 4], "subject {subject}");
+    }
+    tables[0].me().serving = false;
+    assert_eq!(tables[0].place(20, 1), None);
+}
+
 fn suspects() -> Own {
     let crash = |replica| Crash { fingerprint: 7, replica, age_ms: 30 };
     Own { crashes: vec![crash(1), crash(2)], ..Own::default() }
