Name what a statement about a limit changes, and say why limits are no load

RateLimits::note gave an option of an option; it gives a Change now. A comment says why replicas with a limit are left out of the level. No logic changes.

--- a/src/decide/rate_limit.rs
+++ b/src/decide/rate_limit.rs
@@ -59,6 +59,13 @@
     pub at: i64,
 }
 
+/// What a statement has changed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Change {
+    /// The rate that was known before; `None` for any.
+    pub before: Option<f32>,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Known {
     statement: Statement,
@@ -75,30 +82,26 @@
 }
 
 impl RateLimits {
-    /// Takes a statement, and returns the one before it if this changes it.
+    /// Takes a statement; tells what it changes, if anything.
     ///
-    /// What is known of a replica that never named a limit is not kept.
-    pub fn note(
-        &mut self,
-        now: i64,
-        statement: Statement,
-    ) -> Option<Option<Statement>> {
+    /// That a replica which never named a limit has none is not kept.
+    pub fn note(&mut self, now: i64, statement: Statement) -> Option<Change> {
         let new = Known { statement, learned_at: now };
         match self.find(statement.replica) {
             Ok(at) if self.known[at].statement.at < statement.at => {
-                let before = self.known[at];
-                if before.statement.rate == statement.rate {
+                let before = self.known[at].statement.rate;
+                if before == statement.rate {
                     self.known[at].statement = statement;
                     return None;
                 }
                 self.known[at] = new;
-                Some(Some(before.statement))
+                Some(Change { before })
             }
             Ok(_) => None,
             Err(_) if statement.rate.is_none() => None,
             Err(at) => {
                 self.known.insert(at, new);
-                Some(None)
+                Some(Change { before: None })
             }
         }
     }
--- a/src/decide/route/cost.rs
+++ b/src/decide/route/cost.rs
@@ -97,6 +97,7 @@
         age = (age / self.replicas.len().max(1) as f32).min(OLDEST_MS);
         self.usual_others = others / (self.slots().max(1) as f32);
         let mut slots: Vec<(f32, f32)> = Vec::new();
+        // What a limited replica gets follows from its limit, not its load.
         let unlimited =
             self.replicas.iter().filter(|one| one.bucket.is_none());
         for replica in unlimited {
--- a/src/gateway/rate_limits.rs
+++ b/src/gateway/rate_limits.rs
@@ -69,11 +69,11 @@
         }
     }
 
-    /// True when it changes what was known.
+    /// Takes a statement; true when it changes what was known.
     fn note_statement(&self, statement: Statement, source: Source) -> bool {
         let now = self.timer.now() as i64;
         let mut limits = self.rate_limits();
-        let Some(before) = limits.note(now, statement) else { return false };
+        let Some(change) = limits.note(now, statement) else { return false };
         let limited = limits.limited().count();
         drop(limits);
         self.metrics.limited_replicas.set(limited as i64);
@@ -84,7 +84,7 @@
             target: "gateway",
             replica,
             rate = statement.rate,
-            before = before.and_then(|one| one.rate),
+            before = change.before,
             age_ms = now - statement.at,
             ?source,
             "Replica takes another rate of requests."
--- a/tests/all/rate_limits.rs
+++ b/tests/all/rate_limits.rs
@@ -7,7 +7,7 @@
 };
 
 use azuremount::{
-    decide::rate_limit::{Bucket, Part, RateLimits, Statement, share},
+    decide::rate_limit::{Bucket, Change, Part, RateLimits, Statement, share},
     node,
     wire::Sighting,
 };
@@ -331,16 +331,16 @@
 #[test]
 fn answers_that_overtake_each_other_end_no_limit() {
     let mut limits = RateLimits::default();
-    assert_eq!(limits.note(100, statement(Some(2.0), 100)), Some(None));
+    let named = limits.note(100, statement(Some(2.0), 100));
+    assert_eq!(named, Some(Change { before: None }));
     // Sent before the limit was named, answered after it without one.
     assert_eq!(limits.note(110, statement(None, 90)), None);
     assert_eq!(limits.rate(7), Some(2.0));
     // Old word from another node.
     assert_eq!(limits.note(120, statement(Some(9.0), 80)), None);
     assert_eq!(limits.rate(7), Some(2.0));
-    let before = statement(Some(2.0), 100);
     let ended = limits.note(200, statement(None, 150));
-    assert_eq!(ended, Some(Some(before)));
+    assert_eq!(ended, Some(Change { before: Some(2.0) }));
     assert_eq!(limits.rate(7), None);
     // Word of the limit from before goes round a while longer.
     assert_eq!(limits.note(210, statement(Some(2.0), 140)), None);
