--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -27,10 +27,8 @@
 
 use crate::util::{common, position};
 
-/// Replicas that a request may end before it is kept away.
-///
-/// Where one of eighteen replicas ends each second, a bystander of a second's
-/// length meets two in a row once in 300 times, three once in 6,000.
+/// Replicas that a request may end before it is kept away. A bystander may be at
+/// two ends by chance, hardly ever at three.
 pub const CRASHES: usize = 3;
 /// How long a request is kept away after its third crash, in ms; each further
 /// one doubles it. Three trials take fourteen minutes then, and cost no more
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 //! | `ending` | whether a replica has ended, when a connection broke |
 //! | [`events`] | streams cut where an event ends |
 //! | `memory` | what replicas have been sent lately |
+//! | `overload` | requests that replicas can't take now |
 //! | `suspects` | requests that may have ended replicas |
 //! | [`parts`] | prompts that come in parts |
 //! | `quotas` | what teams may still use |
@@ -32,6 +33,7 @@
 mod flight;
 pub mod forward;
 mod memory;
+mod overload;
 pub mod parts;
 pub mod plan;
 mod quotas;
