Hold late word of ends against what ended well since, and date ends

What callers saw: after half of the replicas had ended at one moment, behind relays that accept and close, requests that all callers ask were refused everywhere for two minutes, although they ran well at the other half and had done so all along.

Cause, by the logs of a play with real nodes: that a replica has ended is certain 2.6 s later. Until then requests that meet it after its end break off too, and each of them counted as being at that end, dated by its own connection. Successes meanwhile could not clear anything: nothing was noted of the request yet, and a success of a request of which nothing is known was forgotten at once. When the ends became certain the request had three of them and no success, and once it is refused it can't succeed.

Change: - requests that ended well are remembered (10 to 20 s, 2 x 4,096 at most), and an end that becomes known later counts only if it came after the last success; whoever tells of it is told of the success; - an end has one moment, the earliest that any node tells; a request that broke off more than 0.3 s later was sent to a replica that was away; - at one node a request counts only if it was sent before the first connection to the replica broke, and not long after the replica was last heard; - word of a heartbeat that seems younger than it is no longer shows that a replica lives; - replicas end together within 0.1 s (0.5 s before, which took in ends by other requests), or within 20 ms where all had the request.

Ruled out: that a wider window for ends "together" would do: a stream that goes on elsewhere ends two replicas within 50 ms, so two sendings look like an outage; taking ends of the request itself within 20 ms only leaves those out.

What the older tests of outages lacked: their relays closed before a request was written, so that nothing was noted, and their streams were always under way, so that one succeeded just after the ends had become certain.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -13,3 +13,4 @@
 pub mod rate_limit;
 pub mod retry;
 pub mod route;
+pub mod sound;
--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -10,8 +10,12 @@
 //! All that were under way are noted, as nobody can tell the one that did it
 //! from those beside it. Three things tell them apart afterwards: bystanders
 //! are at one end, not at three; they succeed elsewhere, and a success clears
-//! whatever was noted before it; and where many replicas end together, that
-//! has another cause, and none of it counts.
+//! whatever was noted before it, also where that becomes known later; and where
+//! many replicas end together, that has another cause, and none of it counts.
+//!
+//! An end has one moment, the earliest at which any node noticed it. A request
+//! that broke off later was sent to a replica that was away already, as where a
+//! relay accepts connections for it, and does not count.
 //!
 //! Whoever is kept away can't succeed any more, and may be a bystander after
 //! all: what a team asks all the time is at every end of a service that fails
@@ -25,6 +29,7 @@
 
 use std::cmp::Reverse;
 
+use super::sound::Sound;
 use crate::util::{common, position};
 
 /// Replicas that a request may end before it is kept away. A bystander may be at
@@ -46,11 +51,16 @@
 /// A success is remembered for so long, in ms: longer than word of a crash
 /// before it may go round.
 const REMEMBER_SUCCESS_MS: i64 = 60_000;
-/// Replicas that end within this time of each other end together, in ms. A
-/// request that goes from one to the next takes longer for three.
-const TOGETHER_MS: u64 = 500;
-/// So many replicas besides a request's own, and this part of its service's,
-/// have to end together for another cause than the request.
+/// Replicas that end within this time of each other end together, in ms: nodes
+/// notice it one after the other.
+const TOGETHER_MS: u64 = 100;
+/// The same of replicas that all had the request, in ms: less than it takes to
+/// go on from one that it has ended to the next one.
+const AT_ONCE_MS: u64 = 20;
+/// Nodes notice the end of a replica within this time of each other, in ms.
+const NOTICED_MS: i64 = 300;
+/// So many other replicas, and this part of its service's, have to end together
+/// for another cause than the request.
 const LEAST_TOGETHER: usize = 3;
 /// See [`LEAST_TOGETHER`].
 const PART_TOGETHER: f32 = 0.25;
@@ -158,6 +168,8 @@
 pub struct Quarantine {
     /// Sorted by fingerprint.
     records: Vec<Record>,
+    /// Requests that have ended well lately.
+    sound: Sound,
     /// Crashes to be told, with the time when they became known here.
     crashes: Vec<(i64, Crash)>,
     /// The same of successes.
@@ -173,18 +185,15 @@
         crash: Crash,
         source: Source,
     ) -> Option<usize> {
-        let at = self.record(crash.fingerprint);
-        let record = &mut self.records[at];
-        if let Some(success) = record.succeeded_at
-            && crash.at <= success
-        {
-            // Whoever tells it has missed the success.
-            let fingerprint = crash.fingerprint;
-            self.tell_success(now, Success { fingerprint, at: success });
+        if self.is_refuted(now, crash) {
             return None;
         }
-        let mut known = record.crashes.iter();
-        if known.any(|one| one.replica == crash.replica) {
+        let at = self.record(crash.fingerprint);
+        let record = &mut self.records[at];
+        if let Some(known) = record.of(crash.replica) {
+            // The earliest that anybody tells is the moment of the end.
+            known.at = known.at.min(crash.at);
+            record.crashes.sort_by_key(|one| one.at);
             return None;
         }
         let after = record.crashes.partition_point(|one| one.at <= crash.at);
@@ -200,6 +209,20 @@
         Some(count)
     }
 
+    /// Whether a request has ended well since, so that a crash says nothing of
+    /// it. Whoever told of the crash is told so.
+    fn is_refuted(&mut self, now: i64, crash: Crash) -> bool {
+        let fingerprint = crash.fingerprint;
+        let known = self.find(&fingerprint).ok();
+        let known = known.and_then(|at| self.records[at].succeeded_at);
+        let last = known.max(self.sound.last(fingerprint));
+        let Some(at) = last.filter(|at| crash.at <= *at) else {
+            return false;
+        };
+        self.tell_success(now, Success { fingerprint, at });
+        true
+    }
+
     /// Notes that a request has ended well; tells how many crashes that
     /// clears, if any.
     pub fn succeed(
@@ -208,6 +231,7 @@
         success: Success,
         source: Source,
     ) -> Option<usize> {
+        self.sound.note(success);
         // Nearly all requests have never been at a replica that ended.
         let at = self.find(&success.fingerprint).ok()?;
         let record = &mut self.records[at];
@@ -218,9 +242,10 @@
             return None;
         }
         record.succeeded_at = record.succeeded_at.max(Some(success.at));
-        self.crashes.retain(|(_, one)| {
-            one.fingerprint != success.fingerprint || one.at > success.at
-        });
+        let is_before = |one: &Crash| {
+            one.fingerprint == success.fingerprint && one.at <= success.at
+        };
+        self.crashes.retain(|(_, one)| !is_before(one));
         if source == Source::Own {
             self.tell_success(now, success);
         }
@@ -237,24 +262,24 @@
     ) -> Option<Reason> {
         let at = self.find(&fingerprint).ok()?;
         let record = &self.records[at];
-        let last = record.crashes.last()?;
         if record.crashes.len() < CRASHES {
             return None;
         }
         let part = (replicas() as f32 * PART_TOGETHER) as usize;
         let many = part.max(LEAST_TOGETHER);
-        let counted = record.crashes.iter();
-        let counted = counted.filter(|one| !self.is_mass(record, one, many));
+        let counted = record.crashes.iter().filter(|one| {
+            self.was_there(one) && !self.is_mass(record, one, many)
+        });
         let crashes = counted.count();
+        let last = record.crashes.last()?;
         if crashes < CRASHES {
             return None;
         }
-        let kept_ms = kept_ms(crashes);
         let age_ms = now - last.at;
         Some(Reason {
             crashes,
             age_ms: age_ms.max(0) as u64,
-            wait_ms: (kept_ms - age_ms).max(0) as u64,
+            wait_ms: (kept_ms(crashes) - age_ms).max(0) as u64,
         })
     }
 
@@ -282,25 +307,40 @@
         tries
     }
 
-    /// Whether `many` replicas without the request ended at the same time, so
-    /// that the cause lies elsewhere: a data centre that lost its power takes
-    /// a request to three ends that it has nothing to do with.
+    /// Whether a request can have been at a replica when that ended.
+    fn was_there(&self, crash: &Crash) -> bool {
+        let ends = self.ends().filter(|one| one.replica == crash.replica);
+        let moment = ends.map(|one| one.at).min();
+        moment.is_none_or(|moment| crash.at <= moment + NOTICED_MS)
+    }
+
+    /// Whether `many` other replicas ended at the same time, so that the cause
+    /// lies elsewhere: a data centre that lost its power takes a request to
+    /// three ends that it has nothing to do with.
     fn is_mass(&self, own: &Record, crash: &Crash, many: usize) -> bool {
         let is_own =
             |replica| own.crashes.iter().any(|one| one.replica == replica);
         let mut others: Vec<u64> = self
-            .records
-            .iter()
-            .flat_map(|record| &record.crashes)
-            .filter(|one| one.at.abs_diff(crash.at) <= TOGETHER_MS)
+            .ends()
+            .filter(|one| one.replica != crash.replica)
+            .filter(|one| {
+                let limit = match is_own(one.replica) {
+                    true => AT_ONCE_MS,
+                    false => TOGETHER_MS,
+                };
+                one.at.abs_diff(crash.at) <= limit
+            })
             .map(|one| one.replica)
-            .filter(|replica| !is_own(*replica))
             .collect();
         others.sort_unstable();
         others.dedup();
         others.len() >= many
     }
 
+    fn ends(&self) -> impl Iterator<Item = &Crash> {
+        self.records.iter().flat_map(|one| &one.crashes)
+    }
+
     /// What goes into the next datagrams: news, and now and then what is known
     /// of requests with several crashes.
     pub fn tell(&mut self, now: i64) -> Word {
@@ -321,7 +361,8 @@
             crashes.extend(&record.crashes);
         }
         let newest = self.successes.iter().rev().take(TOLD);
-        Word { crashes, successes: newest.map(|(_, one)| *one).collect() }
+        let successes = newest.map(|(_, one)| *one).collect();
+        Word { crashes, successes }
     }
 
     /// What a node that starts has to know, and what is kept on disks.
@@ -340,6 +381,7 @@
 
     /// Drops what is past its time.
     pub fn expire(&mut self, now: i64) {
+        self.sound.expire(now);
         self.records.retain(|record| {
             let crash = record.crashes.last();
             crash.is_some_and(|one| now < one.at + REMEMBER_MS)
@@ -349,6 +391,11 @@
         });
     }
 
+    /// Requests that are remembered to have ended well.
+    pub fn remembered(&self) -> usize {
+        self.sound.count()
+    }
+
     /// Requests that something is known of.
     pub fn len(&self) -> usize {
         self.records.len()
@@ -404,6 +451,13 @@
     }
 }
 
+impl Record {
+    /// The crash at a replica, if there is one.
+    fn of(&mut self, replica: u64) -> Option<&mut Crash> {
+        self.crashes.iter_mut().find(|one| one.replica == replica)
+    }
+}
+
 /// How long a request with so many crashes is kept away, in ms.
 fn kept_ms(crashes: usize) -> i64 {
     let more = crashes.saturating_sub(CRASHES);
--- a/src/gateway/ending.rs
+++ b/src/gateway/ending.rs
@@ -17,6 +17,10 @@
 //!
 //! So a case is opened when a connection breaks or a replica has been silent
 //! to a request for long, and watched until one of these is seen.
+//!
+//! An end has one moment: the first connection to break, unless the replica was
+//! heard after that. A request that was sent later was not there, whatever
+//! became of its connection.
 
 use std::{
     sync::{Arc, Mutex, MutexGuard},
@@ -38,6 +42,16 @@
 /// has ended, in ms: two heartbeats, one of which may be late or lost on its
 /// way between nodes.
 const UNHEARD_MS: u64 = 2600;
+/// Nodes hear of a heartbeat through others, whose word seems so much younger
+/// at most, in ms: one that was said before a replica ended does not show that
+/// it lives.
+const WORD_MS: u64 = 150;
+/// A connection may be seen to break so much later than others to the same
+/// replica, in ms, by a node that has much to do.
+const SEEN_MS: u64 = 50;
+/// A replica that was last heard so long before a request was sent may have
+/// been away by then, in ms: a heartbeat, and what it may be late.
+const HEARTBEAT_MS: u64 = 1500;
 /// Requests remembered of one case: what runs at one replica for one node.
 const MOST: usize = 64;
 
@@ -50,8 +64,28 @@
 #[derive(Debug)]
 struct Case {
     replica: String,
-    /// What the requests asked for.
-    fingerprints: Vec<u64>,
+    stays: Vec<Stay>,
+}
+
+/// A request at a replica, as seen from this node.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Stay {
+    /// What it asked for.
+    pub fingerprint: u64,
+    /// When it was sent.
+    pub began_at: u64,
+    /// When something last came of it, or it was sent.
+    pub heard_at: u64,
+    /// When its connection broke or it was left.
+    pub ended_at: u64,
+    pub sign: Sign,
+}
+
+impl Stay {
+    /// When something last came of it, if anything did.
+    fn heard(&self) -> Option<u64> {
+        (self.heard_at > self.began_at).then_some(self.heard_at)
+    }
 }
 
 /// What opens a case.
@@ -77,29 +111,60 @@
     }
 
     /// Notes a request; true for the first one at a replica.
-    fn add(&self, replica: &str, fingerprint: u64) -> bool {
+    fn add(&self, replica: &str, stay: Stay) -> bool {
         let mut open = self.open();
         let known = open.iter_mut().find(|one| one.replica == replica);
         if let Some(case) = known {
-            if case.fingerprints.len() < MOST {
-                case.fingerprints.push(fingerprint);
+            if case.stays.len() < MOST {
+                case.stays.push(stay);
             }
             return false;
         }
-        open.push(Case {
-            replica: replica.to_owned(),
-            fingerprints: vec![fingerprint],
-        });
+        open.push(Case { replica: replica.to_owned(), stays: vec![stay] });
         true
     }
 
-    fn take(&self, replica: &str) -> Vec<u64> {
+    fn take(&self, replica: &str) -> Vec<Stay> {
         let mut open = self.open();
         let at = open.iter().position(|one| one.replica == replica);
-        at.map(|at| open.swap_remove(at).fingerprints).unwrap_or_default()
+        at.map(|at| open.swap_remove(at).stays).unwrap_or_default()
     }
 }
 
+/// When a replica ended, if it has: when the first connection broke after
+/// which nothing came from it.
+fn moment_of(stays: &[Stay]) -> Option<u64> {
+    let heard = stays.iter().filter_map(Stay::heard);
+    let heard_at = heard.max().unwrap_or(0);
+    let broken = stays.iter().filter(|one| one.sign == Sign::Broken);
+    let broken = broken.map(|one| one.ended_at);
+    broken.filter(|at| *at >= heard_at).min()
+}
+
+/// Requests that were at a replica when it ended, each with the moment at which
+/// it broke off; `last` is when the replica was last heard.
+fn witnesses(stays: &[Stay], last: Option<u64>) -> Vec<(u64, u64)> {
+    let moment = moment_of(stays);
+    let was_there = |one: &&Stay| {
+        moment.is_none_or(|at| one.began_at <= at + SEEN_MS)
+            && last.is_none_or(|at| one.began_at <= at + HEARTBEAT_MS)
+    };
+    let dated = |one: &Stay| match one.sign {
+        Sign::Broken => (one.fingerprint, one.ended_at),
+        // All that is known is that it ended after it was last heard.
+        Sign::Silent => {
+            let heard_at = last.unwrap_or(0).max(one.heard_at);
+            (one.fingerprint, heard_at.min(one.ended_at))
+        }
+    };
+    stays.iter().filter(was_there).map(dated).collect()
+}
+
+/// From when on word of a replica shows that it lived at a moment.
+pub(super) fn heard_after(at: i64) -> u64 {
+    at.max(0) as u64 + WORD_MS
+}
+
 impl Gateway {
     /// A request broke off at a replica, or was left there unanswered: finds
     /// out whether the replica has ended.
@@ -107,34 +172,41 @@
         self: &Arc<Gateway>,
         service: &str,
         target: &Target,
-        fingerprint: u64,
-        sign: Sign,
+        stay: Stay,
     ) {
-        if !self.endings.add(&target.replica, fingerprint) {
+        if !self.endings.add(&target.replica, stay) {
             return;
         }
         let gateway = self.clone();
         let (service, target) = (service.to_owned(), target.clone());
         tokio::spawn(async move {
-            let since = gateway.timer.now();
-            let verdict = gateway.watch(&service, &target, sign, since).await;
-            let replica = &target.replica;
-            let fingerprints = gateway.endings.take(replica);
-            if let Verdict::Ended(evidence) = verdict {
-                gateway.note_crashes(replica, &fingerprints, since);
-                gateway.metrics.ended_replicas.inc();
-                info!(
-                    target: "gateway",
-                    replica,
-                    requests = fingerprints.len(),
-                    evidence,
-                    after_ms = gateway.timer.now() - since,
-                    "Replica ended under requests."
-                );
-            }
+            gateway.follow(&service, &target, stay).await;
         });
     }
 
+    /// Watches a replica until it is known what became of it.
+    async fn follow(&self, service: &str, target: &Target, first: Stay) {
+        let since = first.ended_at;
+        let verdict = self.watch(service, target, first.sign, since).await;
+        let replica = &target.replica;
+        let stays = self.endings.take(replica);
+        let Verdict::Ended(evidence) = verdict else { return };
+        let table = self.mesh.get().map(|mesh| mesh.table());
+        let last = table.and_then(|table| table.last_heard(replica));
+        let there = witnesses(&stays, last);
+        self.note_crashes(replica, &there);
+        self.metrics.ended_replicas.inc();
+        info!(
+            target: "gateway",
+            replica,
+            requests = there.len(),
+            too_late = stays.len() - there.len(),
+            evidence,
+            after_ms = self.timer.now() - since,
+            "Replica ended under requests."
+        );
+    }
+
     async fn watch(
         &self,
         service: &str,
@@ -151,7 +223,7 @@
         loop {
             let now = self.timer.now();
             let is_over = now >= since + UNHEARD_MS;
-            match self.fate(target, since) {
+            match self.fate(target, heard_after(since as i64)) {
                 // It ends with what it still has: a long request would be at
                 // the ends of all replicas that are replaced.
                 Fate::Leaves => return Verdict::Nothing,
--- a/src/gateway/flight.rs
+++ b/src/gateway/flight.rs
@@ -5,7 +5,7 @@
 use super::{
     Gateway,
     dialect::Answered,
-    ending::Sign,
+    ending::{Sign, Stay},
     fleet::{End, Target},
     forward::Work,
 };
@@ -107,7 +107,13 @@
             }
             _ => return,
         };
-        let service = &self.service;
-        self.gateway.examine(service, &self.target, self.fingerprint, sign);
+        let stay = Stay {
+            fingerprint: self.fingerprint,
+            began_at: self.began_at,
+            heard_at: self.heard_at,
+            ended_at: now,
+            sign,
+        };
+        self.gateway.examine(&self.service, &self.target, stay);
     }
 }
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -34,17 +34,13 @@
         self.timer.now() as i64
     }
 
-    /// A replica ended under these requests at some time.
-    pub(super) fn note_crashes(
-        &self,
-        replica: &str,
-        requests: &[u64],
-        at: u64,
-    ) {
-        let at = at as i64;
+    /// A replica ended under these requests, each with the moment at which it
+    /// broke off.
+    pub(super) fn note_crashes(&self, replica: &str, requests: &[(u64, u64)]) {
         let replica = table::replica_hash(replica);
         let mut most = 0;
-        for &fingerprint in requests {
+        for &(fingerprint, at) in requests {
+            let at = at as i64;
             let crash = quarantine::Crash { fingerprint, replica, at };
             most = most.max(self.note_crash(crash, Source::Own));
         }
--- a/src/mesh/lives.rs
+++ b/src/mesh/lives.rs
@@ -187,6 +187,20 @@
         }
     }
 
+    /// Whether a life was heard since a moment, or said that it leaves.
+    pub fn has_spoken(&self, hash: u64, since: u64) -> bool {
+        let own = self.replicas.iter().find(|one| one.hash == hash);
+        own.is_some_and(|one| {
+            one.heard_at > since || one.state == State::Leaving
+        })
+    }
+
+    /// When a life was last heard anywhere, if it is known.
+    pub fn last_heard(&self, life: &str) -> Option<u64> {
+        let found = position(&self.replicas, life, |one| one.says.id.as_str());
+        found.ok().map(|at| self.replicas[at].heard_at)
+    }
+
     /// Where the lives of a replica are.
     fn lives_at(&self, replica: &str) -> impl Iterator<Item = usize> + use<> {
         // A life that never told when it began is called as its replica is.
--- a/tests/all/endings.rs
+++ b/tests/all/endings.rs
@@ -15,7 +15,8 @@
     wire::Sighting,
 };
 use tokio::{
-    net::TcpListener,
+    io::AsyncReadExt,
+    net::{TcpListener, TcpStream},
     sync::{Notify, mpsc},
     task::JoinSet,
     time::{Instant, sleep, timeout},
@@ -60,6 +61,9 @@
     Silent,
     /// The replica, back under its id, with a later birth.
     Reborn,
+    /// The same, behind a relay that accepts a connection, reads a request and
+    /// closes it then.
+    Relayed,
 }
 
 struct Shared {
@@ -69,6 +73,8 @@
     live: Mutex<Vec<(Sighting, u64)>>,
     started: AtomicUsize,
     ended: AtomicUsize,
+    /// Requests that ended replicas, by what they ask for, and when.
+    crashes: Mutex<Vec<(String, Instant)>>,
     /// Ends each second replica at once.
     outage: Notify,
 }
@@ -105,7 +111,7 @@
         let replica = before.map(replica_of).map(str::to_owned);
         let replica = replica.unwrap_or_else(|| format!("r{number}"));
         let born = match self.remains {
-            Remains::Reborn => 1_000 + number,
+            Remains::Reborn | Remains::Relayed => 1_000 + number,
             _ => 0,
         };
         let id = life_name(&replica, born);
@@ -114,6 +120,12 @@
         id
     }
 
+    fn note_crash(&self, head: &str) {
+        let path = head.split_whitespace().nth(1).unwrap_or_default();
+        let crash = (path.to_owned(), Instant::now());
+        self.crashes.lock().unwrap().push(crash);
+    }
+
     /// A replica ends with all that it has.
     fn end(
         &self,
@@ -136,6 +148,7 @@
         let (send, mut heads) = mpsc::unbounded_channel();
         let mut connections = JoinSet::new();
         let mut kept = Vec::new();
+        let mut relayed = JoinSet::new();
         let is_away = AtomicBool::new(false);
         let mut back_at: Option<Instant> = None;
         let is_hit = self.started.load(Ordering::Relaxed).is_multiple_of(2);
@@ -156,6 +169,9 @@
                 Ok((stream, _)) = listener.accept() => {
                     match (is_away.load(Ordering::Relaxed), self.remains) {
                         (true, Remains::Silent) => kept.push(stream),
+                        (true, Remains::Relayed) => {
+                            relayed.spawn(swallow(stream));
+                        }
                         (true, Remains::Resets) => {
                             stream.set_zero_linger().unwrap();
                         }
@@ -172,6 +188,7 @@
                     if !head.contains(FATAL) {
                         continue;
                     }
+                    self.note_crash(&head);
                     // The head of its answer is out.
                     sleep(Duration::from_millis(20)).await;
                     self.end(&id, &is_away, &mut connections);
@@ -184,9 +201,13 @@
                 () = back => {
                     back_at = None;
                     connections.abort_all();
+                    relayed.abort_all();
                     kept.clear();
                     is_away.store(false, Ordering::Relaxed);
-                    let same = self.remains == Remains::Reborn;
+                    let same = matches!(
+                        self.remains,
+                        Remains::Reborn | Remains::Relayed
+                    );
                     let before = same.then(|| id.clone());
                     id = self.appear(address, before.as_deref());
                 }
@@ -195,6 +216,12 @@
     }
 }
 
+/// Reads a request and closes its connection.
+async fn swallow(mut stream: TcpStream) {
+    let mut read = [0; 4096];
+    let _ = stream.read(&mut read).await;
+}
+
 fn respond(head: &str) -> Vec<String> {
     if head.contains(SLOW) {
         let mut pieces = ended(events(1..=3));
@@ -240,6 +267,7 @@
             live: Mutex::default(),
             started: AtomicUsize::new(0),
             ended: AtomicUsize::new(0),
+            crashes: Mutex::default(),
             outage: Notify::new(),
         });
         for _ in 0..replicas {
@@ -253,9 +281,19 @@
     /// Sends a request of its own id to a node; nothing for a caller that has
     /// left.
     async fn send(&self, at: usize, id: usize, body: &str) -> String {
+        self.send_to("/resume/x", at, id, body).await
+    }
+
+    async fn send_to(
+        &self,
+        path: &str,
+        at: usize,
+        id: usize,
+        body: &str,
+    ) -> String {
         let nodes = &self.shared.nodes;
         let front = nodes[at % nodes.len()].front().unwrap();
-        let answer = timeout(LEAVES, ask(front, "/resume/x", id, body)).await;
+        let answer = timeout(LEAVES, ask(front, path, id, body)).await;
         answer.unwrap_or_default()
     }
 
@@ -351,9 +389,24 @@
 /// The part of what they ask at last that has to be served.
 const SERVED: f64 = 0.98;
 
+/// What all callers ask, and how long each waits before it asks again.
+#[derive(Clone, Copy)]
+struct Load {
+    path: &'static str,
+    body: &'static str,
+    pause: Duration,
+}
+
+/// Streams that take a while, without a pause.
+const STREAMS: Load =
+    Load { path: "/resume/x", body: SLOW, pause: Duration::ZERO };
+/// Requests that are answered at once, so that hardly any is under way.
+const SHORT: Load =
+    Load { path: "/again/x", body: "x", pause: Duration::from_millis(250) };
+
 /// Half of all replicas end at once while all callers ask the same; the part
 /// that is served once they are back.
-async fn served_after_outage(remains: Remains) -> f64 {
+async fn served_after_outage(remains: Remains, load: Load) -> f64 {
     let service = Arc::new(Service::open_at(3, 12, remains).await);
     let began = Instant::now();
     let mut callers = JoinSet::new();
@@ -366,11 +419,13 @@
                     break;
                 }
                 let id = caller * 10_000 + turn;
-                let answer = service.send(id, id, SLOW).await;
+                let answer =
+                    service.send_to(load.path, id, id, load.body).await;
                 answers.push((began.elapsed(), status(&answer) == "200"));
                 if status(&answer) != "200" {
                     sleep(Duration::from_millis(100)).await;
                 }
+                sleep(load.pause).await;
             }
             answers
         });
@@ -389,20 +444,28 @@
 /// the replicas, behind relays that close connections while they are away.
 #[tokio::test]
 async fn an_outage_behind_relays_keeps_nobody_away() {
-    let served = served_after_outage(Remains::Closes).await;
+    let served = served_after_outage(Remains::Closes, STREAMS).await;
     assert!(served >= SERVED, "{served}");
 }
 
 /// The same where replicas are back under their ids.
 #[tokio::test]
 async fn an_outage_of_replicas_that_return_keeps_nobody_away() {
-    let served = served_after_outage(Remains::Reborn).await;
+    let served = served_after_outage(Remains::Reborn, STREAMS).await;
     assert!(served >= SERVED, "{served}");
 }
 
 /// The same where machines go dark.
 #[tokio::test]
 async fn an_outage_of_machines_that_go_dark_keeps_nobody_away() {
-    let served = served_after_outage(Remains::Silent).await;
+    let served = served_after_outage(Remains::Silent, STREAMS).await;
+    assert!(served >= SERVED, "{served}");
+}
+
+/// Guards against short requests that are refused after an outage, as each that
+/// met a replica which was away already counted as being at its end.
+#[tokio::test]
+async fn an_outage_behind_relays_that_read_requests_keeps_nobody_away() {
+    let served = served_after_outage(Remains::Relayed, SHORT).await;
     assert!(served >= SERVED, "{served}");
 }
--- a/tests/all/quarantine.rs
+++ b/tests/all/quarantine.rs
@@ -317,3 +317,58 @@
     }
     assert_eq!(keeps(&known, START + 8000, 7).unwrap().crashes, 3);
 }
+
+/// Guards against what all callers ask being kept away after an outage that
+/// becomes known seconds later, although it has ended well since.
+#[test]
+fn a_success_counts_against_ends_that_become_known_after_it() {
+    let mut known = Quarantine::default();
+    for at in (START..START + 2500).step_by(100) {
+        let success = Success { fingerprint: 7, at };
+        known.succeed(at, success, Source::Own);
+    }
+    for replica in 0..6 {
+        let at = START + 400 * replica as i64;
+        let crash = crash(7, replica, at);
+        assert_eq!(known.crash(START + 3000, crash, Source::Own), None);
+        // Nodes that have seen no success are told.
+        known.crash(START + 3000, crash, Source::Other);
+    }
+    assert_eq!(keeps(&known, START + 3000, 7), None);
+    assert_eq!(known.tell(START + 3000).successes.len(), 1);
+}
+
+/// Guards against a memory of requests that ended well which grows with them.
+#[test]
+fn successes_are_remembered_in_bounded_memory() {
+    let mut known = Quarantine::default();
+    for request in 0..100_000 {
+        let at = START + request as i64 / 10;
+        let success = Success { fingerprint: request, at };
+        known.succeed(at, success, Source::Own);
+    }
+    assert!(known.remembered() <= 8192, "{}", known.remembered());
+    known.expire(START + LONG);
+    assert_eq!(known.remembered(), 0);
+    // Far in the past it says nothing of what ends replicas now.
+    let now = START + LONG;
+    for replica in 0..3 {
+        end(&mut known, replica, now + 700 * replica as i64, &[99_999]);
+    }
+    assert!(keeps(&known, now + 3000, 99_999).is_some());
+}
+
+/// Guards against a request that is taken for a bystander as it goes on from
+/// replica to replica at two nodes at once.
+#[test]
+fn a_request_that_goes_on_elsewhere_is_no_outage() {
+    let mut known = Quarantine::default();
+    for step in 0..2 {
+        for node in 0..2 {
+            let at = START + 60 * step + 15 * node;
+            end(&mut known, (2 * step + node) as u64, at, &[7]);
+        }
+    }
+    let replicas = || 8;
+    assert!(known.keeps(START + 3000, 7, replicas).is_some());
+}
