Suspect ends before they are certain, and tell outages from several causes

What callers saw: where two requests that end the replicas that run them came again and again, both were found out late or never, and half of all sound requests failed meanwhile; with four of them four of five failed for as long as it lasted.

Cause, by the nodes' logs of such plays: - an end is certain only with the replica's next life or 2.6 s of silence, and the request ends one replica after the other meanwhile; - four replicas that end within half a second were an outage, whose ends count for nothing. Two such requests end as many, so they hid each other; requests that strike in step (all of them as soon as a replica is back) also within 0.1 s.

Change: - as soon as a connection breaks under a request that had been there for a while (a byte of an answer, or 20 ms: a relay closes at once), its end is suspected and told to the other nodes in a field of its own, which older nodes pass over. Suspected ends count beside certain ones for 3.5 s and are withdrawn at each node as soon as it hears the replica. A request that is held back for them is told to come back when they are certain or past; - replicas that another request explains, which was at ends at three different moments, are no part of an outage.

Ruled out: trying a replica with a request of our own to see whether it is away. Something that accepts connections and reads them looks alike where it is a relay and where it is a full replica; and such requests cost slots.

Tests: quarantine::suspected_ends..., ...in_step...

--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -11,12 +11,18 @@
 //! from those beside it. Three things tell them apart afterwards: bystanders
 //! are at one end, not at three; they succeed elsewhere, and a success clears
 //! whatever was noted before it, also where that becomes known later; and where
-//! many replicas end together, that has another cause, and none of it counts.
+//! many replicas end together, that has another cause, and none of it counts,
+//! unless other requests explain it that end replicas one after the other.
 //!
 //! An end has one moment, the earliest at which any node noticed it. A request
 //! that broke off later was sent to a replica that was away already, as where a
 //! relay accepts connections for it, and does not count.
 //!
+//! That a replica has ended is certain only seconds later. Until then an end is
+//! suspected, and withdrawn as soon as the replica is heard. Suspected ends
+//! count beside certain ones, for as long as it takes to be certain: a request
+//! that ends replicas would otherwise end one after the other meanwhile.
+//!
 //! Whoever is kept away can't succeed any more, and may be a bystander after
 //! all: what a team asks all the time is at every end of a service that fails
 //! for another reason. So a request is tried again after a while, at one node
@@ -51,6 +57,8 @@
 /// A success is remembered for so long, in ms: longer than word of a crash
 /// before it may go round.
 const REMEMBER_SUCCESS_MS: i64 = 60_000;
+/// How long an end is suspected, in ms: until it is certain or withdrawn.
+const SUSPECTED_MS: i64 = 3500;
 /// Replicas that end within this time of each other end together, in ms: nodes
 /// notice it one after the other.
 const TOGETHER_MS: u64 = 100;
@@ -110,9 +118,12 @@
 
 common! {
     /// What is told to other nodes.
+    #[derive(Default)]
     pub struct Word {
         /// Crashes.
         pub crashes: Vec<Crash>,
+        /// Those that are not certain.
+        pub suspected: Vec<Crash>,
         /// Successes that came after crashes.
         pub successes: Vec<Success>,
     }
@@ -128,13 +139,18 @@
         pub age_ms: u64,
         /// Until it may be tried again, in ms; 0 from then on.
         pub wait_ms: u64,
+        /// Whether all of the ends are certain.
+        pub is_certain: bool,
     }
 }
 
 impl Reason {
     /// When it is worth to come back, in ms.
     pub fn retry_after_ms(&self) -> u64 {
-        self.wait_ms.max(TRIAL_MS as u64)
+        match self.is_certain {
+            true => self.wait_ms.max(TRIAL_MS as u64),
+            false => self.wait_ms,
+        }
     }
 }
 
@@ -154,6 +170,8 @@
         fingerprint: u64,
         /// Sorted by time.
         crashes: Vec<Crash>,
+        /// Ends that are not certain.
+        suspected: Vec<Crash>,
         /// The last success; what was noted before it is gone.
         succeeded_at: Option<i64>,
         /// When it was last told again.
@@ -172,6 +190,8 @@
     sound: Sound,
     /// Crashes to be told, with the time when they became known here.
     crashes: Vec<(i64, Crash)>,
+    /// The same of suspected ones.
+    suspected: Vec<(i64, Crash)>,
     /// The same of successes.
     successes: Vec<(i64, Success)>,
 }
@@ -190,6 +210,7 @@
         }
         let at = self.record(crash.fingerprint);
         let record = &mut self.records[at];
+        record.suspected.retain(|one| one.replica != crash.replica);
         if let Some(known) = record.of(crash.replica) {
             // The earliest that anybody tells is the moment of the end.
             known.at = known.at.min(crash.at);
@@ -209,6 +230,54 @@
         Some(count)
     }
 
+    /// Notes an end that is not certain; tells how many there are of its
+    /// request with it, or nothing if it is not news.
+    pub fn suspect(
+        &mut self,
+        now: i64,
+        crash: Crash,
+        source: Source,
+    ) -> Option<usize> {
+        if now >= crash.at + SUSPECTED_MS || self.is_refuted(now, crash) {
+            return None;
+        }
+        let at = self.record(crash.fingerprint);
+        let record = &mut self.records[at];
+        let mut suspected = record.suspected.iter();
+        let is_known = suspected.any(|one| one.replica == crash.replica);
+        if is_known || record.of(crash.replica).is_some() {
+            return None;
+        }
+        record.suspected.retain(|one| now < one.at + SUSPECTED_MS);
+        if record.suspected.len() < MOST_CRASHES {
+            record.suspected.push(crash);
+        }
+        let count = record.crashes.len() + record.suspected.len();
+        if source == Source::Own {
+            self.suspected.push((now, crash));
+        }
+        self.bound(crash.fingerprint);
+        Some(count)
+    }
+
+    /// True where an end of a replica under a request is suspected.
+    pub fn is_suspected(&self, fingerprint: u64) -> bool {
+        let found = self.find(&fingerprint);
+        found.is_ok_and(|at| !self.records[at].suspected.is_empty())
+    }
+
+    /// Withdraws what was suspected of replicas that were heard after it, as
+    /// `is_heard` tells by the replica and the moment of its supposed end.
+    pub fn withdraw(
+        &mut self,
+        fingerprint: u64,
+        is_heard: impl Fn(u64, i64) -> bool,
+    ) {
+        let Ok(at) = self.find(&fingerprint) else { return };
+        let record = &mut self.records[at];
+        record.suspected.retain(|one| !is_heard(one.replica, one.at));
+    }
+
     /// Whether a request has ended well since, so that a crash says nothing of
     /// it. Whoever told of the crash is told so.
     fn is_refuted(&mut self, now: i64, crash: Crash) -> bool {
@@ -235,9 +304,10 @@
         // Nearly all requests have never been at a replica that ended.
         let at = self.find(&success.fingerprint).ok()?;
         let record = &mut self.records[at];
-        let before = record.crashes.len();
+        let before = record.ends().count();
+        record.suspected.retain(|one| one.at > success.at);
         record.crashes.retain(|one| one.at > success.at);
-        let cleared = before - record.crashes.len();
+        let cleared = before - record.ends().count();
         if cleared == 0 {
             return None;
         }
@@ -246,6 +316,7 @@
             one.fingerprint == success.fingerprint && one.at <= success.at
         };
         self.crashes.retain(|(_, one)| !is_before(one));
+        self.suspected.retain(|(_, one)| !is_before(one));
         if source == Source::Own {
             self.tell_success(now, success);
         }
@@ -262,24 +333,43 @@
     ) -> Option<Reason> {
         let at = self.find(&fingerprint).ok()?;
         let record = &self.records[at];
-        if record.crashes.len() < CRASHES {
+        let suspected = record.suspected.iter();
+        let suspected: Vec<&Crash> =
+            suspected.filter(|one| now < one.at + SUSPECTED_MS).collect();
+        if record.crashes.len() + suspected.len() < CRASHES {
             return None;
         }
         let part = (replicas() as f32 * PART_TOGETHER) as usize;
         let many = part.max(LEAST_TOGETHER);
-        let counted = record.crashes.iter().filter(|one| {
+        let counts = |one: &Crash| {
             self.was_there(one) && !self.is_mass(record, one, many)
-        });
-        let crashes = counted.count();
-        let last = record.crashes.last()?;
-        if crashes < CRASHES {
-            return None;
+        };
+        let certain = record.crashes.iter().filter(|one| counts(one)).count();
+        let age_ms = |at: i64| (now - at).max(0) as u64;
+        if certain >= CRASHES {
+            let last = record.crashes.last()?;
+            let wait_ms = (last.at + kept_ms(certain) - now).max(0) as u64;
+            return Some(Reason {
+                crashes: certain,
+                age_ms: age_ms(last.at),
+                wait_ms,
+                is_certain: true,
+            });
         }
-        let age_ms = now - last.at;
+        let mut suspected: Vec<i64> = suspected
+            .into_iter()
+            .filter(|one| counts(one))
+            .map(|one| one.at)
+            .collect();
+        suspected.sort_unstable();
+        // It is free once so many of them are past that too few are left.
+        let spare = (certain + suspected.len()).checked_sub(CRASHES)?;
+        let until = suspected[spare] + SUSPECTED_MS;
         Some(Reason {
-            crashes,
-            age_ms: age_ms.max(0) as u64,
-            wait_ms: (kept_ms(crashes) - age_ms).max(0) as u64,
+            crashes: certain + suspected.len(),
+            age_ms: age_ms(*suspected.last()?),
+            wait_ms: (until - now).max(0) as u64,
+            is_certain: false,
         })
     }
 
@@ -295,6 +385,9 @@
         reason: Reason,
         rank: usize,
     ) -> bool {
+        if !reason.is_certain {
+            return false;
+        }
         let Ok(at) = self.find(&fingerprint) else { return false };
         let record = &mut self.records[at];
         let Some(last) = record.crashes.last() else { return false };
@@ -319,7 +412,7 @@
     /// three ends that it has nothing to do with.
     fn is_mass(&self, own: &Record, crash: &Crash, many: usize) -> bool {
         let is_own =
-            |replica| own.crashes.iter().any(|one| one.replica == replica);
+            |replica| own.ends().any(|one: &Crash| one.replica == replica);
         let mut others: Vec<u64> = self
             .ends()
             .filter(|one| one.replica != crash.replica)
@@ -334,11 +427,30 @@
             .collect();
         others.sort_unstable();
         others.dedup();
+        if others.len() < many {
+            return false;
+        }
+        // Several such requests at a time would hide each other.
+        let explained = self.explained_besides(own.fingerprint);
+        others.retain(|one| explained.binary_search(one).is_err());
         others.len() >= many
     }
 
+    /// Replicas that other requests have ended, sorted: those that were at ends
+    /// at several different moments.
+    fn explained_besides(&self, fingerprint: u64) -> Vec<u64> {
+        let others = self.records.iter();
+        let mut explained: Vec<u64> = others
+            .filter(|one| one.fingerprint != fingerprint)
+            .filter(|one| one.moments() >= CRASHES)
+            .flat_map(|one| one.ends().map(|end| end.replica))
+            .collect();
+        explained.sort_unstable();
+        explained
+    }
+
     fn ends(&self) -> impl Iterator<Item = &Crash> {
-        self.records.iter().flat_map(|one| &one.crashes)
+        self.records.iter().flat_map(Record::ends)
     }
 
     /// What goes into the next datagrams: news, and now and then what is known
@@ -346,6 +458,9 @@
     pub fn tell(&mut self, now: i64) -> Word {
         self.crashes.retain(|(at, _)| now < at + TELL_MS);
         self.successes.retain(|(at, _)| now < at + TELL_MS);
+        self.suspected.retain(|(at, _)| now < at + TELL_MS);
+        let newest = self.suspected.iter().rev().take(TOLD);
+        let suspected = newest.map(|(_, one)| *one).collect();
         let newest = self.crashes.iter().rev().take(TOLD);
         let mut crashes: Vec<Crash> = newest.map(|(_, one)| *one).collect();
         let mut due: Vec<&mut Record> = self
@@ -362,7 +477,7 @@
         }
         let newest = self.successes.iter().rev().take(TOLD);
         let successes = newest.map(|(_, one)| *one).collect();
-        Word { crashes, successes }
+        Word { crashes, suspected, successes }
     }
 
     /// What a node that starts has to know, and what is kept on disks.
@@ -376,7 +491,7 @@
             .take(MOST_TOLD)
             .flat_map(|one| one.crashes.iter().copied())
             .collect();
-        Word { crashes, successes: Vec::new() }
+        Word { crashes, suspected: Vec::new(), successes: Vec::new() }
     }
 
     /// Drops what is past its time.
@@ -384,7 +499,9 @@
         self.sound.expire(now);
         self.records.retain(|record| {
             let crash = record.crashes.last();
+            let mut suspected = record.suspected.iter();
             crash.is_some_and(|one| now < one.at + REMEMBER_MS)
+                || suspected.any(|one| now < one.at + SUSPECTED_MS)
                 || record
                     .succeeded_at
                     .is_some_and(|at| now < at + REMEMBER_SUCCESS_MS)
@@ -415,6 +532,7 @@
             let record = Record {
                 fingerprint,
                 crashes: Vec::new(),
+                suspected: Vec::new(),
                 succeeded_at: None,
                 told_at: None,
                 tried_at: None,
@@ -456,6 +574,19 @@
     fn of(&mut self, replica: u64) -> Option<&mut Crash> {
         self.crashes.iter_mut().find(|one| one.replica == replica)
     }
+
+    /// At how many different moments replicas ended under it.
+    fn moments(&self) -> usize {
+        let mut at: Vec<i64> = self.ends().map(|one| one.at).collect();
+        at.sort_unstable();
+        at.dedup_by(|one, before| one.abs_diff(*before) <= AT_ONCE_MS);
+        at.len()
+    }
+
+    /// The certain ones and those that are not.
+    fn ends(&self) -> impl Iterator<Item = &Crash> {
+        self.crashes.iter().chain(&self.suspected)
+    }
 }
 
 /// How long a request with so many crashes is kept away, in ms.
--- a/src/gateway/ending.rs
+++ b/src/gateway/ending.rs
@@ -16,7 +16,9 @@
 //! | it answers, or a heartbeat said later arrives | it lives |
 //!
 //! So a case is opened when a connection breaks or a replica has been silent
-//! to a request for long, and watched until one of these is seen.
+//! to a request for long, and watched until one of these is seen. Meanwhile the
+//! end is suspected, where connections broke under requests that had been there
+//! for a while.
 //!
 //! An end has one moment: the first connection to break, unless the replica was
 //! heard after that. A request that was sent later was not there, whatever
@@ -49,6 +51,9 @@
 /// A connection may be seen to break so much later than others to the same
 /// replica, in ms, by a node that has much to do.
 const SEEN_MS: u64 = 50;
+/// A request that was there for so long when its connection broke had probably
+/// reached the replica, in ms: a relay that has lost it closes at once.
+const LEAST_STAY_MS: u64 = 20;
 /// A replica that was last heard so long before a request was sent may have
 /// been away by then, in ms: a heartbeat, and what it may be late.
 const HEARTBEAT_MS: u64 = 1500;
@@ -86,6 +91,12 @@
     fn heard(&self) -> Option<u64> {
         (self.heard_at > self.began_at).then_some(self.heard_at)
     }
+
+    /// Whether it had probably reached the replica.
+    fn arrived(&self) -> bool {
+        self.heard().is_some()
+            || self.ended_at >= self.began_at + LEAST_STAY_MS
+    }
 }
 
 /// What opens a case.
@@ -129,10 +140,16 @@
         let at = open.iter().position(|one| one.replica == replica);
         at.map(|at| open.swap_remove(at).stays).unwrap_or_default()
     }
+
+    /// When a replica ended, if it has: when the first connection broke after
+    /// which nothing came from it.
+    fn moment(&self, replica: &str) -> Option<u64> {
+        let open = self.open();
+        let case = open.iter().find(|one| one.replica == replica)?;
+        moment_of(&case.stays)
+    }
 }
 
-/// When a replica ended, if it has: when the first connection broke after
-/// which nothing came from it.
 fn moment_of(stays: &[Stay]) -> Option<u64> {
     let heard = stays.iter().filter_map(Stay::heard);
     let heard_at = heard.max().unwrap_or(0);
@@ -174,16 +191,33 @@
         target: &Target,
         stay: Stay,
     ) {
-        if !self.endings.add(&target.replica, stay) {
-            return;
-        }
+        let is_first = self.endings.add(&target.replica, stay);
         let gateway = self.clone();
         let (service, target) = (service.to_owned(), target.clone());
         tokio::spawn(async move {
-            gateway.follow(&service, &target, stay).await;
+            if stay.sign == Sign::Broken && stay.arrived() {
+                sleep(PAUSE).await;
+                gateway.suspect_end(&target, stay);
+            }
+            if is_first {
+                gateway.follow(&service, &target, stay).await;
+            }
         });
     }
 
+    /// Holds an end that is not certain against a request that was there.
+    fn suspect_end(&self, target: &Target, stay: Stay) {
+        let moment = self.endings.moment(&target.replica);
+        let is_late = moment.is_none_or(|at| stay.began_at > at + SEEN_MS);
+        let since = heard_after(stay.ended_at as i64);
+        let lives =
+            matches!(self.fate(target, since), Fate::Lives | Fate::Leaves);
+        if !is_late && !lives {
+            let at = stay.ended_at;
+            self.suspect(&target.replica, stay.fingerprint, at);
+        }
+    }
+
     /// Watches a replica until it is known what became of it.
     async fn follow(&self, service: &str, target: &Target, first: Stay) {
         let since = first.ended_at;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -279,7 +279,7 @@
     /// What other nodes are told of this one's requests.
     pub fn own(&self) -> Own {
         let spent = self.spent();
-        let (crashes, successes) = self.suspects();
+        let suspects = self.suspects();
         let limits = self.tell_limits();
         let mut fleet = self.fleet();
         let cached = fleet.take_cached(self.timer.now());
@@ -288,8 +288,9 @@
             spent,
             work: fleet.work(),
             cached,
-            crashes,
-            successes,
+            crashes: suspects.crashes,
+            suspected: suspects.suspected,
+            successes: suspects.successes,
             limits,
             begun: self.begun.load(Ordering::Relaxed),
         }
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -9,7 +9,7 @@
 use tracing::{info, warn};
 
 use super::{
-    Gateway,
+    Gateway, ending,
     refusal::{Cause, Refusal},
 };
 use crate::{
@@ -21,6 +21,13 @@
     wire::{self, Crash},
 };
 
+/// What other nodes are told of requests that may have ended replicas.
+pub(super) struct Suspects {
+    pub crashes: Vec<Crash>,
+    pub suspected: Vec<Crash>,
+    pub successes: Vec<wire::Success>,
+}
+
 /// Crashes of one request from which on others are told at once: the next one
 /// may be the third, wherever it comes in.
 const URGENT_FROM: usize = 2;
@@ -44,7 +51,44 @@
             let crash = quarantine::Crash { fingerprint, replica, at };
             most = most.max(self.note_crash(crash, Source::Own));
         }
-        if most >= URGENT_FROM {
+        self.tell_soon(most);
+    }
+
+    /// A replica has probably ended under a request.
+    pub(super) fn suspect(&self, replica: &str, fingerprint: u64, at: u64) {
+        let replica = table::replica_hash(replica);
+        let at = at as i64;
+        let crash = quarantine::Crash { fingerprint, replica, at };
+        let crashes = self.note_suspected(crash, Source::Own);
+        self.tell_soon(crashes);
+    }
+
+    /// How many crashes of its request are known or suspected now, 0 if this
+    /// is no news.
+    fn note_suspected(
+        &self,
+        crash: quarantine::Crash,
+        source: Source,
+    ) -> usize {
+        let now = self.signed_now();
+        let noted = self.quarantine().suspect(now, crash, source);
+        let crashes = noted.unwrap_or(0);
+        if crashes >= URGENT_FROM {
+            let fingerprint = fingerprint::shown(crash.fingerprint);
+            let age_ms = now - crash.at;
+            info!(
+                target: "gateway",
+                fingerprint, crashes, age_ms, ?source,
+                "Request was at replicas that probably ended."
+            );
+        }
+        crashes
+    }
+
+    /// Tells all others at once if a request has so many crashes that the next
+    /// one may be too many.
+    fn tell_soon(&self, crashes: usize) {
+        if crashes >= URGENT_FROM {
             self.has_suspects.notify_one();
             if let Some(mesh) = self.mesh.get() {
                 mesh.urge();
@@ -104,10 +148,18 @@
         fingerprint: u64,
         service: &str,
     ) -> Option<Reason> {
-        let quarantine = self.quarantine();
+        let mut quarantine = self.quarantine();
         if quarantine.is_empty() {
             return None;
         }
+        if quarantine.is_suspected(fingerprint)
+            && let Some(mesh) = self.mesh.get()
+        {
+            let table = mesh.table();
+            quarantine.withdraw(fingerprint, |replica, at| {
+                table.has_spoken(replica, ending::heard_after(at))
+            });
+        }
         let replicas = || self.fleet().load(service).0;
         quarantine.keeps(self.signed_now(), fingerprint, replicas)
     }
@@ -151,7 +203,7 @@
     }
 
     /// What is told to other nodes in the next datagrams.
-    pub(super) fn suspects(&self) -> (Vec<Crash>, Vec<wire::Success>) {
+    pub(super) fn suspects(&self) -> Suspects {
         let now = self.signed_now();
         let word = self.quarantine().tell(now);
         self.worded(word)
@@ -161,22 +213,29 @@
     /// disks.
     pub fn several_crashes(&self) -> Vec<Crash> {
         let word = self.quarantine().several();
-        self.worded(word).0
+        self.worded(word).crashes
     }
 
-    fn worded(&self, word: Word) -> (Vec<Crash>, Vec<wire::Success>) {
+    fn worded(&self, word: Word) -> Suspects {
         let now = self.signed_now();
         let age = |at: i64| (now - at).clamp(0, u32::MAX.into()) as u32;
-        let crashes = word.crashes.iter().map(|one| Crash {
-            fingerprint: one.fingerprint,
-            replica: one.replica,
-            age_ms: age(one.at),
-        });
+        let aged = |crashes: Vec<quarantine::Crash>| {
+            let aged = crashes.iter().map(|one| Crash {
+                fingerprint: one.fingerprint,
+                replica: one.replica,
+                age_ms: age(one.at),
+            });
+            aged.collect()
+        };
         let successes = word.successes.iter().map(|one| wire::Success {
             fingerprint: one.fingerprint,
             age_ms: age(one.at),
         });
-        (crashes.collect(), successes.collect())
+        Suspects {
+            crashes: aged(word.crashes),
+            suspected: aged(word.suspected),
+            successes: successes.collect(),
+        }
     }
 
     /// Takes what another node tells of requests, or a disk.
@@ -201,15 +260,32 @@
         }
         let mut most = 0;
         for one in crashes {
-            let crash = quarantine::Crash {
-                fingerprint: one.fingerprint,
-                replica: one.replica,
-                at: now - i64::from(one.age_ms),
-            };
+            let crash = dated(now, one);
             most = most.max(self.note_crash(crash, source));
         }
         if most >= URGENT_FROM {
             self.has_suspects.notify_one();
         }
     }
+
+    /// The same of crashes that are not certain.
+    pub fn hear_suspected(&self, crashes: &[Crash], passes_on: bool) {
+        let now = self.signed_now();
+        let source = match passes_on {
+            true => Source::Own,
+            false => Source::Other,
+        };
+        for one in crashes {
+            self.note_suspected(dated(now, one), source);
+        }
+    }
+}
+
+/// A crash by this node's clock.
+fn dated(now: i64, crash: &Crash) -> quarantine::Crash {
+    quarantine::Crash {
+        fingerprint: crash.fingerprint,
+        replica: crash.replica,
+        at: now - i64::from(crash.age_ms),
+    }
 }
--- a/src/mesh/datagram.rs
+++ b/src/mesh/datagram.rs
@@ -214,6 +214,7 @@
             false => Gossip {
                 scope: Scope::Nothing as u32,
                 crashes: own.crashes,
+                suspected: own.suspected,
                 successes: own.successes,
                 limits: own.limits,
                 ..gossip
@@ -249,6 +250,7 @@
             work: own.work,
             cached: own.cached,
             crashes: own.crashes,
+            suspected: own.suspected,
             successes: own.successes,
             limits: own.limits,
             usage: self.counts.latest_of(self.me.incarnation, self.told),
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -115,6 +115,9 @@
         successes: &[Success],
         passes_on: bool,
     );
+    /// Requests were at replicas that have probably ended; `passes_on` as
+    /// for [`Host::suspects`].
+    fn suspected(&self, crashes: &[Crash], passes_on: bool);
     /// Another node tells the rates of requests that replicas take.
     fn limits(&self, limits: &[RateLimit]);
     /// Something has changed, or a period has passed.
@@ -267,9 +270,12 @@
         if !cached.is_empty() {
             host.cached(cached);
         }
+        let from_node = gossip.from.as_ref();
+        let stands_by = from_node.is_some_and(|node| !Role::is_member(node));
+        if !gossip.suspected.is_empty() {
+            host.suspected(&gossip.suspected, stands_by);
+        }
         if !gossip.crashes.is_empty() || !gossip.successes.is_empty() {
-            let from = gossip.from.as_ref();
-            let stands_by = from.is_some_and(|from| !Role::is_member(from));
             host.suspects(&gossip.crashes, &gossip.successes, stands_by);
         }
         if !gossip.limits.is_empty() {
--- a/src/mesh/round.rs
+++ b/src/mesh/round.rs
@@ -140,6 +140,7 @@
         }
         let gossip = Gossip {
             crashes: own.crashes,
+            suspected: own.suspected,
             successes: own.successes,
             limits: own.limits,
             ..self.compose_urgent(round.now, round.wall_ms)
--- a/src/mesh/table.rs
+++ b/src/mesh/table.rs
@@ -117,6 +117,8 @@
     pub cached: Vec<Cached>,
     /// Requests at replicas that ended.
     pub crashes: Vec<Crash>,
+    /// The same where it is not certain that the replica has ended.
+    pub suspected: Vec<Crash>,
     /// Requests that have ended well after such crashes.
     pub successes: Vec<Success>,
     /// The rates of requests that replicas take.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -501,6 +501,10 @@
         self.gateway.hear_suspects(crashes, successes, passes_on);
     }
 
+    fn suspected(&self, crashes: &[Crash], passes_on: bool) {
+        self.gateway.hear_suspected(crashes, passes_on);
+    }
+
     fn limits(&self, limits: &[RateLimit]) {
         self.gateway.hear_limits(limits);
     }
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -1094,6 +1094,9 @@
     pub successes: ::prost::alloc::vec::Vec<Success>,
     #[prost(message, repeated, tag = "18")]
     pub limits: ::prost::alloc::vec::Vec<RateLimit>,
+    /// Crashes that are not certain.
+    #[prost(message, repeated, tag = "19")]
+    pub suspected: ::prost::alloc::vec::Vec<Crash>,
 }
 /// What a node knows of the teams' quotas.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/tests/all/endings.rs
+++ b/tests/all/endings.rs
@@ -469,3 +469,35 @@
     let served = served_after_outage(Remains::Relayed, SHORT).await;
     assert!(served >= SERVED, "{served}");
 }
+
+/// Guards against requests that end replicas side by side and are found out
+/// late, as the ends of each made those of the other look like an outage.
+#[tokio::test]
+async fn requests_that_end_replicas_side_by_side_are_found_out_in_time() {
+    let paths =
+        ["/resume/fatal", "/stream/fatal", "/once/fatal", "/again/fatal"];
+    let service = Arc::new(Service::open_at(3, 12, Remains::Relayed).await);
+    let mut callers = JoinSet::new();
+    let until = Instant::now() + Duration::from_secs(9);
+    for (caller, path) in paths.into_iter().enumerate() {
+        let service = service.clone();
+        callers.spawn(async move {
+            for id in (1000 * caller).. {
+                if Instant::now() > until {
+                    break;
+                }
+                service.send_to(path, id, id, "x").await;
+                sleep(Duration::from_millis(250)).await;
+            }
+        });
+    }
+    callers.join_all().await;
+    let crashes = service.shared.crashes.lock().unwrap();
+    for path in paths {
+        let own = crashes.iter().filter(|one| one.0 == path);
+        let own: Vec<Instant> = own.map(|one| one.1).collect();
+        let known_at = own[ENDS - 1] + CONTACT;
+        let late = own.iter().filter(|at| **at > known_at).count();
+        assert!(late <= ENDS, "{path}: {late} of {}", own.len());
+    }
+}
--- a/tests/all/quarantine.rs
+++ b/tests/all/quarantine.rs
@@ -358,6 +358,25 @@
     assert!(keeps(&known, now + 3000, 99_999).is_some());
 }
 
+/// Guards against requests that end replicas and hide each other: four of them,
+/// each ending one of twelve every 0.6 s, looked like an outage.
+#[test]
+fn many_requests_that_end_replicas_do_not_hide_each_other() {
+    let mut known = Quarantine::default();
+    for step in 0..4u64 {
+        for request in 0..4 {
+            let at = START + 600 * step as i64 + 150 * request as i64;
+            let replica = (4 * step + request) % 12;
+            end(&mut known, replica, at, &[request]);
+        }
+    }
+    let replicas = || 12;
+    for request in 0..4 {
+        let kept = known.keeps(START + 3000, request, replicas);
+        assert!(kept.is_some(), "request {request}");
+    }
+}
+
 /// Guards against a request that is taken for a bystander as it goes on from
 /// replica to replica at two nodes at once.
 #[test]
@@ -372,3 +391,56 @@
     let replicas = || 8;
     assert!(known.keeps(START + 3000, 7, replicas).is_some());
 }
+
+/// Guards against requests that end replicas in step and so look like outages:
+/// four of them each time at once, of twelve replicas.
+#[test]
+fn requests_that_end_replicas_in_step_are_found_out() {
+    let mut known = Quarantine::default();
+    for step in 0..3u64 {
+        for request in 0..4 {
+            let at = START + 600 * step as i64 + 15 * request as i64;
+            end(&mut known, 4 * step + request, at, &[request]);
+        }
+    }
+    let replicas = || 12;
+    for request in 0..4 {
+        let kept = known.keeps(START + 3000, request, replicas);
+        assert!(kept.is_some(), "request {request}");
+    }
+}
+
+/// Guards against ends that are certain only seconds later, while the request
+/// goes on from replica to replica.
+#[test]
+fn suspected_ends_hold_a_request_back_until_it_is_certain() {
+    let mut known = Quarantine::default();
+    for replica in 0..3 {
+        let at = START + 300 * replica as i64;
+        let crash = crash(7, replica, at);
+        assert!(known.suspect(at + 20, crash, Source::Own).is_some());
+    }
+    let now = START + 700;
+    let reason = keeps(&known, now, 7).unwrap();
+    assert!(!reason.is_certain);
+    assert!(reason.wait_ms > 0 && reason.retry_after_ms() == reason.wait_ms);
+    assert!(!known.try_again(now + 60_000, 7, reason, 0));
+    assert_eq!(known.tell(now).suspected.len(), 3);
+    assert_eq!(known.several(), Word::default());
+    // One of the replicas is heard: it lives.
+    let mut heard = Quarantine::default();
+    for replica in 0..3 {
+        heard.suspect(now, crash(7, replica, START), Source::Other);
+    }
+    heard.withdraw(7, |replica, _| replica == 2);
+    assert_eq!(keeps(&heard, now, 7), None);
+    // It is free without a word after the time that certainty takes.
+    assert_eq!(keeps(&known, START + 10_000, 7), None);
+    // Certain ends stay, and none counts twice.
+    for replica in 0..3 {
+        let at = START + 300 * replica as i64;
+        known.crash(START + 3000, crash(7, replica, at), Source::Own);
+    }
+    let reason = keeps(&known, START + 3100, 7).unwrap();
+    assert_eq!((reason.crashes, reason.is_certain), (3, true));
+}
