--- a/tests/all/cluster.rs
+++ b/tests/all/cluster.rs
@@ -396,6 +396,11 @@
         self.signal(name, "-TERM");
     }
 
+    /// SIGHUP.
+    pub fn hang_up(&mut self, name: &str) {
+        self.signal(name, "-HUP");
+    }
+
     pub fn freeze(&mut self, name: &str) {
         self.signal(name, "-STOP");
     }
--- a/tests/all/product.rs
+++ b/tests/all/product.rs
@@ -287,3 +287,14 @@
         assert!(seen > 5, "{name} has only {seen} open files");
     }
 }
+
+/// Guards against daemons that a SIGHUP ends with the requests that they have
+/// accepted.
+#[test]
+fn a_hangup_stops_daemons_in_order() {
+    let mut cluster = small_cluster();
+    for name in ["e1", "c1"] {
+        cluster.hang_up(name);
+        assert_eq!(cluster.wait_end(name), Some(0), "{name}");
+    }
+}
