Part what is decided of crashes into modules

decide/quarantine had grown to 596 lines: which ends count stands in outage, what is known of one request in record, what ended well lately in sound, what nodes tell each other in word. Moves only; names of outages say so.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -13,4 +13,3 @@
 pub mod rate_limit;
 pub mod retry;
 pub mod route;
-pub mod sound;
--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine/mod.rs
@@ -33,9 +33,13 @@
 //! on elsewhere is at two when a second replica ends by chance); the log of
 //! control (a commit a crash, and none behind a cut).
 
-use std::cmp::Reverse;
+mod outage;
+mod record;
+mod sound;
+mod word;
 
-use super::sound::Sound;
+pub use self::word::Word;
+use self::{record::Record, sound::Sound};
 use crate::util::{common, position};
 
 /// Replicas that a request may end before it is kept away. A bystander may be at
@@ -59,38 +63,11 @@
 const REMEMBER_SUCCESS_MS: i64 = 60_000;
 /// How long an end is suspected, in ms: until it is certain or withdrawn.
 const SUSPECTED_MS: i64 = 3500;
-/// Replicas that end within this time of each other end together, in ms: nodes
-/// notice it one after the other.
-const TOGETHER_MS: u64 = 100;
-/// The same of replicas that all had the request, in ms: less than it takes to
-/// go on from one that it has ended to the next one.
-const AT_ONCE_MS: u64 = 20;
-/// Nodes notice the end of a replica within this time of each other, in ms.
-const NOTICED_MS: i64 = 300;
-/// So many other replicas, and this part of its service's, have to end together
-/// for another cause than the request.
-const LEAST_TOGETHER: usize = 3;
-/// See [`LEAST_TOGETHER`].
-const PART_TOGETHER: f32 = 0.25;
 /// Requests remembered, in some 400 kB: those at sixty ends with thirty under
 /// way at each.
 const MOST: usize = 2048;
 /// Crashes remembered of one request: what the longest time takes.
 const MOST_CRASHES: usize = 8;
-/// For so long news are told, in ms: in four rounds of the mesh, as a datagram
-/// may be lost.
-const TELL_MS: i64 = 1300;
-/// News told at a time, the newest: what is under way at one replica.
-const TOLD: usize = 64;
-/// Between two times that a request with several crashes is told, in ms, for
-/// nodes that missed it behind a cut or have just started.
-const AGAIN_MS: i64 = 2000;
-/// Such requests told at a time.
-const TOLD_AGAIN: usize = 4;
-/// Crashes from which on a request is told again, and kept on disks.
-const TOLD_FROM: usize = 2;
-/// Such requests told to a node that starts, and kept on disks.
-const MOST_TOLD: usize = 64;
 
 common! {
     copy
@@ -116,19 +93,6 @@
     }
 }
 
-common! {
-    /// What is told to other nodes.
-    #[derive(Default)]
-    pub struct Word {
-        /// Crashes.
-        pub crashes: Vec<Crash>,
-        /// Those that are not certain.
-        pub suspected: Vec<Crash>,
-        /// Successes that came after crashes.
-        pub successes: Vec<Success>,
-    }
-}
-
 common! {
     copy
     /// Why a request is kept away.
@@ -165,22 +129,6 @@
     }
 }
 
-common! {
-    struct Record {
-        fingerprint: u64,
-        /// Sorted by time.
-        crashes: Vec<Crash>,
-        /// Ends that are not certain.
-        suspected: Vec<Crash>,
-        /// The last success; what was noted before it is gone.
-        succeeded_at: Option<i64>,
-        /// When it was last told again.
-        told_at: Option<i64>,
-        /// When this node last tried it again.
-        tried_at: Option<i64>,
-    }
-}
-
 /// What is known of requests at replicas that ended.
 #[derive(Debug, Default)]
 pub struct Quarantine {
@@ -339,11 +287,8 @@
         if record.crashes.len() + suspected.len() < CRASHES {
             return None;
         }
-        let part = (replicas() as f32 * PART_TOGETHER) as usize;
-        let many = part.max(LEAST_TOGETHER);
-        let counts = |one: &Crash| {
-            self.was_there(one) && !self.is_mass(record, one, many)
-        };
+        let many = Quarantine::least_of_outage(replicas());
+        let counts = |one: &Crash| self.counts(record, one, many);
         let certain = record.crashes.iter().filter(|one| counts(one)).count();
         let age_ms = |at: i64| (now - at).max(0) as u64;
         if certain >= CRASHES {
@@ -400,100 +345,6 @@
         tries
     }
 
-    /// Whether a request can have been at a replica when that ended.
-    fn was_there(&self, crash: &Crash) -> bool {
-        let ends = self.ends().filter(|one| one.replica == crash.replica);
-        let moment = ends.map(|one| one.at).min();
-        moment.is_none_or(|moment| crash.at <= moment + NOTICED_MS)
-    }
-
-    /// Whether `many` other replicas ended at the same time, so that the cause
-    /// lies elsewhere: a data centre that lost its power takes a request to
-    /// three ends that it has nothing to do with.
-    fn is_mass(&self, own: &Record, crash: &Crash, many: usize) -> bool {
-        let is_own =
-            |replica| own.ends().any(|one: &Crash| one.replica == replica);
-        let mut others: Vec<u64> = self
-            .ends()
-            .filter(|one| one.replica != crash.replica)
-            .filter(|one| {
-                let limit = match is_own(one.replica) {
-                    true => AT_ONCE_MS,
-                    false => TOGETHER_MS,
-                };
-                one.at.abs_diff(crash.at) <= limit
-            })
-            .map(|one| one.replica)
-            .collect();
-        others.sort_unstable();
-        others.dedup();
-        if others.len() < many {
-            return false;
-        }
-        // Several such requests at a time would hide each other.
-        let explained = self.explained_besides(own.fingerprint);
-        others.retain(|one| explained.binary_search(one).is_err());
-        others.len() >= many
-    }
-
-    /// Replicas that other requests have ended, sorted: those that were at ends
-    /// at several different moments.
-    fn explained_besides(&self, fingerprint: u64) -> Vec<u64> {
-        let others = self.records.iter();
-        let mut explained: Vec<u64> = others
-            .filter(|one| one.fingerprint != fingerprint)
-            .filter(|one| one.moments() >= CRASHES)
-            .flat_map(|one| one.ends().map(|end| end.replica))
-            .collect();
-        explained.sort_unstable();
-        explained
-    }
-
-    fn ends(&self) -> impl Iterator<Item = &Crash> {
-        self.records.iter().flat_map(Record::ends)
-    }
-
-    /// What goes into the next datagrams: news, and now and then what is known
-    /// of requests with several crashes.
-    pub fn tell(&mut self, now: i64) -> Word {
-        self.crashes.retain(|(at, _)| now < at + TELL_MS);
-        self.successes.retain(|(at, _)| now < at + TELL_MS);
-        self.suspected.retain(|(at, _)| now < at + TELL_MS);
-        let newest = self.suspected.iter().rev().take(TOLD);
-        let suspected = newest.map(|(_, one)| *one).collect();
-        let newest = self.crashes.iter().rev().take(TOLD);
-        let mut crashes: Vec<Crash> = newest.map(|(_, one)| *one).collect();
-        let mut due: Vec<&mut Record> = self
-            .records
-            .iter_mut()
-            .filter(|one| one.crashes.len() >= TOLD_FROM)
-            .filter(|one| one.told_at.is_none_or(|at| now >= at + AGAIN_MS))
-            .collect();
-        // In turn, however many there are.
-        due.sort_by_key(|one| one.told_at);
-        for record in due.into_iter().take(TOLD_AGAIN) {
-            record.told_at = Some(now);
-            crashes.extend(&record.crashes);
-        }
-        let newest = self.successes.iter().rev().take(TOLD);
-        let successes = newest.map(|(_, one)| *one).collect();
-        Word { crashes, suspected, successes }
-    }
-
-    /// What a node that starts has to know, and what is kept on disks.
-    pub fn several(&self) -> Word {
-        let known = self.records.iter();
-        let mut several: Vec<&Record> =
-            known.filter(|one| one.crashes.len() >= TOLD_FROM).collect();
-        several.sort_by_key(|one| Reverse(one.crashes.len()));
-        let crashes = several
-            .into_iter()
-            .take(MOST_TOLD)
-            .flat_map(|one| one.crashes.iter().copied())
-            .collect();
-        Word { crashes, suspected: Vec::new(), successes: Vec::new() }
-    }
-
     /// Drops what is past its time.
     pub fn expire(&mut self, now: i64) {
         self.sound.expire(now);
@@ -542,13 +393,6 @@
         })
     }
 
-    fn tell_success(&mut self, now: i64, success: Success) {
-        let mut told = self.successes.iter();
-        if !told.any(|(_, one)| one.fingerprint == success.fingerprint) {
-            self.successes.push((now, success));
-        }
-    }
-
     /// Forgets the request with the fewest crashes, the oldest of these, where
     /// there are too many; never the one that was just noted.
     fn bound(&mut self, newest: u64) {
@@ -569,26 +413,6 @@
     }
 }
 
-impl Record {
-    /// The crash at a replica, if there is one.
-    fn of(&mut self, replica: u64) -> Option<&mut Crash> {
-        self.crashes.iter_mut().find(|one| one.replica == replica)
-    }
-
-    /// At how many different moments replicas ended under it.
-    fn moments(&self) -> usize {
-        let mut at: Vec<i64> = self.ends().map(|one| one.at).collect();
-        at.sort_unstable();
-        at.dedup_by(|one, before| one.abs_diff(*before) <= AT_ONCE_MS);
-        at.len()
-    }
-
-    /// The certain ones and those that are not.
-    fn ends(&self) -> impl Iterator<Item = &Crash> {
-        self.crashes.iter().chain(&self.suspected)
-    }
-}
-
 /// How long a request with so many crashes is kept away, in ms.
 fn kept_ms(crashes: usize) -> i64 {
     let more = crashes.saturating_sub(CRASHES);
--- a/src/decide/sound.rs
+++ b/src/decide/quarantine/sound.rs
@@ -4,7 +4,7 @@
 //! when it is full or has lasted long enough, and what was old is forgotten: so
 //! nothing is looked for by age, and no request costs more than a binary search.
 
-use super::quarantine::Success;
+use super::Success;
 use crate::util::position;
 
 /// Requests of one generation.
