Hand crashes on as such, and name lags by what they are

ending made tuples of a request and a moment, which suspects turned into crashes with the replica's hash, in two places alike. It makes the crashes itself now. WORD_MS, SEEN_MS and NOTICED_MS said nothing of what they bound. No change of logic.

--- a/src/decide/quarantine/outage.rs
+++ b/src/decide/quarantine/outage.rs
@@ -13,7 +13,7 @@
 /// go on from one that it has ended to the next one.
 pub(super) const AT_ONCE_MS: u64 = 20;
 /// Nodes notice the end of a replica within this time of each other, in ms.
-const NOTICED_MS: i64 = 300;
+const NOTICE_LAG_MS: i64 = 300;
 /// So many other replicas, and this part of its service's, have to end together
 /// for another cause than the request.
 const LEAST_TOGETHER: usize = 3;
@@ -42,7 +42,7 @@
     fn was_there(&self, crash: &Crash) -> bool {
         let ends = self.ends().filter(|one| one.replica == crash.replica);
         let moment = ends.map(|one| one.at).min();
-        moment.is_none_or(|moment| crash.at <= moment + NOTICED_MS)
+        moment.is_none_or(|moment| crash.at <= moment + NOTICE_LAG_MS)
     }
 
     /// Whether `many` other replicas ended at the same time, so that the cause
--- a/src/gateway/ending.rs
+++ b/src/gateway/ending.rs
@@ -33,7 +33,10 @@
 use tracing::info;
 
 use super::{Gateway, fleet::Target};
-use crate::mesh::lives::Fate;
+use crate::{
+    decide::quarantine::Crash,
+    mesh::{lives::Fate, table::replica_hash},
+};
 
 /// Before a new connection is tried, so that a process that ends has closed
 /// all that it had open, and all requests there have noticed.
@@ -47,10 +50,10 @@
 /// Nodes hear of a heartbeat through others, whose word seems so much younger
 /// at most, in ms: one that was said before a replica ended does not show that
 /// it lives.
-const WORD_MS: u64 = 150;
+const WORD_LAG_MS: u64 = 150;
 /// A connection may be seen to break so much later than others to the same
 /// replica, in ms, by a node that has much to do.
-const SEEN_MS: u64 = 50;
+const NOTICE_LAG_MS: u64 = 50;
 /// A request that was there for so long when its connection broke had probably
 /// reached the replica, in ms: a relay that has lost it closes at once.
 const LEAST_STAY_MS: u64 = 20;
@@ -83,10 +86,20 @@
     pub heard_at: u64,
     /// When its connection broke or it was left.
     pub ended_at: u64,
+    /// How it came to an end.
     pub sign: Sign,
 }
 
 impl Stay {
+    /// The crash that it is held responsible for if the replica has ended.
+    fn crash(&self, replica: &str, at: u64) -> Crash {
+        Crash {
+            fingerprint: self.fingerprint,
+            replica: replica_hash(replica),
+            at: at as i64,
+        }
+    }
+
     /// When something last came of it, if anything did.
     fn heard(&self) -> Option<u64> {
         (self.heard_at > self.began_at).then_some(self.heard_at)
@@ -150,6 +163,7 @@
     }
 }
 
+/// The same for the requests of one case.
 fn moment_of(stays: &[Stay]) -> Option<u64> {
     let heard = stays.iter().filter_map(Stay::heard);
     let heard_at = heard.max().unwrap_or(0);
@@ -158,20 +172,20 @@
     broken.filter(|at| *at >= heard_at).min()
 }
 
-/// Requests that were at a replica when it ended, each with the moment at which
-/// it broke off; `last` is when the replica was last heard.
-fn witnesses(stays: &[Stay], last: Option<u64>) -> Vec<(u64, u64)> {
+/// The requests that were at a replica when it ended; `last` is when it was last
+/// heard.
+fn crashes(replica: &str, stays: &[Stay], last: Option<u64>) -> Vec<Crash> {
     let moment = moment_of(stays);
     let was_there = |one: &&Stay| {
-        moment.is_none_or(|at| one.began_at <= at + SEEN_MS)
+        moment.is_none_or(|at| one.began_at <= at + NOTICE_LAG_MS)
             && last.is_none_or(|at| one.began_at <= at + HEARTBEAT_MS)
     };
     let dated = |one: &Stay| match one.sign {
-        Sign::Broken => (one.fingerprint, one.ended_at),
+        Sign::Broken => one.crash(replica, one.ended_at),
         // All that is known is that it ended after it was last heard.
         Sign::Silent => {
             let heard_at = last.unwrap_or(0).max(one.heard_at);
-            (one.fingerprint, heard_at.min(one.ended_at))
+            one.crash(replica, heard_at.min(one.ended_at))
         }
     };
     stays.iter().filter(was_there).map(dated).collect()
@@ -179,7 +193,7 @@
 
 /// From when on word of a replica shows that it lived at a moment.
 pub(super) fn heard_after(at: i64) -> u64 {
-    at.max(0) as u64 + WORD_MS
+    at.max(0) as u64 + WORD_LAG_MS
 }
 
 impl Gateway {
@@ -208,13 +222,13 @@
     /// Holds an end that is not certain against a request that was there.
     fn suspect_end(&self, target: &Target, stay: Stay) {
         let moment = self.endings.moment(&target.replica);
-        let is_late = moment.is_none_or(|at| stay.began_at > at + SEEN_MS);
+        let is_late =
+            moment.is_none_or(|at| stay.began_at > at + NOTICE_LAG_MS);
         let since = heard_after(stay.ended_at as i64);
         let lives =
             matches!(self.fate(target, since), Fate::Lives | Fate::Leaves);
         if !is_late && !lives {
-            let at = stay.ended_at;
-            self.suspect(&target.replica, stay.fingerprint, at);
+            self.suspect(stay.crash(&target.replica, stay.ended_at));
         }
     }
 
@@ -227,14 +241,14 @@
         let Verdict::Ended(evidence) = verdict else { return };
         let table = self.mesh.get().map(|mesh| mesh.table());
         let last = table.and_then(|table| table.last_heard(replica));
-        let there = witnesses(&stays, last);
-        self.note_crashes(replica, &there);
+        let crashes = crashes(replica, &stays, last);
+        self.note_crashes(&crashes);
         self.metrics.ended_replicas.inc();
         info!(
             target: "gateway",
             replica,
-            requests = there.len(),
-            too_late = stays.len() - there.len(),
+            requests = crashes.len(),
+            too_late = stays.len() - crashes.len(),
             evidence,
             after_ms = self.timer.now() - since,
             "Replica ended under requests."
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -17,13 +17,13 @@
         self, CRASHES, Quarantine, Reason, Source, Success, Word,
     },
     fingerprint,
-    mesh::table,
     wire::{self, Crash},
 };
 
 /// What other nodes are told of requests that may have ended replicas.
 pub(super) struct Suspects {
     pub crashes: Vec<Crash>,
+    /// Those that are not certain.
     pub suspected: Vec<Crash>,
     pub successes: Vec<wire::Success>,
 }
@@ -41,24 +41,17 @@
         self.timer.now() as i64
     }
 
-    /// A replica ended under these requests, each with the moment at which it
-    /// broke off.
-    pub(super) fn note_crashes(&self, replica: &str, requests: &[(u64, u64)]) {
-        let replica = table::replica_hash(replica);
+    /// A replica ended under requests of this node.
+    pub(super) fn note_crashes(&self, crashes: &[quarantine::Crash]) {
         let mut most = 0;
-        for &(fingerprint, at) in requests {
-            let at = at as i64;
-            let crash = quarantine::Crash { fingerprint, replica, at };
-            most = most.max(self.note_crash(crash, Source::Own));
+        for crash in crashes {
+            most = most.max(self.note_crash(*crash, Source::Own));
         }
         self.tell_soon(most);
     }
 
     /// A replica has probably ended under a request.
-    pub(super) fn suspect(&self, replica: &str, fingerprint: u64, at: u64) {
-        let replica = table::replica_hash(replica);
-        let at = at as i64;
-        let crash = quarantine::Crash { fingerprint, replica, at };
+    pub(super) fn suspect(&self, crash: quarantine::Crash) {
         let crashes = self.note_suspected(crash, Source::Own);
         self.tell_soon(crashes);
     }
