Log the backoffs and departures that replicas announce in answers

Cause: no line of the log and no metric said what a replica asks for when it rejects a request, so the hypotheses on the incident couldn't be told apart.

Change: the adapter parses Retry-After of a 503 and Server-Leaving; the node logs and counts both. Nothing is decided by them yet.

Ruled out: reading Retry-After of other statuses, which concerns the request or its team; HTTP dates, which depend on two clocks.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -383,6 +383,7 @@
             flight.began_at(),
             &answer_info,
         );
+        self.log_notices(&target.replica, &answer_info);
         self.check_answer(&answer_info, &mut flight)?;
         let proves = response.status().is_success() && is_framed(&response);
         flight.began(&answer_info, proves);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 //! | `ending` | tells crashed replicas from broken connections |
 //! | [`events`] | splits streams at event boundaries |
 //! | `memory` | remembers which prompt parts replicas were sent recently |
+//! | `notices` | records what replicas say about further requests |
 //! | `overload` | refuses requests that replicas can't start in time |
 //! | `suspects` | tracks requests that may have crashed replicas |
 //! | [`parts`] | maps the parts of a prompt to cache blocks |
@@ -33,6 +34,7 @@
 mod flight;
 pub mod forward;
 mod memory;
+mod notices;
 mod overload;
 pub mod parts;
 pub mod plan;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -80,6 +80,10 @@
     pub suspects: Counter,
     /// Replicas that have named the rate of requests that they take.
     pub limited_replicas: Gauge,
+    /// Backoffs that replicas have requested of this node.
+    pub backoffs: Counter,
+    /// Answers in which a replica announced that it leaves.
+    pub leaving_answers: Counter,
 }
 
 fn seconds() -> Histogram {
@@ -123,6 +127,8 @@
             ended_replicas: Counter::default(),
             suspects: Counter::default(),
             limited_replicas: Gauge::default(),
+            backoffs: Counter::default(),
+            leaving_answers: Counter::default(),
             registry: Registry::default(),
         };
         // First those that tell how control is, as collectors cut long pages.
@@ -166,6 +172,16 @@
             "Replicas known to take a limited rate of requests",
             metrics.limited_replicas.clone(),
         );
+        registry.register(
+            "backoffs",
+            "Backoffs that replicas have requested of this node",
+            metrics.backoffs.clone(),
+        );
+        registry.register(
+            "leaving_answers",
+            "Answers in which a replica announced that it leaves",
+            metrics.leaving_answers.clone(),
+        );
         registry.register(
             "latency_seconds",
             "From request to the end of its answer",
--- a/tests/all/world.rs
+++ b/tests/all/world.rs
@@ -14,7 +14,9 @@
     duty::{self, Cloud, FencingToken, Order},
     gateway::{
         self, UsageWindow,
-        dialect::{AnswerInfo, AttemptInfo, Dialect, Limit, RequestInfo},
+        dialect::{
+            AnswerInfo, AttemptInfo, Backoff, Dialect, Limit, RequestInfo,
+        },
         plan::{
             Draft, Invalid, Limits, Quota, RetryPolicy, Route, Service, Team,
         },
@@ -88,6 +90,8 @@
                 }
                 None => Limit::None,
             },
+            backoff: Backoff::parse(status, headers),
+            is_leaving: headers.contains_key("leaving"),
         }
     }
 }
