Send a replica nothing during a backoff that it requests

What callers saw: nothing, as long as another replica was free. Where all replicas rejected with Retry-After, callers were told to come back after 0.4 s and each request reached replicas that had asked to be left alone.

Cause: no decision read Retry-After. A rejection counted as a failure, which makes a replica cost more for 1 s, doubling to 8 s, and only while the others cost less. A rejection within that time did not prolong it.

Change: Retry-After of a 503 is a backoff of that replica towards this node. Backoffs keeps its end with the replica's id; the router's predicate is_eligible, which all policies and so all attempts use, leaves the replica out until then. Kept across changes of the list of replicas, and tied to the incarnation that asked, by the wall time of the answer, as a replica that has just restarted answers before its first heartbeat arrives. A rejection with a backoff of a second or more is no failure any more: the replica has its share again at once after the end. If every serving replica backs off or is limited, the request is refused at once and its caller told of the first end, one after the other at the rate that the replicas take.

Ruled out: telling other nodes, as a replica asks one node at a time; a cap on long values, which would break the request; reading values that are no decimal number of seconds, which count as a plain rejection.

--- /dev/null
+++ b/src/backoff.rs
@@ -0,0 +1,151 @@
+//! Backoffs that replicas request, and departures that they announce.
+//!
+//! A replica that rejects a request may ask the node that sent it for a
+//! backoff: a time in which the node sends it nothing. An answer may also
+//! announce that the replica leaves, which is a backoff without an end. Either
+//! concerns one incarnation of the replica.
+//!
+//! An answer doesn't name the incarnation that sent it. A replica that has
+//! just restarted answers before its first heartbeat arrives, and the node
+//! then takes the answer for one of the former incarnation. [`Backoffs`]
+//! therefore keeps the wall time of each request for a backoff, and an
+//! incarnation is held to those that were made after its start.
+
+use http::{HeaderMap, StatusCode, header};
+
+use crate::util::{common, position};
+
+/// End of a backoff that lasts as long as the replica's incarnation.
+pub const NEVER: u64 = u64::MAX;
+/// Largest difference between the clocks of a replica and a node, in ms.
+const MAX_CLOCK_DIFFERENCE_MS: u64 = 100;
+/// Time for which the backoffs of a replica are kept that this node doesn't
+/// know, in ms. It may only have been silent.
+const UNKNOWN_REPLICA_RETENTION_MS: u64 = 60_000;
+
+common! {
+    copy
+    /// The backoff that an answer requests.
+    pub enum Backoff {
+        /// The answer requests none.
+        None,
+        /// Length in ms; [`NEVER`] if it exceeds the range of the type.
+        Ms(u64),
+        /// The header can't be parsed.
+        Unreadable,
+    }
+}
+
+impl Backoff {
+    /// Parses `Retry-After` of an answer with status 503: seconds in decimal
+    /// digits, with an optional fraction.
+    ///
+    /// With other statuses the header concerns the request or its team, not
+    /// the replica. A date is not supported, as the clocks of replicas and
+    /// nodes differ.
+    pub fn parse(status: StatusCode, headers: &HeaderMap) -> Backoff {
+        if status != StatusCode::SERVICE_UNAVAILABLE {
+            return Backoff::None;
+        }
+        let Some(value) = headers.get(header::RETRY_AFTER) else {
+            return Backoff::None;
+        };
+        let text = value.to_str().unwrap_or_default().trim();
+        let is_decimal =
+            text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+        let seconds = text.parse::<f64>().ok().filter(|_| is_decimal);
+        // The conversion saturates.
+        seconds.map_or(Backoff::Unreadable, |seconds| {
+            Backoff::Ms((seconds * 1000.0).ceil() as u64)
+        })
+    }
+}
+
+common! {
+    copy
+    /// The end of a backoff, and when the replica requested it.
+    pub struct Notice {
+        /// End by the timer's clock, in ms.
+        pub until: u64,
+        /// Wall time of the request for the backoff, in ms.
+        pub wall_ms: u64,
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Record {
+    replica: u64,
+    /// The notice with the latest end.
+    longest: Notice,
+    /// The notice that arrived last, which alone may be of a new incarnation.
+    latest: Notice,
+    /// When the last notice arrived, by the timer's clock, in ms.
+    arrived_at: u64,
+}
+
+/// The backoffs in force, of the replicas that this node sends requests to.
+#[derive(Debug, Default)]
+pub struct Backoffs {
+    /// Sorted by replica.
+    records: Vec<Record>,
+}
+
+impl Backoffs {
+    /// Records a notice of `replica`, a hash of its id.
+    pub fn record(&mut self, now: u64, replica: u64, notice: Notice) {
+        let record = Record {
+            replica,
+            longest: notice,
+            latest: notice,
+            arrived_at: now,
+        };
+        match position(&self.records, &replica, |record| &record.replica) {
+            Ok(at) => {
+                let before = self.records[at].longest;
+                let longest = match before.until > notice.until {
+                    true => before,
+                    false => notice,
+                };
+                self.records[at] = Record { longest, ..record };
+            }
+            Err(at) => self.records.insert(at, record),
+        }
+    }
+
+    /// Returns the time until which the incarnation of `replica` that started
+    /// at the wall time `born` is sent nothing, or 0. `born` is 0 if it is not
+    /// known.
+    pub fn until(&self, replica: u64, born: u64) -> u64 {
+        let found =
+            position(&self.records, &replica, |record| &record.replica);
+        let Ok(at) = found else { return 0 };
+        let record = &self.records[at];
+        let applies = |notice: &&Notice| {
+            notice.wall_ms.saturating_add(MAX_CLOCK_DIFFERENCE_MS) >= born
+        };
+        let notices = [&record.longest, &record.latest];
+        let ends = notices.into_iter().filter(applies);
+        ends.map(|notice| notice.until).max().unwrap_or(0)
+    }
+
+    /// Returns true if no replica has requested a backoff.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Returns the number of replicas with a backoff in force.
+    pub fn count(&self, now: u64) -> usize {
+        let in_force = |record: &&Record| now < record.longest.until;
+        self.records.iter().filter(in_force).count()
+    }
+
+    /// Removes backoffs that have ended, and those of unknown replicas.
+    pub fn expire(&mut self, now: u64, is_known: impl Fn(u64) -> bool) {
+        self.records.retain(|record| {
+            let is_kept = now
+                < record.arrived_at + UNKNOWN_REPLICA_RETENTION_MS
+                || is_known(record.replica);
+            now < record.longest.until && is_kept
+        });
+    }
+}
--- a/src/decide/route/baseline.rs
+++ b/src/decide/route/baseline.rs
@@ -2,18 +2,19 @@
 
 use rand::RngExt;
 
-use super::{Pool, Replica, RouteRequest, is_excluded};
+use super::{Pool, Replica, RouteRequest, is_eligible};
 
 impl Pool {
     pub(super) fn draw_where(
         &mut self,
+        now: u64,
         request: &RouteRequest<'_>,
-        is_eligible: impl Fn(usize, &Replica) -> bool,
+        is_candidate: impl Fn(usize, &Replica) -> bool,
     ) -> Option<usize> {
         let candidates: Vec<usize> = (0..self.replicas.len())
             .filter(|&at| {
                 let replica = &self.replicas[at];
-                !is_excluded(replica, request) && is_eligible(at, replica)
+                is_eligible(now, replica, request) && is_candidate(at, replica)
             })
             .collect();
         if candidates.is_empty() {
@@ -24,11 +25,12 @@
 
     pub(super) fn pick_next_in_turn(
         &mut self,
+        now: u64,
         request: &RouteRequest<'_>,
     ) -> Option<usize> {
         for _ in 0..self.replicas.len() {
             self.last_in_turn = (self.last_in_turn + 1) % self.replicas.len();
-            if !is_excluded(&self.replicas[self.last_in_turn], request) {
+            if is_eligible(now, &self.replicas[self.last_in_turn], request) {
                 return Some(self.last_in_turn);
             }
         }
@@ -37,24 +39,29 @@
 
     pub(super) fn pick_least_outstanding(
         &mut self,
+        now: u64,
         request: &RouteRequest<'_>,
     ) -> Option<usize> {
         let least = self
             .replicas
             .iter()
-            .filter(|replica| !is_excluded(replica, request))
+            .filter(|replica| is_eligible(now, replica, request))
             .map(|replica| replica.own_in_flight)
             .min()?;
-        self.draw_where(request, |_, replica| replica.own_in_flight == least)
+        self.draw_where(now, request, |_, replica| {
+            replica.own_in_flight == least
+        })
     }
 
     pub(super) fn pick_less_loaded_of_two(
         &mut self,
+        now: u64,
         request: &RouteRequest<'_>,
     ) -> Option<usize> {
-        let first = self.draw_where(request, |_, _| true)?;
-        let second =
-            self.draw_where(request, |at, _| at != first).unwrap_or(first);
+        let first = self.draw_where(now, request, |_, _| true)?;
+        let second = self
+            .draw_where(now, request, |at, _| at != first)
+            .unwrap_or(first);
         let load = |at: usize| {
             let replica = &self.replicas[at];
             (replica.reported_load + replica.own_change)
--- a/src/decide/route/cost.rs
+++ b/src/decide/route/cost.rs
@@ -2,7 +2,9 @@
 
 use rand::RngExt;
 
-use super::{MIN_FETCH_TOKENS, Pool, Replica, RouteRequest, is_excluded};
+use super::{
+    MIN_FETCH_TOKENS, Pool, Replica, RouteRequest, is_eligible, is_excluded,
+};
 use crate::util::mix;
 
 /// Interval at which the load floor is recomputed, in ms.
@@ -31,7 +33,7 @@
         if now >= self.load_floor_at + LOAD_FLOOR_INTERVAL_MS {
             self.update_load_floor(now);
         }
-        self.match_prefix(request);
+        self.match_prefix(now, request);
         // Each cost is computed once: with many replicas the scan takes nearly
         // all the time of a decision.
         let mut costs = std::mem::take(&mut self.costs);
@@ -110,9 +112,10 @@
         self.mean_others_per_slot = others / (self.slots().max(1) as f32);
         let mut slots: Vec<(f32, f32)> = Vec::new();
         // The number of requests sent to a rate-limited replica follows from
-        // its rate limit, not from its load.
-        let unlimited =
-            self.replicas.iter().filter(|replica| replica.bucket.is_none());
+        // its rate limit, not from its load. One that backs off gets none.
+        let unlimited = self.replicas.iter().filter(|replica| {
+            replica.bucket.is_none() && !replica.is_backing_off(now)
+        });
         for replica in unlimited {
             let count = replica.identity.slots.max(1) as f32;
             slots.push((self.estimate(replica) / count, count));
@@ -123,7 +126,11 @@
     }
 
     /// Sets how many tokens of the prompt each replica probably has cached.
-    pub(super) fn match_prefix(&mut self, request: &RouteRequest<'_>) {
+    pub(super) fn match_prefix(
+        &mut self,
+        now: u64,
+        request: &RouteRequest<'_>,
+    ) {
         for at in self.matched_replicas.drain(..) {
             self.replicas[at].matched_tokens = 0;
         }
@@ -142,7 +149,7 @@
                 holders.push((at, tokens));
             }
         });
-        self.match_home_replica(request);
+        self.match_home_replica(now, request);
     }
 
     /// Assumes that the prompt's home replica holds a part of it when no
@@ -152,7 +159,11 @@
     /// All entries select the same home replica without communicating. The
     /// first requests that share a long prefix, arriving at many entries at
     /// once, so reach one replica long before its cache events propagate.
-    pub(super) fn match_home_replica(&mut self, request: &RouteRequest<'_>) {
+    pub(super) fn match_home_replica(
+        &mut self,
+        now: u64,
+        request: &RouteRequest<'_>,
+    ) {
         let Some(&key) = request.blocks.get(HOME_BLOCK_INDEX) else { return };
         let half = request.tokens / 2;
         let mut matched = self.matched_replicas.iter();
@@ -167,7 +178,7 @@
                 // A rate-limited replica as the home would keep other entries
                 // away from the prompt that it holds.
                 !is_excluded(replica, request)
-                    && replica.is_serving()
+                    && replica.accepts(now)
                     && replica.bucket.is_none()
             })
             .max_by_key(|(_, replica)| mix(key ^ replica.id_hash));
@@ -184,10 +195,7 @@
         replica: &Replica,
         request: &RouteRequest<'_>,
     ) -> f32 {
-        if is_excluded(replica, request)
-            || !replica.is_serving()
-            || !replica.is_within_rate_limit(now)
-        {
+        if !is_eligible(now, replica, request) {
             return f32::INFINITY;
         }
         let weights = &self.weights;
--- a/src/decide/route/mod.rs
+++ b/src/decide/route/mod.rs
@@ -147,6 +147,20 @@
     }
 }
 
+/// Why no serving replica accepts a request, and when one will.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Shortage {
+    /// Number of replicas with a rate limit and without a backoff.
+    pub limited: usize,
+    /// Number of replicas that back off.
+    pub backing_off: usize,
+    /// When the first backoff ends, if all replicas back off; otherwise 0.
+    pub ends_at: u64,
+    /// Requests a second, from all entries together, that the replicas accept
+    /// after that.
+    pub rate: f32,
+}
+
 common! {
     copy
     /// One request in flight at one replica.
@@ -326,19 +340,45 @@
         }
     }
 
-    /// Returns how many serving replicas have a rate limit, and the sum of
-    /// these limits; `None` if no serving replica has one.
-    pub fn rate_limit_totals(&self) -> Option<(usize, f32)> {
+    /// Sets the time until which a replica is sent nothing, 0 for none.
+    pub fn set_backoff(&mut self, id: &str, incarnation: u64, until: u64) {
+        if let Some(at) = self.find(id, incarnation) {
+            self.replicas[at].backoff_until = until;
+        }
+    }
+
+    /// Like [`Pool::set_backoff`], for the replica at index `at` in the order
+    /// of ids.
+    pub fn set_backoff_at(&mut self, at: usize, until: u64) {
+        if let Some(replica) = self.replicas.get_mut(at) {
+            replica.backoff_until = until;
+        }
+    }
+
+    /// Returns when and at what rate the serving replicas accept requests
+    /// again; `None` if one of them has neither a backoff nor a rate limit, or
+    /// if there are none.
+    pub fn shortage(&self, now: u64) -> Option<Shortage> {
+        let mut shortage = Shortage::default();
         let serving =
             self.replicas.iter().filter(|replica| replica.is_serving());
-        let limits =
-            serving.filter_map(|replica| Some(replica.bucket?.limit()));
-        let (mut count, mut sum) = (0, 0.0);
-        for limit in limits {
-            count += 1;
-            sum += limit;
+        let mut ends: Vec<(u64, f32)> = Vec::new();
+        for replica in serving {
+            if replica.is_backing_off(now) {
+                shortage.backing_off += 1;
+                let slots = replica.identity.slots.max(1) as f32;
+                let per_s = 1000.0 * slots / self.weights.hold_ms.max(1.0);
+                ends.push((replica.backoff_until, per_s));
+            } else {
+                shortage.limited += 1;
+                shortage.rate += replica.bucket?.limit();
+            }
+        }
+        if shortage.limited == 0 {
+            let first = ends.iter().min_by_key(|(until, _)| *until)?;
+            (shortage.ends_at, shortage.rate) = *first;
         }
-        (count > 0).then_some((count, sum))
+        Some(shortage)
     }
 
     /// Returns the number of other entries that route by the same policy.
@@ -493,10 +533,12 @@
     ) -> Option<Choice> {
         let at = match self.policy {
             Policy::Cost => self.pick_by_cost(now, request),
-            Policy::Random => self.draw_where(request, |_, _| true),
-            Policy::RoundRobin => self.pick_next_in_turn(request),
-            Policy::LeastOutstanding => self.pick_least_outstanding(request),
-            Policy::PowerOfTwo => self.pick_less_loaded_of_two(request),
+            Policy::Random => self.draw_where(now, request, |_, _| true),
+            Policy::RoundRobin => self.pick_next_in_turn(now, request),
+            Policy::LeastOutstanding => {
+                self.pick_least_outstanding(now, request)
+            }
+            Policy::PowerOfTwo => self.pick_less_loaded_of_two(now, request),
         }?;
         Some(self.assign(now, at, request))
     }
@@ -613,7 +655,7 @@
         id: &str,
         request: &RouteRequest<'_>,
     ) -> Option<f32> {
-        self.match_prefix(request);
+        self.match_prefix(now, request);
         self.replicas
             .iter()
             .find(|replica| replica.identity.id == id)
@@ -629,7 +671,7 @@
         request: &RouteRequest<'_>,
     ) -> Choice {
         if self.policy != Policy::Cost {
-            self.match_prefix(request);
+            self.match_prefix(now, request);
         }
         let predicted_ms =
             self.first_token_ms(now, &self.replicas[at], request);
@@ -708,6 +750,16 @@
     }
 }
 
+/// Whether a request may be sent to a replica now. All policies select among
+/// the eligible replicas only.
+fn is_eligible(
+    now: u64,
+    replica: &Replica,
+    request: &RouteRequest<'_>,
+) -> bool {
+    !is_excluded(replica, request) && replica.accepts(now)
+}
+
 fn is_excluded(replica: &Replica, request: &RouteRequest<'_>) -> bool {
     let identity = &replica.identity;
     request.excluded.iter().any(|(id, incarnation)| {
--- a/src/decide/route/replica.rs
+++ b/src/decide/route/replica.rs
@@ -66,6 +66,8 @@
     /// This entry's share of the replica's rate limit; `None` if the replica
     /// has no rate limit.
     pub bucket: Option<Bucket>,
+    /// Time until which it is sent nothing, as it requested; 0 for none.
+    pub backoff_until: u64,
 }
 
 impl Replica {
@@ -95,6 +97,7 @@
             matched_tokens: 0,
             id_hash: name_hash(&identity.id),
             bucket: None,
+            backoff_until: 0,
         }
     }
 
@@ -102,10 +105,18 @@
         self.identity.availability == Availability::Serving
     }
 
-    /// Returns false while this entry's share of the replica's rate limit is
+    /// Whether the replica has requested a backoff that is not over.
+    pub fn is_backing_off(&self, now: u64) -> bool {
+        now < self.backoff_until
+    }
+
+    /// Whether this entry may send the replica a request now: it serves, has
+    /// requested no backoff, and this entry's share of its rate limit is not
     /// used up.
-    pub fn is_within_rate_limit(&self, now: u64) -> bool {
-        self.bucket.is_none_or(|bucket| bucket.has_room(now))
+    pub fn accepts(&self, now: u64) -> bool {
+        self.is_serving()
+            && !self.is_backing_off(now)
+            && self.bucket.is_none_or(|bucket| bucket.has_room(now))
     }
 
     /// Returns the number of the other entries' requests in the last report.
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -5,8 +5,9 @@
 //! platform, so a [`Dialect`] parses them into these types and writes the
 //! headers that the gateway sets.
 
-use http::{HeaderMap, HeaderValue, StatusCode, header};
+use http::{HeaderMap, HeaderValue, StatusCode};
 
+pub use crate::backoff::Backoff;
 use crate::util::common;
 
 common! {
@@ -75,45 +76,6 @@
     }
 }
 
-common! {
-    /// The backoff that a replica requests with a rejection.
-    #[derive(Copy)]
-    pub enum Backoff {
-        /// The answer requests none.
-        None,
-        /// Length in ms. A value beyond the range of the type lasts as long as
-        /// the replica's incarnation.
-        Ms(u64),
-        /// The header can't be parsed.
-        Unreadable,
-    }
-}
-
-impl Backoff {
-    /// Parses `Retry-After` of an answer with status 503: seconds in decimal
-    /// digits, with an optional fraction.
-    ///
-    /// With other statuses the header concerns the request or its team, not
-    /// the replica. A date is not supported, as the clocks of replicas and
-    /// nodes differ.
-    pub fn parse(status: StatusCode, headers: &HeaderMap) -> Backoff {
-        if status != StatusCode::SERVICE_UNAVAILABLE {
-            return Backoff::None;
-        }
-        let Some(value) = headers.get(header::RETRY_AFTER) else {
-            return Backoff::None;
-        };
-        let text = value.to_str().unwrap_or_default().trim();
-        let is_decimal =
-            text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
-        let seconds = text.parse::<f64>().ok().filter(|_| is_decimal);
-        // The conversion saturates.
-        seconds.map_or(Backoff::Unreadable, |seconds| {
-            Backoff::Ms((seconds * 1000.0).ceil() as u64)
-        })
-    }
-}
-
 common! {
     /// The rate limit in the head of a replica's answer.
     #[derive(Copy)]
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -14,6 +14,7 @@
     plan::{Plan, Service},
 };
 use crate::{
+    backoff::{Backoffs, Notice},
     decide::{
         rate_limit::Allocation,
         retry::{Bound, Window},
@@ -78,17 +79,21 @@
         key: (u64, u32, u32),
         replica: String,
         address: SocketAddrV4,
+        /// Wall time at which the incarnation started, in ms.
+        born: u64,
         answered_at: u64,
     }
 }
 
 common! {
-    /// Queue for the replicas of a service while their rate limits are used
-    /// up.
+    /// Queue for the replicas of a service while none accepts a request.
     pub struct Queue {
-        /// Number of replicas that have announced a rate limit.
+        /// Number of replicas whose announced rate limit is used up.
         pub replicas: usize,
-        /// Sum of their rate limits, in requests a second.
+        /// Number of replicas that have requested a backoff.
+        pub backing_off: usize,
+        /// Requests a second that the first replicas to accept requests again
+        /// accept from all nodes together.
         pub rate: f32,
         /// Time until the caller's turn, in ms.
         pub wait_ms: u64,
@@ -120,10 +125,11 @@
     cached: Vec<(u64, Cached)>,
     /// Parts that all nodes have sent to replicas lately.
     memory: Memory,
+    backoffs: Backoffs,
 }
 
-/// Longest wait announced to callers when the rate limits are used up, in ms.
-/// Few callers wait longer.
+/// Longest wait announced to callers beyond the time from which replicas accept
+/// requests again, in ms. Few callers wait longer.
 const MAX_QUEUE_WAIT_MS: u64 = 5000;
 /// Time for which a part sent to a replica is reported to the other nodes, in
 /// ms. It spans several datagrams, as one may be lost and as not every node is
@@ -143,6 +149,7 @@
             services: Vec::new(),
             cached: Vec::new(),
             memory: Memory::default(),
+            backoffs: Backoffs::default(),
         }
     }
 
@@ -171,6 +178,7 @@
             self.services[at].refresh(now, near, replicas, table, memory);
         }
         self.memory.expire(now);
+        self.apply_backoffs(now, table);
         for service in &mut self.services {
             if !names.contains(&service.name.as_str()) {
                 service.pool.set_replicas(&self.data_centre, &[]);
@@ -183,6 +191,29 @@
         }
     }
 
+    /// Passes the backoffs in force on to the routers, whose replicas may be
+    /// new incarnations.
+    fn apply_backoffs(&mut self, now: u64, table: &Table) {
+        if self.backoffs.is_empty() {
+            return;
+        }
+        let key = |replica: &table::Replica| {
+            backoff_key(replica.sighting.id.as_str())
+        };
+        let mut known: Vec<u64> = table.replicas().iter().map(key).collect();
+        known.sort_unstable();
+        self.backoffs
+            .expire(now, |replica| known.binary_search(&replica).is_ok());
+        for service in &mut self.services {
+            for (at, place) in service.places.iter().enumerate() {
+                let until = self
+                    .backoffs
+                    .until(backoff_key(&place.replica), place.born);
+                service.pool.set_backoff_at(at, until);
+            }
+        }
+    }
+
     fn service_or_new(
         &mut self,
         name: &str,
@@ -377,7 +408,9 @@
             Outcome::Failed | Outcome::Disconnected => {
                 routed.pool.record_end(now, ticket, started, None);
             }
-            Outcome::Abandoned => routed.pool.abandon(ticket, now, started),
+            Outcome::Abandoned | Outcome::BackedOff => {
+                routed.pool.abandon(ticket, now, started)
+            }
             Outcome::NotSent => routed.pool.cancel_unsent(ticket, now),
         }
     }
@@ -390,17 +423,48 @@
         }
     }
 
-    /// Queues a caller for whom the rate limits of a service's replicas leave
-    /// no room now; returns `None` if no replica has announced a rate limit.
+    /// Queues a caller for whom the rate limits and backoffs of a service's
+    /// replicas leave no room now; returns `None` if another replica serves.
+    ///
+    /// Callers are told to return one after the other, at the rate that the
+    /// replicas accept, from when they accept requests again.
     pub fn enqueue(&mut self, now: u64, service: &str) -> Option<Queue> {
         let routed = self.find(service)?;
-        let (replicas, rate) = routed.pool.rate_limit_totals()?;
-        let own = rate / (routed.pool.peers() + 1.0);
+        let shortage = routed.pool.shortage(now)?;
+        let own = shortage.rate / (routed.pool.peers() + 1.0);
         let step_ms = (1000.0 / own.max(f32::MIN_POSITIVE)) as u64;
-        let end = routed.queue_end.max(now).saturating_add(step_ms);
-        routed.queue_end = end.min(now + MAX_QUEUE_WAIT_MS);
-        let wait_ms = routed.queue_end - now;
-        Some(Queue { replicas, rate, wait_ms })
+        let start = now.max(shortage.ends_at);
+        let end = routed.queue_end.max(start).saturating_add(step_ms);
+        routed.queue_end = end.min(start.saturating_add(MAX_QUEUE_WAIT_MS));
+        Some(Queue {
+            replicas: shortage.limited,
+            backing_off: shortage.backing_off,
+            rate: shortage.rate,
+            wait_ms: routed.queue_end - now,
+        })
+    }
+
+    /// Records that a replica wants no requests, as of `notice`.
+    pub fn record_backoff(
+        &mut self,
+        now: u64,
+        service: &str,
+        replica: &str,
+        notice: Notice,
+    ) {
+        let key = backoff_key(replica);
+        self.backoffs.record(now, key, notice);
+        let services = &self.services;
+        let at = position(services, service, |routed| routed.name.as_str());
+        let Ok(at) = at else { return };
+        let routed = &mut self.services[at];
+        let until = self.backoffs.until(key, routed.born(replica));
+        routed.pool.set_backoff(replica, 0, until);
+    }
+
+    /// Returns the number of replicas with a backoff in force.
+    pub fn backing_off(&self, now: u64) -> usize {
+        self.backoffs.count(now)
     }
 
     /// Returns the id of the replica with this hash, if it is known.
@@ -501,6 +565,8 @@
         /// The attempt was given up for a reason that says nothing about the
         /// replica.
         Abandoned,
+        /// The replica rejected the request and requested a backoff.
+        BackedOff,
         /// The request was not sent.
         NotSent,
     }
@@ -513,6 +579,13 @@
         at.ok().map(|at| self.places[at].address)
     }
 
+    /// Returns the wall time at which a replica started, or 0.
+    fn born(&self, replica: &str) -> u64 {
+        let at =
+            position(&self.places, replica, |place| place.replica.as_str());
+        at.map_or(0, |at| self.places[at].born)
+    }
+
     fn refresh<'a>(
         &mut self,
         now: u64,
@@ -587,6 +660,7 @@
                     Ipv4Addr::from(says.ip),
                     says.port as u16,
                 ),
+                born: says.born,
                 answered_at: at.map_or(0, |at| old[at].answered_at),
             });
             if at.is_err() {
@@ -611,6 +685,11 @@
     (replica.hash(), replica.sighting.ip, replica.sighting.port)
 }
 
+/// Returns the hash of the replica's id, without the incarnation.
+fn backoff_key(replica: &str) -> u64 {
+    name_hash(table::replica_of(replica))
+}
+
 fn availability(replica: &table::Replica, is_heard: bool) -> Availability {
     match replica.state {
         State::Ready if is_heard => Availability::Serving,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -25,7 +25,7 @@
     Gateway,
     accept::{accept, cost_of, remove_hop_by_hop_headers},
     bodies::Reservation,
-    dialect::{AnswerInfo, AttemptInfo, RequestInfo},
+    dialect::{AnswerInfo, AttemptInfo, Backoff, RequestInfo},
     fleet::{Outcome, Target},
     flight::Flight,
     parts::{block_ends, prompt_blocks},
@@ -60,6 +60,10 @@
 /// Retry delay sent to callers while all replicas are full, in ms. A replica's
 /// queue holds at most a second's worth of requests.
 const REPLICAS_FULL_RETRY_AFTER_MS: u64 = 400;
+/// Shortest requested backoff that takes the place of the router's own penalty
+/// for a rejection, in ms. With a shorter one, a replica that rejects every
+/// request would be tried more often than one that requests none.
+const MIN_BACKOFF_MS: u64 = 1000;
 /// The highest urgency value, which is the least urgent one.
 const MAX_URGENCY: u32 = 9;
 
@@ -204,10 +208,7 @@
                 _ => self.pick(),
             };
             let Some(target) = target else {
-                let refusal = match tried {
-                    0 => self.check_rate_limits().unwrap_or(last),
-                    _ => last,
-                };
+                let refusal = self.refuse_without_replica(last);
                 return self.answer_or_refuse(answer, refusal);
             };
             if let Some(refusal) = self.check_predicted_wait(&target, tried) {
@@ -270,7 +271,8 @@
                 }
             }
             if !self.claim_retry() {
-                return self.answer_or_refuse(answer, last);
+                let refusal = self.refuse_without_replica(last);
+                return self.answer_or_refuse(answer, refusal);
             }
         }
     }
@@ -383,7 +385,7 @@
             flight.began_at(),
             &answer_info,
         );
-        self.log_notices(&target.replica, &answer_info);
+        self.record_notices(&target.replica, &answer_info);
         self.check_answer(&answer_info, &mut flight)?;
         let proves = response.status().is_success() && is_framed(&response);
         flight.began(&answer_info, proves);
@@ -423,7 +425,10 @@
             return failed(Verdict::NotRun, "another replica has the address");
         }
         if answer_info.not_run {
-            flight.end = Outcome::Failed;
+            flight.end = match answer_info.backoff {
+                Backoff::Ms(ms) if ms >= MIN_BACKOFF_MS => Outcome::BackedOff,
+                _ => Outcome::Failed,
+            };
             return failed(Verdict::NotRun, "the replica rejected it");
         }
         Ok(())
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -76,7 +76,7 @@
     mesh::{self, table::LocalReport},
     metrics::Metrics,
     timer::Timer,
-    util::{common, wall_ms},
+    util::common,
     wire::Cached,
 };
 
@@ -236,6 +236,8 @@
         let mut fleet = self.fleet();
         let table = mesh.table();
         fleet.refresh(now, &table, plan.as_ref().as_ref());
+        let backing_off = fleet.backing_off(now) as i64;
+        self.metrics.backing_off_replicas.set(backing_off);
         self.update_rate_limit_shares_in(&table, &mut fleet);
         self.connections.retain(|replica| fleet.has_replica(replica));
         self.refresh_quotas(now, &table, plan.as_ref().as_ref());
@@ -351,10 +353,9 @@
         let (Some(team), Some(mesh)) = (team, self.mesh.get()) else {
             return;
         };
-        let now = self.timer.now();
         let mut table = mesh.table();
-        let wall = wall_ms() as i64 + table.clock_offset(now);
-        let window = wall.max(0) as u64 / self.usage_window.length_ms.max(1);
+        let wall = self.corrected_wall_ms(&table);
+        let window = wall / self.usage_window.length_ms.max(1);
         table.count_began(window, &team.name);
     }
 }
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -1,20 +1,31 @@
 //! What replicas say in their answers about further requests of this node.
 //!
 //! A replica may reject a request and ask this node to send it nothing for a
-//! time, and it may announce that it leaves.
+//! time, and it may announce that it leaves. Both are kept in the fleet, whose
+//! routers then select other replicas.
 
 use tracing::{info, warn};
 
 use super::{
+    Gateway,
     dialect::{AnswerInfo, Backoff},
     forward::AcceptedRequest,
     refusal::id_text,
 };
+use crate::{backoff::Notice, mesh::table::Table, util::wall_ms};
+
+impl Gateway {
+    /// Returns the wall time, corrected by the clocks of the other nodes, in
+    /// ms.
+    pub(super) fn corrected_wall_ms(&self, table: &Table) -> u64 {
+        let wall = wall_ms() as i64 + table.clock_offset(self.timer.now());
+        wall.max(0) as u64
+    }
+}
 
 impl AcceptedRequest {
-    /// Logs and counts what an answer of a replica says about further
-    /// requests.
-    pub(super) fn log_notices(&self, replica: &str, answer: &AnswerInfo) {
+    /// Records what an answer of a replica says about further requests.
+    pub(super) fn record_notices(&self, replica: &str, answer: &AnswerInfo) {
         // Such an answer may be another replica's.
         if !answer.matches || answer.wrong_replica {
             return;
@@ -30,6 +41,8 @@
                     replica, request, backoff_ms,
                     "Replica requested a backoff."
                 );
+                let until = self.now().saturating_add(backoff_ms);
+                self.record_backoff(replica, until);
             }
             Backoff::Unreadable => {
                 metrics.unreadable.inc();
@@ -49,4 +62,19 @@
             );
         }
     }
+
+    fn record_backoff(&self, replica: &str, until: u64) {
+        let gateway = &self.gateway;
+        let wall_ms = match gateway.mesh.get() {
+            Some(mesh) => gateway.corrected_wall_ms(&mesh.table()),
+            None => wall_ms(),
+        };
+        let now = self.now();
+        let notice = Notice { until, wall_ms };
+        let mut fleet = gateway.fleet();
+        fleet.record_backoff(now, &self.service, replica, notice);
+        let backing_off = fleet.backing_off(now);
+        drop(fleet);
+        gateway.metrics.backing_off_replicas.set(backing_off as i64);
+    }
 }
--- a/src/gateway/overload.rs
+++ b/src/gateway/overload.rs
@@ -5,6 +5,7 @@
     forward::AcceptedRequest,
     refusal::{Cause, Refusal},
 };
+use crate::verdict::Verdict;
 
 /// Longest predicted time to the first token that is admitted, as a multiple
 /// of the route's latency target, for priorities 0, 1 and all others. A late
@@ -13,14 +14,24 @@
 const MAX_LATENCY_FACTORS: [f32; 3] = [2.5, 2.0, 1.5];
 
 impl AcceptedRequest {
-    /// Refuses a request while the rate limits of all replicas are used up.
-    pub fn check_rate_limits(&self) -> Option<Refusal> {
+    /// Returns the refusal of a request that has no replica to go to.
+    ///
+    /// If the request has not run and all replicas back off or have used up
+    /// their rate limits, the caller is told when one will accept it.
+    /// Otherwise returns `last`, the refusal by its last attempt.
+    pub fn refuse_without_replica(&self, last: Refusal) -> Refusal {
+        if last.verdict != Verdict::NotRun {
+            return last;
+        }
         let now = self.now();
-        let queue = self.gateway.fleet().enqueue(now, &self.service)?;
+        let Some(queue) = self.gateway.fleet().enqueue(now, &self.service)
+        else {
+            return last;
+        };
         let text = "the replicas take no more for now";
         let refusal = Refusal::retryable(text, queue.wait_ms);
         let cause = Some(Box::new(Cause::Limit(queue)));
-        Some(Refusal { cause, ..refusal })
+        Refusal { cause, ..refusal }
     }
 
     /// Refuses a stream that would begin far too late at the best replica.
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -51,7 +51,7 @@
             /// Longest predicted time that is admitted, in ms.
             limit_ms: u64,
         },
-        /// The rate limits of the replicas are used up.
+        /// The replicas back off or have used up their rate limits.
         Limit(Queue),
         /// The request is quarantined.
         Crashes {
@@ -196,6 +196,7 @@
                 target: "gateway",
                 request, route, status, verdict, after_ms, retry_after_ms,
                 replicas = queue.replicas,
+                backing_off = queue.backing_off,
                 takes_per_s = queue.rate,
                 "Refused: {text}."
             ),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 //!
 //! `docs/DESIGN.md` argues the choices; `docs/GLOSSARY.md` lists the words.
 
+pub mod backoff;
 pub mod board;
 pub mod caller;
 pub mod cli;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -82,6 +82,8 @@
     pub limited_replicas: Gauge,
     /// Backoffs that replicas have requested of this node.
     pub backoffs: Counter,
+    /// Replicas that this node sends nothing now, as they requested.
+    pub backing_off_replicas: Gauge,
     /// Answers in which a replica announced that it leaves.
     pub leaving_answers: Counter,
 }
@@ -128,6 +130,7 @@
             suspects: Counter::default(),
             limited_replicas: Gauge::default(),
             backoffs: Counter::default(),
+            backing_off_replicas: Gauge::default(),
             leaving_answers: Counter::default(),
             registry: Registry::default(),
         };
@@ -177,6 +180,11 @@
             "Backoffs that replicas have requested of this node",
             metrics.backoffs.clone(),
         );
+        registry.register(
+            "backing_off_replicas",
+            "Replicas that this node sends nothing now, as they requested",
+            metrics.backing_off_replicas.clone(),
+        );
         registry.register(
             "leaving_answers",
             "Answers in which a replica announced that it leaves",
--- a/tests/all/backoff.rs
+++ b/tests/all/backoff.rs
@@ -1,17 +1,21 @@
-//! Tests backoffs that replicas request.
+//! Tests backoffs that replicas request, and departures that they announce in
+//! their answers.
 
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex},
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use azuremount::{mesh::table::incarnation_id, wire::Sighting};
 use tokio::{
     task::{JoinHandle, JoinSet},
     time::{Instant, interval, sleep},
 };
 
-use crate::world::{Replica, TestNode, ok, post, sighting};
+use crate::world::{
+    CLOSE, Replica, TestNode, ended, events, ok, post, sighting, status,
+};
 
 /// Interval between two heartbeats of a replica.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
@@ -25,8 +29,12 @@
 /// What a stand-in replica does with a request.
 #[derive(Clone, Debug)]
 enum Mode {
+    /// Runs it.
+    Serves,
     /// Rejects it with this `Retry-After`.
     Rejects(String),
+    /// Breaks streams off after three events, and runs other requests.
+    Breaks,
     /// Answers every third request with status 500.
     Fails,
 }
@@ -34,6 +42,8 @@
 #[derive(Debug)]
 struct State {
     mode: Mode,
+    /// Whether each answer announces that the replica leaves.
+    leaves: bool,
     arrivals: Vec<Instant>,
     /// When a backoff was requested, and its length.
     backoffs: Vec<(Instant, Duration)>,
@@ -49,15 +59,29 @@
 
 impl StandIn {
     async fn spawn(id: &str, mode: Mode) -> StandIn {
-        let state = State { mode, arrivals: Vec::new(), backoffs: Vec::new() };
+        let state = State {
+            mode,
+            leaves: false,
+            arrivals: Vec::new(),
+            backoffs: Vec::new(),
+        };
         let state = Arc::new(Mutex::new(state));
         let shared = state.clone();
         let replica =
-            Replica::spawn(move |_| shared.lock().unwrap().answer()).await;
+            Replica::spawn(move |head| shared.lock().unwrap().answer(head))
+                .await;
         let address = replica.address;
         StandIn { id: id.to_owned(), address, state, _replica: replica }
     }
 
+    fn set(&self, mode: Mode) {
+        self.state.lock().unwrap().mode = mode;
+    }
+
+    fn arrivals(&self) -> Vec<Instant> {
+        self.state.lock().unwrap().arrivals.clone()
+    }
+
     /// Returns the largest number of requests that arrived during one backoff,
     /// and the number of backoffs.
     fn max_requests_in_backoff(&self) -> (usize, usize) {
@@ -83,10 +107,10 @@
 }
 
 impl State {
-    fn answer(&mut self) -> Vec<String> {
+    fn answer(&mut self, head: &str) -> Vec<String> {
         let now = Instant::now();
         self.arrivals.push(now);
-        match &self.mode {
+        let pieces = match &self.mode {
             Mode::Fails if self.arrivals.len().is_multiple_of(3) => {
                 let text = "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n";
                 vec![text.to_owned()]
@@ -102,10 +126,41 @@
                 let retry = format!("Retry-After: {value}\r\nContent-Length");
                 vec![text.replace("Content-Length", &retry)]
             }
+            _ if !head.contains("/resume/") => ok("fine"),
+            Mode::Serves => ended(events(next_event(head)..=12)),
+            Mode::Breaks => {
+                let from = next_event(head);
+                let mut pieces = events(from..=from + 2);
+                pieces.push(CLOSE.to_owned());
+                pieces
+            }
+        };
+        match self.leaves {
+            true => with_header(pieces, "Leaving: 1"),
+            false => pieces,
         }
     }
 }
 
+fn with_header(pieces: Vec<String>, line: &str) -> Vec<String> {
+    let add = |piece: String| match piece.strip_prefix("HTTP/1.1 ") {
+        Some(rest) => {
+            let (status, rest) = rest.split_once("\r\n").unwrap();
+            format!("HTTP/1.1 {status}\r\n{line}\r\n{rest}")
+        }
+        None => piece,
+    };
+    pieces.into_iter().map(add).collect()
+}
+
+/// Returns the event from which a stream starts or resumes.
+fn next_event(head: &str) -> u64 {
+    let last = head.to_lowercase();
+    let last = last.split("\r\nlast: ").nth(1);
+    let last = last.and_then(|rest| rest.lines().next()?.parse().ok());
+    last.unwrap_or(0) + 1
+}
+
 /// Sends heartbeats that say `ready` until the task is aborted.
 fn spawn_heartbeats(
     world: &TestNode,
@@ -128,13 +183,31 @@
     })
 }
 
+/// Returns a heartbeat of the incarnation that started at `born`.
+fn incarnation(replica: &StandIn, born: u64) -> Sighting {
+    let id = incarnation_id(&replica.id, born);
+    Sighting { born, ..sighting(&id, replica.address, 0) }
+}
+
+fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap().as_millis() as u64
+}
+
+/// An answer to a caller, and how long it took.
+struct Answered {
+    text: String,
+    began: Instant,
+    after: Duration,
+}
+
 /// Sends a request every [`REQUEST_INTERVAL`], whatever became of the earlier
 /// ones, to each of the paths in turn.
 async fn send_requests(
     world: &TestNode,
     length: Duration,
     paths: &[&'static str],
-) {
+) -> Vec<Answered> {
     let mut requests = JoinSet::new();
     let end = Instant::now() + length;
     let mut ticks = interval(REQUEST_INTERVAL);
@@ -146,14 +219,55 @@
         }
         let path = paths[id % paths.len()];
         requests.spawn(async move {
-            post(front, path, id, &id.to_string()).await;
+            let began = Instant::now();
+            let text = post(front, path, id, "").await;
+            Answered { text, began, after: began.elapsed() }
         });
     }
-    requests.join_all().await;
+    requests.join_all().await
 }
 
+fn count_served(answers: &[Answered]) -> usize {
+    answers.iter().filter(|answer| status(&answer.text) == "200").count()
+}
+
+fn retry_after(answer: &Answered) -> Option<f64> {
+    let text = answer.text.to_lowercase();
+    let value = text.split("retry-after: ").nth(1)?;
+    value.lines().next()?.trim().parse().ok()
+}
+
+const ALL_PATHS: [&str; 3] = ["/again/x", "/once/x", "/resume/x"];
+
 // ---- Backoffs --------------------------------------------------------------
 
+/// Guards against requests to a replica during a backoff that it requested,
+/// because no other replica is left.
+#[tokio::test]
+async fn replicas_that_all_back_off_are_sent_nothing() {
+    let mode = || Mode::Rejects("2".to_owned());
+    let first = StandIn::spawn("a", mode()).await;
+    let second = StandIn::spawn("b", mode()).await;
+    let replicas = [&first, &second];
+    let world = TestNode::open(&[]).await;
+    let heartbeats = spawn_heartbeats(&world, &replicas);
+    sleep(HEARTBEAT_INTERVAL).await;
+    let answers =
+        send_requests(&world, Duration::from_secs(5), &ALL_PATHS).await;
+    heartbeats.abort();
+    replicas.iter().for_each(|replica| replica.check());
+    assert_eq!(count_served(&answers), 0);
+    for answer in &answers {
+        let wait = retry_after(answer).expect("no Retry-After");
+        assert_eq!(status(&answer.text), "503", "{}", answer.text);
+        assert!(wait <= 8.0, "{wait}");
+    }
+    // Those that are refused during a backoff are told of its end.
+    let told = answers.iter().filter_map(retry_after);
+    let longest = told.fold(0.0, f64::max);
+    assert!(longest > 1.5, "longest Retry-After: {longest} s");
+}
+
 /// Guards against requests to a replica during a backoff that lasts longer
 /// than a replica is avoided that failed a request: other replicas fail
 /// requests too.
@@ -171,3 +285,149 @@
     heartbeats.abort();
     resting.check();
 }
+
+/// Guards against streams that resume at a replica during its backoff.
+#[tokio::test]
+async fn streams_do_not_resume_at_a_replica_that_backs_off() {
+    let resting = StandIn::spawn("a", Mode::Rejects("2".to_owned())).await;
+    let breaking = StandIn::spawn("b", Mode::Breaks).await;
+    let replicas = [&resting, &breaking];
+    let world = TestNode::open(&[]).await;
+    let heartbeats = spawn_heartbeats(&world, &replicas);
+    sleep(HEARTBEAT_INTERVAL).await;
+    let length = Duration::from_secs(5);
+    send_requests(&world, length, &["/resume/x"]).await;
+    heartbeats.abort();
+    resting.check();
+}
+
+/// Guards against a backoff that is forgotten when the list of replicas
+/// changes.
+#[tokio::test]
+async fn a_backoff_outlasts_a_change_of_the_list_of_replicas() {
+    let resting = StandIn::spawn("a", Mode::Rejects("5".to_owned())).await;
+    let world = TestNode::open(&[]).await;
+    let mut sequence = 1;
+    let mut says = |replica: &StandIn, state| {
+        let mut sighting = sighting(&replica.id, replica.address, state);
+        sequence += 1;
+        sighting.sequence = sequence;
+        world.node.apply_heartbeat(sighting);
+    };
+    says(&resting, 0);
+    sleep(HEARTBEAT_INTERVAL).await;
+    let load = send_requests(&world, Duration::from_secs(5), &["/again/x"]);
+    let changes = async {
+        for at in 0..8 {
+            sleep(Duration::from_millis(500)).await;
+            let other = StandIn::spawn(&format!("b{at}"), Mode::Serves).await;
+            says(&other, 0);
+            sleep(Duration::from_millis(50)).await;
+            says(&other, 2);
+            says(&resting, 0);
+        }
+    };
+    tokio::join!(load, changes);
+    resting.check();
+}
+
+/// Guards against a backoff that is recorded against a replica's former
+/// incarnation: the process that starts at its address rejects a request
+/// before its first heartbeat arrives.
+#[tokio::test]
+async fn a_backoff_requested_before_the_first_heartbeat_holds() {
+    let resting = StandIn::spawn("a", Mode::Rejects("3".to_owned())).await;
+    let world = TestNode::open(&[]).await;
+    let now = wall_ms();
+    world.node.apply_heartbeat(incarnation(&resting, now - 60_000));
+    sleep(HEARTBEAT_INTERVAL).await;
+    let load = send_requests(&world, Duration::from_secs(3), &["/again/x"]);
+    let restart = async {
+        sleep(Duration::from_millis(200)).await;
+        world.node.apply_heartbeat(incarnation(&resting, now));
+    };
+    tokio::join!(load, restart);
+    resting.check();
+}
+
+/// Guards against a backoff of a replica's former incarnation that keeps
+/// requests from the current one.
+#[tokio::test]
+async fn a_backoff_ends_with_its_incarnation() {
+    let endless = "99999999999999999999";
+    let replica = StandIn::spawn("a", Mode::Rejects(endless.to_owned())).await;
+    let world = TestNode::open(&[]).await;
+    world.node.apply_heartbeat(incarnation(&replica, wall_ms() - 60_000));
+    sleep(HEARTBEAT_INTERVAL).await;
+    assert_eq!(status(&world.get("/again/x").await), "503");
+    sleep(HEARTBEAT_INTERVAL).await;
+    replica.set(Mode::Serves);
+    world.node.apply_heartbeat(incarnation(&replica, wall_ms()));
+    sleep(HEARTBEAT_INTERVAL).await;
+    assert_eq!(status(&world.get("/again/x").await), "200");
+}
+
+/// Guards against a backoff that outlasts its end: the replica's share of the
+/// requests stays low because its rejections count as failures.
+#[tokio::test]
+async fn a_replica_has_its_share_again_after_a_backoff() {
+    let resting = StandIn::spawn("a", Mode::Rejects("1.5".to_owned())).await;
+    let serving = StandIn::spawn("b", Mode::Serves).await;
+    let replicas = [&resting, &serving];
+    let world = TestNode::open(&[]).await;
+    let heartbeats = spawn_heartbeats(&world, &replicas);
+    sleep(HEARTBEAT_INTERVAL).await;
+    let paths = ["/again/x"];
+    let answers =
+        send_requests(&world, Duration::from_millis(1200), &paths).await;
+    assert_eq!(count_served(&answers), answers.len());
+    resting.set(Mode::Serves);
+    // The end of the backoff, and one second.
+    sleep(Duration::from_millis(1300)).await;
+    let before = resting.arrivals().len();
+    let answers = send_requests(&world, Duration::from_secs(1), &paths).await;
+    heartbeats.abort();
+    let got = resting.arrivals().len() - before;
+    assert!(got * 3 >= answers.len(), "{got} of {}", answers.len());
+}
+
+/// Guards against a replica that is left out for good because its backoff
+/// can't be read.
+#[tokio::test]
+async fn an_unreadable_backoff_is_a_rejection_without_one() {
+    for value in ["-1", "soon", "1e300", ""] {
+        let odd = StandIn::spawn("a", Mode::Rejects(value.to_owned())).await;
+        let world = TestNode::open(&[("a", odd.address)]).await;
+        let answer = world.get("/again/x").await;
+        assert_eq!(status(&answer), "503", "{value:?}");
+        odd.set(Mode::Serves);
+        let answer = world.get("/again/x").await;
+        assert_eq!(status(&answer), "200", "{value:?}");
+    }
+}
+
+/// Guards against a caller that waits until its deadline although it is known
+/// that all replicas back off for longer.
+#[tokio::test]
+async fn a_request_that_no_replica_takes_in_time_is_refused_at_once() {
+    let resting = StandIn::spawn("a", Mode::Rejects("30".to_owned())).await;
+    let world = TestNode::open(&[("a", resting.address)]).await;
+    assert_eq!(status(&world.get("/again/x").await), "503");
+    let answers =
+        send_requests(&world, Duration::from_millis(500), &ALL_PATHS).await;
+    for answer in &answers {
+        assert_eq!(status(&answer.text), "503");
+        // Far below the deadline of the route.
+        assert!(answer.after < Duration::from_secs(5));
+        let wait = retry_after(answer).expect("no Retry-After");
+        assert!((20.0..=45.0).contains(&wait), "{wait}: {}", answer.text);
+    }
+    // The callers don't all return at the same moment.
+    let returns = answers.iter().filter_map(|answer| {
+        let wait = Duration::from_secs_f64(retry_after(answer)?);
+        Some(answer.began + answer.after + wait)
+    });
+    let (first, last) = (returns.clone().min(), returns.max());
+    let spread = last.unwrap() - first.unwrap();
+    assert!(spread > Duration::from_millis(200), "{spread:?}");
+}
