Send nothing to a replica whose answers announce that it leaves

What callers saw: a replica that had announced its departure in its answers went on getting requests for as long as its heartbeats said that it was ready, as they do when the one that says otherwise is lost or late. Its requests in flight end with it.

The gateway passed the header on and decided nothing by it; only heartbeats made a replica leave.

Change: the first answer of an incarnation that announces a departure, of whatever status, is a backoff without an end, so it is kept by this node alone against any later heartbeat of that incarnation. It is also entered in the table of the mesh as a departure, which all nodes are told within a round or two, as with a heartbeat that says so.

Weighed: keeping the news to this node. Each of the other nodes would then send the replica one request or more that ends with it.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -249,9 +249,11 @@
     }
 
     fn find(&mut self, service: &str) -> Option<&mut Routed> {
-        let at =
-            position(&self.services, service, |routed| routed.name.as_str());
-        at.ok().map(|at| &mut self.services[at])
+        self.find_at(service).map(|at| &mut self.services[at])
+    }
+
+    fn find_at(&self, service: &str) -> Option<usize> {
+        position(&self.services, service, |routed| routed.name.as_str()).ok()
     }
 
     /// Chooses a replica and counts the request as in flight there.
@@ -444,22 +446,24 @@
         })
     }
 
-    /// Records that a replica wants no requests, as of `notice`.
+    /// Records that a replica wants no requests, as of `notice`. Returns true
+    /// if its backoff lasts longer than was known.
     pub fn record_backoff(
         &mut self,
         now: u64,
         service: &str,
         replica: &str,
         notice: Notice,
-    ) {
+    ) -> bool {
+        let Some(at) = self.find_at(service) else { return false };
+        let routed = &mut self.services[at];
         let key = backoff_key(replica);
+        let born = routed.born(replica);
+        let before = self.backoffs.until(key, born);
         self.backoffs.record(now, key, notice);
-        let services = &self.services;
-        let at = position(services, service, |routed| routed.name.as_str());
-        let Ok(at) = at else { return };
-        let routed = &mut self.services[at];
-        let until = self.backoffs.until(key, routed.born(replica));
+        let until = self.backoffs.until(key, born);
         routed.pool.set_backoff(replica, 0, until);
+        until > before
     }
 
     /// Returns the number of replicas with a backoff in force.
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -12,7 +12,11 @@
     forward::AcceptedRequest,
     refusal::id_text,
 };
-use crate::{backoff::Notice, mesh::table::Table, util::wall_ms};
+use crate::{
+    backoff::{NEVER, Notice},
+    mesh::table::{self, Table},
+    util::wall_ms,
+};
 
 impl Gateway {
     /// Returns the wall time, corrected by the clocks of the other nodes, in
@@ -55,15 +59,34 @@
         }
         if answer.is_leaving {
             metrics.leaving_answers.inc();
-            info!(
-                target: "gateway",
-                replica, request,
-                "Replica announced in an answer that it leaves."
-            );
+            self.record_departure(replica, request);
+        }
+    }
+
+    /// Records that a replica leaves, here and for the other nodes.
+    fn record_departure(&self, replica: &str, request: &str) {
+        // Heartbeats may be lost, and the replica's next one may still say
+        // that it is ready. This node keeps to the announcement by itself.
+        if !self.record_backoff(replica, NEVER) {
+            return;
+        }
+        info!(
+            target: "gateway",
+            replica, request,
+            "Replica announced in an answer that it leaves."
+        );
+        let gateway = &self.gateway;
+        let Some(mesh) = gateway.mesh.get() else { return };
+        let hash = table::replica_hash(replica);
+        if mesh.table().apply_departure(self.now(), hash) {
+            gateway.refresh();
+            mesh.request_urgent_round();
         }
     }
 
-    fn record_backoff(&self, replica: &str, until: u64) {
+    /// Records that a replica is sent nothing until `until`. Returns true if
+    /// that is later than was known.
+    fn record_backoff(&self, replica: &str, until: u64) -> bool {
         let gateway = &self.gateway;
         let wall_ms = match gateway.mesh.get() {
             Some(mesh) => gateway.corrected_wall_ms(&mesh.table()),
@@ -72,9 +95,11 @@
         let now = self.now();
         let notice = Notice { until, wall_ms };
         let mut fleet = gateway.fleet();
-        fleet.record_backoff(now, &self.service, replica, notice);
+        let is_longer =
+            fleet.record_backoff(now, &self.service, replica, notice);
         let backing_off = fleet.backing_off(now);
         drop(fleet);
         gateway.metrics.backing_off_replicas.set(backing_off as i64);
+        is_longer
     }
 }
--- a/src/mesh/lives.rs
+++ b/src/mesh/lives.rs
@@ -394,9 +394,10 @@
         }
     }
 
-    /// Applies another node's report that a replica is leaving or has
-    /// departed. Returns true if the replica was ready here.
-    pub(super) fn apply_departure(&mut self, now: u64, hash: u64) -> bool {
+    /// Applies the news, of another node or from an answer of the replica,
+    /// that a replica is leaving or has departed. Returns true if the replica
+    /// was ready here.
+    pub fn apply_departure(&mut self, now: u64, hash: u64) -> bool {
         if !self.record_departure(now, hash) {
             return false;
         }
--- a/tests/all/backoff.rs
+++ b/tests/all/backoff.rs
@@ -13,8 +13,12 @@
     time::{Instant, interval, sleep},
 };
 
-use crate::world::{
-    CLOSE, Replica, TestNode, ended, events, ok, post, sighting, status,
+use crate::{
+    nodes::Site,
+    world::{
+        CLOSE, Replica, TestNode, apply_plan, ended, events, ok, post,
+        sighting, status,
+    },
 };
 
 /// Interval between two heartbeats of a replica.
@@ -26,6 +30,10 @@
 /// Maximum number of requests between the end of [`GRACE`] and the end of a
 /// backoff.
 const MAX_REQUESTS: usize = 2;
+/// Time after the first announcement of a departure within which requests may
+/// still arrive.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
 /// What a stand-in replica does with a request.
 #[derive(Clone, Debug)]
 enum Mode {
@@ -431,3 +439,91 @@
     let spread = last.unwrap() - first.unwrap();
     assert!(spread > Duration::from_millis(200), "{spread:?}");
 }
+
+// ---- Departures ------------------------------------------------------------
+
+/// Guards against requests to a replica whose answers say that it leaves,
+/// while its heartbeats, of which some are lost or late, say that it is ready.
+#[tokio::test]
+async fn a_replica_that_leaves_by_its_answers_is_sent_nothing() {
+    let leaving = StandIn::spawn("a", Mode::Serves).await;
+    let serving = StandIn::spawn("b", Mode::Serves).await;
+    let replicas = [&leaving, &serving];
+    let world = TestNode::open(&[]).await;
+    let heartbeats = spawn_heartbeats(&world, &replicas);
+    sleep(HEARTBEAT_INTERVAL).await;
+    leaving.state.lock().unwrap().leaves = true;
+    let began = Instant::now();
+    let answers =
+        send_requests(&world, Duration::from_secs(6), &ALL_PATHS).await;
+    heartbeats.abort();
+    assert_eq!(count_served(&answers), answers.len());
+    let arrivals = leaving.arrivals();
+    assert!(!arrivals.is_empty(), "the replica got no request");
+    let late = arrivals.iter().filter(|at| **at > began + DRAIN_TIME).count();
+    assert_eq!(late, 0, "requests that came too late");
+}
+
+/// Guards against an announcement that counts only in a complete success: it
+/// comes with a rejection, or in the head of a stream that breaks off.
+#[tokio::test]
+async fn any_answer_may_announce_a_departure() {
+    let modes = [Mode::Rejects("0".to_owned()), Mode::Breaks];
+    for (mode, path) in modes.into_iter().zip(["/once/x", "/resume/x"]) {
+        let leaving = StandIn::spawn("a", mode.clone()).await;
+        leaving.state.lock().unwrap().leaves = true;
+        let world = TestNode::open(&[]).await;
+        let heartbeats = spawn_heartbeats(&world, &[&leaving]);
+        sleep(HEARTBEAT_INTERVAL).await;
+        post(world.front, path, 1, "").await;
+        let first = leaving.arrivals().len();
+        assert!(first > 0, "{mode:?}");
+        leaving.set(Mode::Serves);
+        let length = Duration::from_secs(3);
+        send_requests(&world, length, &ALL_PATHS).await;
+        heartbeats.abort();
+        assert_eq!(leaving.arrivals().len(), first, "{mode:?}");
+    }
+}
+
+/// Guards against a node that goes on sending to a replica that has announced
+/// its departure in an answer to another node only.
+#[tokio::test]
+async fn nodes_tell_each_other_of_a_departure_in_an_answer() {
+    let leaving = StandIn::spawn("a", Mode::Serves).await;
+    leaving.state.lock().unwrap().leaves = true;
+    let site = Site::open(3, 0).await;
+    apply_plan(site.node(0), 1).await;
+    site.wait_until_all_serve().await;
+    for node in site.nodes() {
+        node.apply_heartbeat(sighting("a", leaving.address, 0));
+    }
+    let front = |at: usize| site.node(at).front().unwrap();
+    let answer = post(front(0), "/again/x", 1, "").await;
+    assert_eq!(status(&answer), "200");
+    // Several rounds of the mesh.
+    sleep(Duration::from_secs(2)).await;
+    for at in [1, 2] {
+        let answer = post(front(at), "/again/x", 1 + at, "").await;
+        assert_eq!(status(&answer), "503", "node {at}");
+    }
+    assert_eq!(leaving.arrivals().len(), 1);
+}
+
+/// Guards against a departure that keeps requests from the replica's next
+/// incarnation.
+#[tokio::test]
+async fn a_departure_ends_with_its_incarnation() {
+    let replica = StandIn::spawn("a", Mode::Serves).await;
+    replica.state.lock().unwrap().leaves = true;
+    let world = TestNode::open(&[]).await;
+    world.node.apply_heartbeat(incarnation(&replica, wall_ms() - 60_000));
+    sleep(HEARTBEAT_INTERVAL).await;
+    assert_eq!(status(&world.get("/again/x").await), "200");
+    sleep(HEARTBEAT_INTERVAL).await;
+    assert_eq!(status(&world.get("/again/x").await), "503");
+    replica.state.lock().unwrap().leaves = false;
+    world.node.apply_heartbeat(incarnation(&replica, wall_ms()));
+    sleep(HEARTBEAT_INTERVAL).await;
+    assert_eq!(status(&world.get("/again/x").await), "200");
+}
