Send an endpoint nothing during a backoff that it requests

The same fault as that of the gateway, on the product's own interface: a 503 with Retry-After of an engine or a plain service counted as a failure, the endpoint was asked again as soon as no other was left, and callers were told to come back after half a second.

Change: the dispatcher keeps the backoff of a rejection in the error, plain calls and model requests record it for the endpoint's incarnation, and the router leaves it out by the predicate that the gateway uses. Callers of plain calls are told of the first end. The queue that spreads their return moves from the gateway's fleet into the router, so both paths have one.

Ruled out: a departure in an endpoint's answers. An endpoint leaves by a call of its own, which entries hear at once; its answers say nothing of it.

--- a/examples/standin/engine.rs
+++ b/examples/standin/engine.rs
@@ -20,7 +20,6 @@
         dispatch::{Call, Dispatcher},
     },
     http_server::{Payload, Piece, Request, Response},
-    verdict::Verdict,
 };
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode};
@@ -65,6 +64,7 @@
     compute: AsyncMutex<()>,
     running: AtomicU32,
     waiting: AtomicU32,
+    rejected: AtomicU32,
     counts: Mutex<Counts>,
     cache: Mutex<Cache>,
     dispatcher: Dispatcher,
@@ -91,6 +91,7 @@
             compute: AsyncMutex::new(()),
             running: AtomicU32::new(0),
             waiting: AtomicU32::new(0),
+            rejected: AtomicU32::new(0),
             counts: Mutex::default(),
             cache: Mutex::default(),
             dispatcher: Dispatcher::open(),
@@ -111,6 +112,7 @@
             "pieces": counts.pieces,
             "requests": counts.requests,
             "wrong_resumes": counts.wrong_resumes,
+            "rejected": self.rejected.load(Ordering::Relaxed),
         })
     }
 
@@ -125,11 +127,13 @@
         if let Some(id) = request.uri.path().strip_prefix("/kv/") {
             return self.export(id);
         }
-        if self.faults.get() == Fault::Refuse || self.is_full() {
-            let status = StatusCode::SERVICE_UNAVAILABLE;
-            let mut response = Response::json(status, &json!({}));
-            response.set(Verdict::HEADER, Verdict::NotRun.as_str());
-            return response;
+        let fault = match self.is_full() {
+            true => Fault::Refuse,
+            false => self.faults.get(),
+        };
+        if let Some(rejection) = fault.rejection() {
+            self.rejected.fetch_add(1, Ordering::Relaxed);
+            return rejection;
         }
         let job = match self.read_job(&request).await {
             Ok(job) => job,
--- a/examples/standin/plain.rs
+++ b/examples/standin/plain.rs
@@ -10,10 +10,7 @@
     time::Duration,
 };
 
-use azuremount::{
-    http_server::{Request, Response},
-    verdict::Verdict,
-};
+use azuremount::http_server::{Request, Response};
 use http::StatusCode;
 use serde_json::{Value, json};
 use tokio::time::sleep;
@@ -28,6 +25,7 @@
     pub faults: Faults,
     work: Duration,
     running: AtomicU32,
+    rejected: AtomicU32,
     runs: Mutex<Vec<String>>,
     file: Option<Mutex<File>>,
 }
@@ -43,6 +41,7 @@
             faults: Faults::default(),
             work: Duration::from_millis(flags.piece_ms),
             running: AtomicU32::new(0),
+            rejected: AtomicU32::new(0),
             runs: Mutex::default(),
             file,
         }
@@ -54,16 +53,15 @@
 
     pub fn stats(&self) -> Value {
         let runs = self.runs.lock().expect("runs");
-        json!({ "runs": *runs })
+        let rejected = self.rejected.load(Ordering::Relaxed);
+        json!({ "runs": *runs, "rejected": rejected })
     }
 
     pub async fn serve(&self, request: Request) -> Response {
         let fault = self.faults.get();
-        if fault == Fault::Refuse {
-            let status = StatusCode::SERVICE_UNAVAILABLE;
-            let mut response = Response::json(status, &json!({}));
-            response.set(Verdict::HEADER, Verdict::NotRun.as_str());
-            return response;
+        if let Some(rejection) = fault.rejection() {
+            self.rejected.fetch_add(1, Ordering::Relaxed);
+            return rejection;
         }
         let key = request.header("idempotency-key").unwrap_or("-");
         self.record_run(key);
--- a/src/backoff.rs
+++ b/src/backoff.rs
@@ -17,6 +17,10 @@
 
 /// End of a backoff that lasts as long as the replica's incarnation.
 pub const NEVER: u64 = u64::MAX;
+/// Shortest requested backoff that takes the place of the router's own penalty
+/// for a rejection, in ms. With a shorter one, a replica that rejects every
+/// request would be tried more often than one that requests none.
+const MIN_BACKOFF_MS: u64 = 1000;
 /// Largest difference between the clocks of a replica and a node, in ms.
 const MAX_CLOCK_DIFFERENCE_MS: u64 = 100;
 /// Time for which the backoffs of a replica are kept that this node doesn't
@@ -59,6 +63,12 @@
             Backoff::Ms((seconds * 1000.0).ceil() as u64)
         })
     }
+
+    /// Whether a rejection that requests this backoff says nothing about the
+    /// replica beyond it. Otherwise the rejection is a failure.
+    pub fn replaces_penalty(self) -> bool {
+        matches!(self, Backoff::Ms(length) if length >= MIN_BACKOFF_MS)
+    }
 }
 
 common! {
--- a/src/caller.rs
+++ b/src/caller.rs
@@ -183,7 +183,7 @@
             let wait = wait.unwrap_or(give_up - Instant::now() + PAUSE);
             if !again || Instant::now() + wait >= give_up {
                 let text = failed.text;
-                return Err(CallError { verdict: sent, text });
+                return Err(CallError::new(sent, text));
             }
             self.leave();
             sleep(wait).await;
@@ -262,10 +262,8 @@
                 }
             };
             if Instant::now() + wait >= give_up {
-                return Err(CallError {
-                    verdict: Verdict::MayHaveRun,
-                    text: "its time is over".to_owned(),
-                });
+                let text = "its time is over";
+                return Err(CallError::new(Verdict::MayHaveRun, text));
             }
             self.leave();
             sleep(wait).await;
@@ -345,8 +343,6 @@
 fn failed_of(body: &[u8]) -> CallError {
     let value: Value = serde_json::from_slice(body).unwrap_or_default();
     let verdict = value["verdict"].as_str().and_then(Verdict::parse);
-    CallError {
-        verdict: verdict.unwrap_or(Verdict::MayHaveRun),
-        text: value["error"].as_str().unwrap_or("no reason given").to_owned(),
-    }
+    let text = value["error"].as_str().unwrap_or("no reason given");
+    CallError::new(verdict.unwrap_or(Verdict::MayHaveRun), text)
 }
--- a/src/decide/route/mod.rs
+++ b/src/decide/route/mod.rs
@@ -30,12 +30,13 @@
 mod baseline;
 mod cost;
 mod replica;
+mod shortage;
 mod weights;
 
 use rand::{SeedableRng, rngs::StdRng};
 
-pub use self::weights::Weights;
 use self::{replica::Replica, weights::MIN_FETCH_TOKENS};
+pub use self::{shortage::Shortage, weights::Weights};
 use super::{
     prefix::Index,
     rate_limit::{Allocation, Bucket},
@@ -147,20 +148,6 @@
     }
 }
 
-/// Why no serving replica accepts a request, and when one will.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Shortage {
-    /// Number of replicas with a rate limit and without a backoff.
-    pub limited: usize,
-    /// Number of replicas that back off.
-    pub backing_off: usize,
-    /// When the first backoff ends, if all replicas back off; otherwise 0.
-    pub ends_at: u64,
-    /// Requests a second, from all entries together, that the replicas accept
-    /// after that.
-    pub rate: f32,
-}
-
 common! {
     copy
     /// One request in flight at one replica.
@@ -215,6 +202,9 @@
     /// Time to compute one prompt token on a replica without other work, in
     /// ms.
     unloaded_token_ms: f32,
+    /// When the last caller in the queue was told to return; see
+    /// [`Pool::enqueue`].
+    queue_end: u64,
 }
 
 /// Minimum number of computed tokens for a prompt to count as a sample of the
@@ -257,6 +247,7 @@
             picks_since_update: 0,
             work_ms: 0.0,
             unloaded_token_ms: weights.token_ms,
+            queue_end: 0,
         }
     }
 
@@ -355,37 +346,6 @@
         }
     }
 
-    /// Returns when and at what rate the serving replicas accept requests
-    /// again; `None` if one of them has neither a backoff nor a rate limit, or
-    /// if there are none.
-    pub fn shortage(&self, now: u64) -> Option<Shortage> {
-        let mut shortage = Shortage::default();
-        let serving =
-            self.replicas.iter().filter(|replica| replica.is_serving());
-        let mut ends: Vec<(u64, f32)> = Vec::new();
-        for replica in serving {
-            if replica.is_backing_off(now) {
-                shortage.backing_off += 1;
-                let slots = replica.identity.slots.max(1) as f32;
-                let per_s = 1000.0 * slots / self.weights.hold_ms.max(1.0);
-                ends.push((replica.backoff_until, per_s));
-            } else {
-                shortage.limited += 1;
-                shortage.rate += replica.bucket?.limit();
-            }
-        }
-        if shortage.limited == 0 {
-            let first = ends.iter().min_by_key(|(until, _)| *until)?;
-            (shortage.ends_at, shortage.rate) = *first;
-        }
-        Some(shortage)
-    }
-
-    /// Returns the number of other entries that route by the same policy.
-    pub fn peers(&self) -> f32 {
-        self.peers
-    }
-
     /// Updates the properties that may change while the list of replicas stays
     /// the same: availability, slots and whether the VM is reclaimable, in the
     /// order of the replicas' ids.
--- /dev/null
+++ b/src/decide/route/shortage.rs
@@ -0,0 +1,64 @@
+//! Times at which refused callers return while no replica accepts a request.
+
+use super::Pool;
+
+/// Longest wait announced to callers beyond the time from which replicas accept
+/// requests again, in ms. Few callers wait longer.
+const MAX_QUEUE_WAIT_MS: u64 = 5000;
+
+/// Why no serving replica accepts a request, and when one will.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Shortage {
+    /// Number of replicas whose rate limit is used up.
+    pub limited: usize,
+    /// Number of replicas that back off.
+    pub backing_off: usize,
+    /// When the first backoff ends if all replicas back off, otherwise 0.
+    pub ends_at: u64,
+    /// Requests a second, from all entries together, that the first replicas
+    /// to accept requests accept.
+    pub rate: f32,
+}
+
+impl Pool {
+    /// Queues a caller for whom the rate limits and backoffs of the replicas
+    /// leave no room now. Returns why, and the time until the caller's turn in
+    /// ms; `None` if a serving replica has neither.
+    ///
+    /// Callers are told to return one after the other, at the rate that the
+    /// replicas accept, from the time at which they accept requests again.
+    pub fn enqueue(&mut self, now: u64) -> Option<(Shortage, u64)> {
+        let shortage = self.shortage(now)?;
+        let own = shortage.rate / (self.peers + 1.0);
+        let step_ms = (1000.0 / own.max(f32::MIN_POSITIVE)) as u64;
+        let start = now.max(shortage.ends_at);
+        let end = self.queue_end.max(start).saturating_add(step_ms);
+        self.queue_end = end.min(start.saturating_add(MAX_QUEUE_WAIT_MS));
+        Some((shortage, self.queue_end - now))
+    }
+
+    fn shortage(&self, now: u64) -> Option<Shortage> {
+        let mut shortage = Shortage::default();
+        let mut first_end: Option<(u64, f32)> = None;
+        let serving =
+            self.replicas.iter().filter(|replica| replica.is_serving());
+        for replica in serving {
+            if !replica.is_backing_off(now) {
+                shortage.limited += 1;
+                shortage.rate += replica.bucket?.limit();
+                continue;
+            }
+            shortage.backing_off += 1;
+            let end = replica.backoff_until;
+            if first_end.is_none_or(|(first, _)| end < first) {
+                let slots = replica.identity.slots.max(1) as f32;
+                let rate = 1000.0 * slots / self.weights.hold_ms.max(1.0);
+                first_end = Some((end, rate));
+            }
+        }
+        if shortage.limited == 0 {
+            (shortage.ends_at, shortage.rate) = first_end?;
+        }
+        Some(shortage)
+    }
+}
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -28,7 +28,7 @@
 };
 use tokio::{net::TcpStream, time::timeout};
 
-use crate::verdict::Verdict;
+use crate::{backoff::Backoff, verdict::Verdict};
 
 /// Time limit for establishing a connection.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -47,15 +47,23 @@
     pub verdict: Verdict,
     /// Description of the failure.
     pub text: String,
+    /// The backoff that the endpoint requested with a rejection.
+    pub backoff: Backoff,
 }
 
 impl CallError {
+    /// Creates an error of a call that requested no backoff.
+    pub fn new(verdict: Verdict, text: impl ToString) -> CallError {
+        let text = text.to_string();
+        CallError { verdict, text, backoff: Backoff::None }
+    }
+
     fn not_run(text: impl ToString) -> CallError {
-        CallError { verdict: Verdict::NotRun, text: text.to_string() }
+        CallError::new(Verdict::NotRun, text)
     }
 
     fn may_have_run(text: impl ToString) -> CallError {
-        CallError { verdict: Verdict::MayHaveRun, text: text.to_string() }
+        CallError::new(Verdict::MayHaveRun, text)
     }
 }
 
@@ -278,7 +286,9 @@
         .is_some_and(|value| value == Verdict::NotRun.as_str());
     if refused {
         let status = response.status();
-        return Err(CallError::not_run(format!("refused with {status}")));
+        let backoff = Backoff::parse(status, response.headers());
+        let failed = CallError::not_run(format!("refused with {status}"));
+        return Err(CallError { backoff, ..failed });
     }
     Ok(response)
 }
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -3,11 +3,12 @@
 use tracing::info;
 
 use crate::{
+    backoff::{Backoffs, Notice},
     config::{Config, Kind},
     decide::route::{
         Availability, Choice, Identity, Policy, Pool, RouteRequest, Weights,
     },
-    util::{position, random_id},
+    util::{mix, name_hash, position, random_id},
     wire::{Endpoint, Load},
 };
 
@@ -26,6 +27,7 @@
     /// entry, until control's list no longer contains them.
     announced_departures: Vec<(String, u64)>,
     pools: Vec<ServicePool>,
+    backoffs: Backoffs,
     local_data_centre: String,
     peer_count: usize,
 }
@@ -45,6 +47,7 @@
             endpoints: Vec::new(),
             announced_departures: Vec::new(),
             pools: Vec::new(),
+            backoffs: Backoffs::default(),
             local_data_centre: local_data_centre.to_owned(),
             peer_count: 0,
         }
@@ -146,6 +149,41 @@
                 service.recompute_percent as f32 / 100.0,
             );
             pool.set_replicas(&local_data_centre, &replicas);
+            for endpoint in replicas {
+                let (id, incarnation) = (endpoint.id, endpoint.incarnation);
+                let until =
+                    self.backoffs.until(backoff_key(&id, incarnation), 0);
+                if let Some(pool) = self.pool(&service.name) {
+                    pool.set_backoff(&id, incarnation, until);
+                }
+            }
+        }
+    }
+
+    /// Records that an endpoint wants no requests until `until`.
+    pub fn record_backoff(
+        &mut self,
+        now: u64,
+        service: &str,
+        choice: &Choice,
+        until: u64,
+    ) {
+        let (id, incarnation) = (choice.id.as_str(), choice.incarnation);
+        let key = backoff_key(id, incarnation);
+        // The key names the incarnation, so the wall time has no use.
+        let notice = Notice { until, wall_ms: 0 };
+        let known = self.endpoints.iter().map(|endpoint| {
+            let (id, incarnation) = endpoint.identity();
+            backoff_key(id, incarnation)
+        });
+        let mut known: Vec<u64> = known.collect();
+        known.sort_unstable();
+        self.backoffs
+            .expire(now, |endpoint| known.binary_search(&endpoint).is_ok());
+        self.backoffs.record(now, key, notice);
+        let until = self.backoffs.until(key, 0);
+        if let Some(pool) = self.pool(service) {
+            pool.set_backoff(id, incarnation, until);
         }
     }
 
@@ -214,3 +252,7 @@
         &mut self.pools[at].pool
     }
 }
+
+fn backoff_key(id: &str, incarnation: u64) -> u64 {
+    mix(name_hash(id) ^ incarnation)
+}
--- a/src/entry/model.rs
+++ b/src/entry/model.rs
@@ -29,6 +29,7 @@
     suspects,
 };
 use crate::{
+    backoff::Backoff,
     config::Service,
     decide::{
         moving::{self, Stream},
@@ -344,14 +345,22 @@
         let result = self.stream(endpoint, choice).await;
         let now = self.state.now();
         let started = self.record.len() > resumed_at;
-        let duration_ms = match result {
-            Attempt::Failed(_) => None,
-            _ => Some(now.saturating_sub(sent_at) as f32),
+        let (duration_ms, backoff) = match &result {
+            Attempt::Failed(failed) => (None, failed.backoff),
+            _ => (Some(now.saturating_sub(sent_at) as f32), Backoff::None),
         };
+        let service = &self.record.service;
+        self.state.record_backoff(service, choice, backoff);
         let mut fleet = self.state.fleet();
-        if let Some(pool) = fleet.pool(&self.record.service) {
-            pool.record_end(now, choice.ticket, started, duration_ms);
+        if let Some(pool) = fleet.pool(service) {
+            match backoff.replaces_penalty() {
+                true => pool.abandon(choice.ticket, now, started),
+                false => {
+                    pool.record_end(now, choice.ticket, started, duration_ms);
+                }
+            }
         }
+        drop(fleet);
         result
     }
 
@@ -362,8 +371,7 @@
     ) -> Attempt {
         let Ok(address) = endpoint.address.parse() else {
             let text = "it has no usable address".to_owned();
-            let verdict = Verdict::NotRun;
-            return Attempt::Failed(CallError { verdict, text });
+            return Attempt::Failed(CallError::new(Verdict::NotRun, text));
         };
         let call = self.call(address);
         let silence = self.silence_timeout();
@@ -388,8 +396,9 @@
         }
         if !status.is_success() {
             let text = format!("the engine said {status}");
-            let verdict = Verdict::MayHaveRun;
-            return Attempt::Failed(CallError { verdict, text });
+            let failed = CallError::new(Verdict::MayHaveRun, text);
+            let backoff = Backoff::parse(status, response.headers());
+            return Attempt::Failed(CallError { backoff, ..failed });
         }
         if let Some(load) = plain::parse_load(response.headers()) {
             self.record_load(choice, load);
@@ -589,6 +598,5 @@
 }
 
 fn interrupted(text: impl ToString) -> Attempt {
-    let verdict = Verdict::MayHaveRun;
-    Attempt::Failed(CallError { verdict, text: text.to_string() })
+    Attempt::Failed(CallError::new(Verdict::MayHaveRun, text))
 }
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -36,6 +36,7 @@
     state::Shared,
 };
 use crate::{
+    backoff::Backoff,
     config::Service,
     decide::route::{Choice, RouteRequest},
     fingerprint,
@@ -54,6 +55,9 @@
 /// Maximum number of attempts for one request, each at a different endpoint.
 const MAX_ATTEMPTS: u32 = 4;
 
+/// Retry delay sent to callers when no endpoint could take a call, in ms.
+const NO_ENDPOINT_RETRY_AFTER_MS: u64 = 500;
+
 /// A validated call to a plain service.
 #[derive(Clone, Debug)]
 pub struct ServiceCall {
@@ -218,11 +222,15 @@
         }
         sleep(Duration::from_millis(wait)).await;
     }
-    Err(no_endpoint(verdict))
+    Err(no_endpoint(state, &service_call.service.name, verdict))
 }
 
-fn no_endpoint(verdict: Verdict) -> Refusal {
-    let mut refusal = Refusal::retryable("no endpoint could take it", 500);
+fn no_endpoint(state: &Shared, service: &str, verdict: Verdict) -> Refusal {
+    let now = state.now();
+    let mut fleet = state.fleet();
+    let queued = fleet.pool(service).and_then(|pool| pool.enqueue(now));
+    let wait_ms = queued.map_or(NO_ENDPOINT_RETRY_AFTER_MS, |(_, wait)| wait);
+    let mut refusal = Refusal::retryable("no endpoint could take it", wait_ms);
     refusal.verdict = verdict;
     refusal
 }
@@ -341,9 +349,10 @@
     // at most `SETTLE_TIMEOUT` for this: a late release only delays a retry.
     let freed = release(key, owner);
     let freed = settle_within(state, freed, SETTLE_TIMEOUT).await;
-    let mut refusal = no_endpoint(Verdict::NotRun);
+    let service = &service_call.service.name;
+    let mut refusal = no_endpoint(state, service, Verdict::NotRun);
     if !freed {
-        refusal.retry_after_ms = Some(2000);
+        refusal.retry_after_ms = refusal.retry_after_ms.max(Some(2000));
     }
     Err(refusal)
 }
@@ -517,9 +526,17 @@
     result: &Result<Answer, CallError>,
 ) {
     let now = state.now();
+    let backoff = match result {
+        Ok(answer) => Backoff::parse(answer.status, &answer.headers),
+        Err(failed) => failed.backoff,
+    };
+    state.record_backoff(service, choice, backoff);
     let mut fleet = state.fleet();
     let Some(pool) = fleet.pool(service) else { return };
     match result {
+        Err(_) if backoff.replaces_penalty() => {
+            pool.abandon(choice.ticket, now, false);
+        }
         Ok(answer) => {
             let duration_ms = now.saturating_sub(sent_at) as f32;
             pool.record_end(now, choice.ticket, true, Some(duration_ms));
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -4,16 +4,18 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use tokio::runtime::Handle;
+use tracing::{info, warn};
 
 use super::{
     admission::Admission, dispatch::Dispatcher, endpoints::Renewals,
     fleet::Fleet, peers::Peers, requests::Table,
 };
 use crate::{
+    backoff::Backoff,
     board::Cell,
     config::Config,
     control::client::Client,
-    decide::{quarantine::Quarantine, retry::Budget},
+    decide::{quarantine::Quarantine, retry::Budget, route::Choice},
     metrics::Metrics,
     settings,
     timer::Timer,
@@ -120,6 +122,36 @@
         self.retries.lock().unwrap_or_else(|held| held.into_inner())
     }
 
+    /// Records the backoff, if any, that an endpoint requested in an answer.
+    pub fn record_backoff(
+        &self,
+        service: &str,
+        choice: &Choice,
+        backoff: Backoff,
+    ) {
+        let endpoint = &choice.id;
+        let now = self.now();
+        match backoff {
+            Backoff::None => {}
+            Backoff::Unreadable => {
+                self.metrics.unreadable.inc();
+                warn!(
+                    target: "entry",
+                    endpoint, "Can't read the backoff in a response."
+                );
+            }
+            Backoff::Ms(backoff_ms) => {
+                self.metrics.backoffs.inc();
+                info!(
+                    target: "entry",
+                    endpoint, backoff_ms, "Endpoint requested a backoff."
+                );
+                let until = now.saturating_add(backoff_ms);
+                self.fleet().record_backoff(now, service, choice, until);
+            }
+        }
+    }
+
     /// Returns whether this entry holds a lease, and so may accept new
     /// requests.
     pub fn holds_lease(&self) -> bool {
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -20,7 +20,7 @@
         retry::{Bound, Window},
         route::{
             Availability, Choice, Identity, Policy, Pool, RouteRequest,
-            Ticket, Weights,
+            Shortage, Ticket, Weights,
         },
     },
     mesh::{
@@ -85,21 +85,6 @@
     }
 }
 
-common! {
-    /// Queue for the replicas of a service while none accepts a request.
-    pub struct Queue {
-        /// Number of replicas whose announced rate limit is used up.
-        pub replicas: usize,
-        /// Number of replicas that have requested a backoff.
-        pub backing_off: usize,
-        /// Requests a second that the first replicas to accept requests again
-        /// accept from all nodes together.
-        pub rate: f32,
-        /// Time until the caller's turn, in ms.
-        pub wait_ms: u64,
-    }
-}
-
 #[derive(Debug)]
 struct Routed {
     name: String,
@@ -109,8 +94,6 @@
     repeats: Window,
     /// Whether the weights are those of a service in the plan.
     planned: bool,
-    /// Time at which the last caller in the queue was told to retry.
-    queue_end: u64,
 }
 
 /// Services that have or had replicas.
@@ -128,9 +111,6 @@
     backoffs: Backoffs,
 }
 
-/// Longest wait announced to callers beyond the time from which replicas accept
-/// requests again, in ms. Few callers wait longer.
-const MAX_QUEUE_WAIT_MS: u64 = 5000;
 /// Time for which a part sent to a replica is reported to the other nodes, in
 /// ms. It spans several datagrams, as one may be lost and as not every node is
 /// sent one in each round if there are many.
@@ -240,7 +220,6 @@
                     places: Vec::new(),
                     repeats: Window::open(self.bound),
                     planned: planned.is_some(),
-                    queue_end: 0,
                 };
                 self.services.insert(at, routed);
                 at
@@ -425,25 +404,14 @@
         }
     }
 
-    /// Queues a caller for whom the rate limits and backoffs of a service's
-    /// replicas leave no room now; returns `None` if another replica serves.
-    ///
-    /// Callers are told to return one after the other, at the rate that the
-    /// replicas accept, from when they accept requests again.
-    pub fn enqueue(&mut self, now: u64, service: &str) -> Option<Queue> {
-        let routed = self.find(service)?;
-        let shortage = routed.pool.shortage(now)?;
-        let own = shortage.rate / (routed.pool.peers() + 1.0);
-        let step_ms = (1000.0 / own.max(f32::MIN_POSITIVE)) as u64;
-        let start = now.max(shortage.ends_at);
-        let end = routed.queue_end.max(start).saturating_add(step_ms);
-        routed.queue_end = end.min(start.saturating_add(MAX_QUEUE_WAIT_MS));
-        Some(Queue {
-            replicas: shortage.limited,
-            backing_off: shortage.backing_off,
-            rate: shortage.rate,
-            wait_ms: routed.queue_end - now,
-        })
+    /// Queues a caller for whom no replica of a service has room now; see
+    /// [`Pool::enqueue`].
+    pub fn enqueue(
+        &mut self,
+        now: u64,
+        service: &str,
+    ) -> Option<(Shortage, u64)> {
+        self.find(service)?.pool.enqueue(now)
     }
 
     /// Records that a replica wants no requests, as of `notice`. Returns true
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -25,7 +25,7 @@
     Gateway,
     accept::{accept, cost_of, remove_hop_by_hop_headers},
     bodies::Reservation,
-    dialect::{AnswerInfo, AttemptInfo, Backoff, RequestInfo},
+    dialect::{AnswerInfo, AttemptInfo, RequestInfo},
     fleet::{Outcome, Target},
     flight::Flight,
     parts::{block_ends, prompt_blocks},
@@ -60,10 +60,6 @@
 /// Retry delay sent to callers while all replicas are full, in ms. A replica's
 /// queue holds at most a second's worth of requests.
 const REPLICAS_FULL_RETRY_AFTER_MS: u64 = 400;
-/// Shortest requested backoff that takes the place of the router's own penalty
-/// for a rejection, in ms. With a shorter one, a replica that rejects every
-/// request would be tried more often than one that requests none.
-const MIN_BACKOFF_MS: u64 = 1000;
 /// The highest urgency value, which is the least urgent one.
 const MAX_URGENCY: u32 = 9;
 
@@ -425,9 +421,9 @@
             return failed(Verdict::NotRun, "another replica has the address");
         }
         if answer_info.not_run {
-            flight.end = match answer_info.backoff {
-                Backoff::Ms(ms) if ms >= MIN_BACKOFF_MS => Outcome::BackedOff,
-                _ => Outcome::Failed,
+            flight.end = match answer_info.backoff.replaces_penalty() {
+                true => Outcome::BackedOff,
+                false => Outcome::Failed,
             };
             return failed(Verdict::NotRun, "the replica rejected it");
         }
--- a/src/gateway/overload.rs
+++ b/src/gateway/overload.rs
@@ -24,13 +24,11 @@
             return last;
         }
         let now = self.now();
-        let Some(queue) = self.gateway.fleet().enqueue(now, &self.service)
-        else {
-            return last;
-        };
+        let queued = self.gateway.fleet().enqueue(now, &self.service);
+        let Some((shortage, wait_ms)) = queued else { return last };
         let text = "the replicas take no more for now";
-        let refusal = Refusal::retryable(text, queue.wait_ms);
-        let cause = Some(Box::new(Cause::Limit(queue)));
+        let refusal = Refusal::retryable(text, wait_ms);
+        let cause = Some(Box::new(Cause::Shortage(shortage)));
         Refusal { cause, ..refusal }
     }
 
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -7,12 +7,9 @@
 use tokio::time::Instant;
 use tracing::info;
 
-use super::{
-    fleet::Queue,
-    server::{Body, full},
-};
+use super::server::{Body, full};
 use crate::{
-    decide::{quarantine::Reason, quota::Shortage},
+    decide::{quarantine::Reason, quota, route::Shortage},
     fingerprint,
     metrics::{Metrics, Outcome},
     util::common,
@@ -33,7 +30,7 @@
             /// Cost of the request.
             cost: u64,
             /// What the quota lacks for it.
-            shortage: Shortage,
+            shortage: quota::Shortage,
             /// Average propagation delay of reports from other entries, in ms.
             word_ms: u64,
             /// Percentage of the entries that this node receives reports from.
@@ -52,7 +49,7 @@
             limit_ms: u64,
         },
         /// The replicas back off or have used up their rate limits.
-        Limit(Queue),
+        Shortage(Shortage),
         /// The request is quarantined.
         Crashes {
             /// Fingerprint of the request.
@@ -192,12 +189,12 @@
                 replica, foretold_ms, limit_ms,
                 "Refused: {text}."
             ),
-            Some(Cause::Limit(queue)) => info!(
+            Some(Cause::Shortage(shortage)) => info!(
                 target: "gateway",
                 request, route, status, verdict, after_ms, retry_after_ms,
-                replicas = queue.replicas,
-                backing_off = queue.backing_off,
-                takes_per_s = queue.rate,
+                replicas = shortage.limited,
+                backing_off = shortage.backing_off,
+                takes_per_s = shortage.rate,
                 "Refused: {text}."
             ),
             Some(Cause::Crashes { fingerprint, reason }) => info!(
--- a/tests/all/product.rs
+++ b/tests/all/product.rs
@@ -258,6 +258,44 @@
     assert!(resident_kb < 256 * 1024, "{resident_kb} kB");
 }
 
+/// Guards against requests to an endpoint during a backoff that it requested
+/// with a rejection, and against callers that are told to return before its
+/// end.
+#[test]
+fn an_endpoint_is_sent_nothing_during_its_backoff() {
+    let cluster = small_cluster();
+    let red = ("azuremount-team", "red");
+    let rejected = |cluster: &Cluster, name: &str| {
+        let stats = cluster.get(name, "/standin/stats");
+        stats["rejected"].as_u64().expect("a number of rejections")
+    };
+    cluster.fault("p1", "back_off", Some(60));
+    for number in 0..5 {
+        let key = format!("k{number}");
+        let headers = [red, ("idempotency-key", key.as_str())];
+        let path = "/v1/services/alerts/send";
+        let answer = cluster.http("e1", Method::POST, path, &headers, "x");
+        let answer = answer.expect("entry answers");
+        assert_eq!(answer.status.as_u16(), 503);
+        let wait = &answer.headers["retry-after"];
+        let wait: u64 = wait.to_str().unwrap().parse().unwrap();
+        assert!((30..=70).contains(&wait), "Retry-After: {wait}");
+    }
+    assert_eq!(rejected(&cluster, "p1"), 1);
+    cluster.fault("m1", "back_off", Some(60));
+    let chat = json!({
+        "model": "model", "max_tokens": 2,
+        "messages": [{ "role": "user", "content": "x" }],
+    });
+    let headers = [red, ("azuremount-deadline-ms", "2000")];
+    let path = "/v1/chat/completions";
+    for _ in 0..2 {
+        let body = chat.to_string();
+        let _ = cluster.http("e1", Method::POST, path, &headers, &body);
+    }
+    assert_eq!(rejected(&cluster, "m1"), 1);
+}
+
 /// Guards against requests that wait forever for the rest of their body. A
 /// caller that stops sending in the middle of the body receives 408, and the
 /// request is not run.
