soak: replicas request backoffs and leave by their answers

Replicas request backoffs of single nodes while faults are injected, and say in each answer that they leave once they do. Callers say in two headers, which nodes forward, to which node and when they sent a request.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -18,6 +18,7 @@
 use crate::{
     KEY, Shared,
     http::{Failed, Sender, call, connect},
+    notice,
     promise::Kind,
     replica::{STREAM_EVENTS, body, event, seal},
 };
@@ -36,6 +37,8 @@
     known: Vec<SocketAddrV4>,
     known_at: Option<Instant>,
     connection: Option<Sender>,
+    /// Number of the node that the connection leads to.
+    node: usize,
 }
 
 impl Caller {
@@ -50,6 +53,7 @@
             known: Vec::new(),
             known_at: None,
             connection: None,
+            node: 0,
         }
     }
 
@@ -85,14 +89,21 @@
     async fn ask(&mut self, kind: Kind, id: &str) -> Result<bool, Failed> {
         let mut sender = match self.connection.take() {
             Some(kept) if kept.is_ready() => kept,
-            _ => connect(self.entry().await?).await?,
+            _ => {
+                let (node, address) = self.entry().await?;
+                self.node = node;
+                connect(address).await?
+            }
         };
+        let sent_ms = self.shared.started.elapsed().as_millis();
         let request = Request::builder()
             .method(Method::POST)
             .uri(format!("{}x", kind.prefix()))
             .header("host", "here")
             .header("authorization", format!("Bearer {KEY}"))
             .header(wire::REQUEST_ID, id)
+            .header(notice::NODE, self.node.to_string())
+            .header(notice::SENT, sent_ms.to_string())
             .header(wire::DEADLINE, REQUEST_TIMEOUT.as_millis().to_string())
             .body(Full::new(Bytes::from(body(id))))?;
         let answer = sender.send_request(request).await?;
@@ -144,8 +155,9 @@
         Ok(true)
     }
 
-    /// Returns the proxy address of a random entry from the directory.
-    async fn entry(&mut self) -> Result<SocketAddrV4, Failed> {
+    /// Returns the node and the proxy address of a random entry from the
+    /// directory.
+    async fn entry(&mut self) -> Result<(usize, SocketAddrV4), Failed> {
         if self.known_at.is_none_or(|at| at.elapsed() > DIRECTORY_CACHE_TTL) {
             let directory = self.shared.any_directory();
             let asked = call(directory, Method::GET, wire::LOOKUP, None).await;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -8,6 +8,7 @@
 mod faults;
 mod http;
 mod limit;
+mod notice;
 mod operator;
 mod promise;
 mod proxy;
@@ -94,6 +95,10 @@
     fronts: OnceLock<Vec<Proxy>>,
     /// Rate limits that replicas announce.
     limits: limit::Limits,
+    /// Backoffs and departures that replicas say in their answers.
+    notices: notice::AllNotices,
+    /// When the run started.
+    started: Instant,
     running: AtomicBool,
     final_check: AtomicBool,
 }
@@ -104,8 +109,8 @@
         self.running.load(Ordering::Relaxed)
     }
 
-    /// Returns true once the last fault is over and rate limits no longer
-    /// vary.
+    /// Returns true once the last fault is over and what replicas say in their
+    /// answers no longer varies.
     pub fn is_final_check(&self) -> bool {
         self.final_check.load(Ordering::Relaxed)
     }
@@ -130,11 +135,13 @@
         self.fronts.get().map_or(&[], Vec::as_slice)
     }
 
-    /// Returns the address of the proxy in front of an entry.
-    pub fn through_proxy(&self, entry: SocketAddrV4) -> SocketAddrV4 {
+    /// Returns the number of an entry's node, and the address of the proxy in
+    /// front of it.
+    pub fn through_proxy(&self, entry: SocketAddrV4) -> (usize, SocketAddrV4) {
         let at = self.ips.iter().position(|ip| ip == entry.ip());
         let proxy = at.and_then(|at| self.fronts().get(at));
-        proxy.map_or(entry, |proxy| proxy.address)
+        let address = proxy.map_or(entry, |proxy| proxy.address);
+        (at.unwrap_or(usize::MAX), address)
     }
 }
 
@@ -204,6 +211,8 @@
         ips: site.nodes.iter().map(|node| node.ip).collect(),
         fronts: OnceLock::new(),
         limits: limit::Limits::default(),
+        notices: notice::AllNotices::default(),
+        started: Instant::now(),
         running: AtomicBool::new(true),
         final_check: AtomicBool::new(false),
     });
@@ -247,6 +256,7 @@
     tasks.push(tokio::spawn(operator::read(shared.clone())));
     tasks.push(tokio::spawn(fatal::repeat(shared.clone())));
     tasks.push(tokio::spawn(limit::vary_rate_limits(shared.clone())));
+    tasks.push(tokio::spawn(notice::vary(shared.clone())));
     let mut faults = Faults::new(shared.clone(), site, replicas, cloud);
     let until = Instant::now() + Duration::from_secs(arguments.seconds);
     faults.inject_until(until).await?;
@@ -255,7 +265,7 @@
     recover(&shared, &mut faults).await;
     fatal::check_quarantine(&shared, &mut faults).await?;
     shared.final_check.store(true, Ordering::Relaxed);
-    limit::check_compliance(&shared).await;
+    tokio::join!(limit::check_compliance(&shared), notice::check(&shared));
     shared.running.store(false, Ordering::Relaxed);
     for task in tasks {
         if let Err(error) = task.await {
--- a/soak/src/replica.rs
+++ b/soak/src/replica.rs
@@ -10,7 +10,7 @@
 use azuremount_platform::standin as wire;
 use bytes::Bytes;
 use futures_util::stream;
-use http::{HeaderValue, Method, Request, Response, StatusCode};
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -26,6 +26,7 @@
     SERVICE, Shared, TEAM, fatal,
     http::{Body, Failed, call, full, serve},
     limit::Limit,
+    notice::{self, Notices, Reaction},
     promise::Kind,
     proxy::Proxy,
 };
@@ -82,19 +83,21 @@
         let here = SocketAddrV4::new(Ipv4Addr::LOCALHOST, port);
         let proxy = Proxy::spawn(here).await?;
         let rng = StdRng::seed_from_u64(shared.seed ^ (number << 20));
+        let leaving = Arc::new(Mutex::new(false));
         let runner = Runner {
             id: id.clone(),
             shared: shared.clone(),
             rng: Arc::new(Mutex::new(rng)),
             end: Arc::new(Notify::new()),
             limit: shared.limits.open(),
+            notices: shared.notices.open(),
+            leaving: leaving.clone(),
         };
         let end = runner.end.clone();
         let handler = move |request| {
             let runner = runner.clone();
             async move { runner.answer(request).await }
         };
-        let leaving = Arc::new(Mutex::new(false));
         let born = now_ms();
         let incarnation = Incarnation { id, born, address: proxy.address };
         let heartbeats = send_heartbeats(shared, incarnation, leaving.clone());
@@ -242,6 +245,8 @@
     rng: Arc<Mutex<StdRng>>,
     end: Arc<Notify>,
     limit: Arc<Limit>,
+    notices: Arc<Notices>,
+    leaving: Arc<Mutex<bool>>,
 }
 
 impl Runner {
@@ -249,13 +254,37 @@
         lock(&self.rng).random_bool(part)
     }
 
-    /// Runs a request. Announces the rate limit, if any, in the answer.
+    /// Runs a request. Announces the rate limit and the departure, if any, in
+    /// the answer.
     async fn answer(
         &self,
         request: Request<Incoming>,
     ) -> Result<Response<Body>, Failed> {
         let per_s = self.limit.record_arrival();
-        let mut response = self.run(request).await?;
+        let reaction = self.react(&request);
+        let mut leaves = *lock(&self.leaving);
+        let mut response = match reaction {
+            Reaction::Reject(seconds) => {
+                let id = request.headers().get(wire::REQUEST_ID);
+                let mut rejection = Response::builder()
+                    .status(StatusCode::SERVICE_UNAVAILABLE)
+                    .header(wire::NOT_RUN, "1")
+                    .header(header::RETRY_AFTER, seconds.to_string());
+                if let Some(id) = id {
+                    rejection = rejection.header(wire::REQUEST_ID, id);
+                }
+                rejection.body(full(""))?
+            }
+            Reaction::Run => self.run(request).await?,
+            Reaction::RunAndLeave => {
+                leaves = true;
+                self.run(request).await?
+            }
+        };
+        if leaves {
+            let value = HeaderValue::from_static("1");
+            response.headers_mut().insert(wire::LEAVING, value);
+        }
         if let Some(per_s) = per_s {
             let value = HeaderValue::from_str(&format!("{per_s:.2}"))?;
             response.headers_mut().insert(wire::LIMIT, value);
@@ -263,6 +292,22 @@
         Ok(response)
     }
 
+    /// Records a request of a caller that says when it sent it and to which
+    /// node.
+    fn react(&self, request: &Request<Incoming>) -> Reaction {
+        let number = |name: &str| -> Option<u64> {
+            request.headers().get(name)?.to_str().ok()?.parse().ok()
+        };
+        let (Some(node), Some(sent_ms)) =
+            (number(notice::NODE), number(notice::SENT))
+        else {
+            return Reaction::Run;
+        };
+        let sent = self.shared.started + Duration::from_millis(sent_ms);
+        let mut rng = lock(&self.rng);
+        self.notices.record_arrival(node as usize, sent, &mut rng)
+    }
+
     async fn run(
         &self,
         request: Request<Incoming>,
