Bound the wait that callers are told, and keep the notices of incarnations apart

A replica's notices were kept as the longest and the latest one, so an endless one of the former incarnation could hide one of the next; they are kept in order of arrival now, each shorter than those before it.

Tests: callers_return_during_an_endless_backoff, each_incarnation_is_held_to_its_own_notices, backoffs_are_kept_as_long_as_their_replicas.

--- a/src/backoff.rs
+++ b/src/backoff.rs
@@ -26,6 +26,8 @@
 /// Time for which the backoffs of a replica are kept that this node doesn't
 /// know, in ms. It may only have been silent.
 const UNKNOWN_REPLICA_RETENTION_MS: u64 = 60_000;
+/// Maximum number of notices that are kept of one replica.
+const MAX_NOTICES: usize = 8;
 
 common! {
     copy
@@ -82,13 +84,12 @@
     }
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug)]
 struct Record {
     replica: u64,
-    /// The notice with the latest end.
-    longest: Notice,
-    /// The notice that arrived last, which alone may be of a new incarnation.
-    latest: Notice,
+    /// Notices in the order of arrival. Each ends before the ones that arrived
+    /// earlier, which may be of a former incarnation.
+    notices: Vec<Notice>,
     /// When the last notice arrived, by the timer's clock, in ms.
     arrived_at: u64,
 }
@@ -103,23 +104,22 @@
 impl Backoffs {
     /// Records a notice of `replica`, a hash of its id.
     pub fn record(&mut self, now: u64, replica: u64, notice: Notice) {
-        let record = Record {
-            replica,
-            longest: notice,
-            latest: notice,
-            arrived_at: now,
-        };
-        match position(&self.records, &replica, |record| &record.replica) {
-            Ok(at) => {
-                let before = self.records[at].longest;
-                let longest = match before.until > notice.until {
-                    true => before,
-                    false => notice,
-                };
-                self.records[at] = Record { longest, ..record };
-            }
-            Err(at) => self.records.insert(at, record),
+        let found =
+            position(&self.records, &replica, |record| &record.replica);
+        let at = found.unwrap_or_else(|at| {
+            let notices = Vec::new();
+            let record = Record { replica, notices, arrived_at: now };
+            self.records.insert(at, record);
+            at
+        });
+        let record = &mut self.records[at];
+        record.arrived_at = now;
+        let notices = &mut record.notices;
+        notices.retain(|known| known.until > notice.until.max(now));
+        if notices.len() == MAX_NOTICES {
+            notices.remove(0);
         }
+        notices.push(notice);
     }
 
     /// Returns the time until which the incarnation of `replica` that started
@@ -129,13 +129,11 @@
         let found =
             position(&self.records, &replica, |record| &record.replica);
         let Ok(at) = found else { return 0 };
-        let record = &self.records[at];
         let applies = |notice: &&Notice| {
             notice.wall_ms.saturating_add(MAX_CLOCK_DIFFERENCE_MS) >= born
         };
-        let notices = [&record.longest, &record.latest];
-        let ends = notices.into_iter().filter(applies);
-        ends.map(|notice| notice.until).max().unwrap_or(0)
+        let notices = self.records[at].notices.iter().filter(applies);
+        notices.map(|notice| notice.until).max().unwrap_or(0)
     }
 
     /// Returns true if no replica has requested a backoff.
@@ -145,17 +143,21 @@
 
     /// Returns the number of replicas with a backoff in force.
     pub fn count(&self, now: u64) -> usize {
-        let in_force = |record: &&Record| now < record.longest.until;
-        self.records.iter().filter(in_force).count()
+        self.records.iter().filter(|record| record.is_in_force(now)).count()
     }
 
     /// Removes backoffs that have ended, and those of unknown replicas.
     pub fn expire(&mut self, now: u64, is_known: impl Fn(u64) -> bool) {
         self.records.retain(|record| {
-            let is_kept = now
-                < record.arrived_at + UNKNOWN_REPLICA_RETENTION_MS
-                || is_known(record.replica);
-            now < record.longest.until && is_kept
+            let is_recent =
+                now < record.arrived_at + UNKNOWN_REPLICA_RETENTION_MS;
+            record.is_in_force(now) && (is_recent || is_known(record.replica))
         });
     }
 }
+
+impl Record {
+    fn is_in_force(&self, now: u64) -> bool {
+        self.notices.iter().any(|notice| now < notice.until)
+    }
+}
--- a/src/decide/route/shortage.rs
+++ b/src/decide/route/shortage.rs
@@ -5,6 +5,9 @@
 /// Longest wait announced to callers beyond the time from which replicas accept
 /// requests again, in ms. Few callers wait longer.
 const MAX_QUEUE_WAIT_MS: u64 = 5000;
+/// Longest time announced to callers until the first backoff ends, in ms. Later
+/// than that, other replicas may have started.
+const MAX_BACKOFF_WAIT_MS: u64 = 60_000;
 
 /// Why no serving replica accepts a request, and when one will.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -31,7 +34,7 @@
         let shortage = self.shortage(now)?;
         let own = shortage.rate / (self.peers + 1.0);
         let step_ms = (1000.0 / own.max(f32::MIN_POSITIVE)) as u64;
-        let start = now.max(shortage.ends_at);
+        let start = shortage.ends_at.clamp(now, now + MAX_BACKOFF_WAIT_MS);
         let end = self.queue_end.max(start).saturating_add(step_ms);
         self.queue_end = end.min(start.saturating_add(MAX_QUEUE_WAIT_MS));
         Some((shortage, self.queue_end - now))
--- a/tests/all/backoff.rs
+++ b/tests/all/backoff.rs
@@ -7,7 +7,11 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use azuremount::{mesh::table::incarnation_id, wire::Sighting};
+use azuremount::{
+    backoff::{Backoffs, NEVER, Notice},
+    mesh::table::incarnation_id,
+    wire::Sighting,
+};
 use tokio::{
     task::{JoinHandle, JoinSet},
     time::{Instant, interval, sleep},
@@ -399,6 +403,24 @@
     assert!(got * 3 >= answers.len(), "{got} of {}", answers.len());
 }
 
+/// Guards against callers that are told never to return because the only
+/// replica backs off for ever.
+#[tokio::test]
+async fn callers_return_during_an_endless_backoff() {
+    let endless = "99999999999999999999";
+    let replica = StandIn::spawn("a", Mode::Rejects(endless.to_owned())).await;
+    let world = TestNode::open(&[("a", replica.address)]).await;
+    for _ in 0..2 {
+        let began = Instant::now();
+        let text = world.get("/again/x").await;
+        let after = began.elapsed();
+        let wait = retry_after(&Answered { text, began, after });
+        let wait = wait.expect("no Retry-After");
+        assert!((30.0..=70.0).contains(&wait), "{wait}");
+    }
+    assert_eq!(replica.arrivals().len(), 1);
+}
+
 /// Guards against a replica that is left out for good because its backoff
 /// can't be read.
 #[tokio::test]
@@ -527,3 +549,43 @@
     sleep(HEARTBEAT_INTERVAL).await;
     assert_eq!(status(&world.get("/again/x").await), "200");
 }
+
+// ---- Without a network ------------------------------------------------------
+
+/// Guards against notices of two incarnations that are confused: the endless
+/// one of the former incarnation holds for the next one, or hides its own.
+#[test]
+fn each_incarnation_is_held_to_its_own_notices() {
+    let mut backoffs = Backoffs::default();
+    let mut record = |now, until, wall_ms| {
+        backoffs.record(now, 7, Notice { until, wall_ms });
+    };
+    record(1000, NEVER, 51_000);
+    // The next incarnation starts at the wall time 52,000.
+    record(3000, 6000, 53_000);
+    // A request that was in flight.
+    record(3100, 4100, 53_100);
+    assert_eq!(backoffs.until(7, 1), NEVER);
+    assert_eq!(backoffs.until(7, 52_000), 6000);
+    assert_eq!(backoffs.until(7, 60_000), 0);
+    assert_eq!(backoffs.until(8, 1), 0);
+}
+
+/// Guards against memory that grows with replicas that are gone, and against
+/// backoffs that end early because their replica is silent.
+#[test]
+fn backoffs_are_kept_as_long_as_their_replicas() {
+    let mut backoffs = Backoffs::default();
+    for replica in 0..100 {
+        backoffs.record(0, replica, Notice { until: NEVER, wall_ms: 0 });
+    }
+    backoffs.record(0, 100, Notice { until: 500, wall_ms: 0 });
+    assert_eq!((backoffs.count(0), backoffs.count(500)), (101, 100));
+    backoffs.expire(1000, |_| false);
+    assert_eq!(backoffs.count(0), 100);
+    backoffs.expire(100_000, |replica| replica == 3);
+    assert_eq!(backoffs.count(0), 1);
+    assert_eq!(backoffs.until(3, 0), NEVER);
+    backoffs.expire(100_000, |_| false);
+    assert!(backoffs.is_empty());
+}
