--- a/src/caller.rs
+++ b/src/caller.rs
@@ -1,11 +1,11 @@
-//! The caller's side: which entry to use, and what to do when it goes away.
+//! Client library for callers.
 //!
-//! A [`Caller`] keeps the list of entries for as long as it was told to, goes
-//! to the next one when an entry does not answer, comes back when a refusal
-//! says so, and reads a broken answer on from another entry. It sends a
-//! request again only after the verdict "not run", or when the request may be
-//! repeated. The command line and the examples use it; callers in other
-//! languages do the same by `docs/CALLERS.md`.
+//! A [`Caller`] caches the list of entries for the announced time, switches to
+//! the next entry when one does not answer, retries after the announced delay,
+//! and resumes an interrupted answer at another entry. It retries a request
+//! only after the verdict "not run", or if the request may be repeated. The
+//! command line and the examples use it. `docs/CALLERS.md` describes the
+//! protocol for clients in other languages.
 
 use std::{
     net::SocketAddr,
@@ -26,9 +26,9 @@
     verdict::Verdict,
 };
 
-/// Pause before asking the next entry.
-const PAUSE: Duration = Duration::from_millis(100);
-/// An entry that sends nothing for this long is left.
+/// Delay before a retry at the next entry.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Silence after which the caller switches to another entry.
 const SILENCE: Duration = Duration::from_secs(10);
 
 /// Makes requests on behalf of one team.
@@ -45,13 +45,13 @@
 /// A request for [`Caller::call`].
 #[derive(Clone, Debug)]
 pub struct PlainCall<'a> {
-    /// The plain service.
+    /// Name of the plain service.
     pub service: &'a str,
-    /// Path behind the service's name, with a slash.
+    /// Path after the service's name, with a leading slash.
     pub path: &'a str,
-    /// Needed where the call may not be repeated.
+    /// Idempotency key, required if the call must not run twice.
     pub key: Option<&'a str>,
-    /// The body of the POST.
+    /// Body of the POST request.
     pub body: Bytes,
 }
 
@@ -62,7 +62,7 @@
 }
 
 impl Caller {
-    /// Starts from addresses that are known to have been entries.
+    /// Creates a caller that knows the addresses of some entries.
     pub fn open(known: &[SocketAddr], team: &str) -> Caller {
         Caller {
             known: known.to_vec(),
@@ -74,7 +74,8 @@
         }
     }
 
-    /// The entries to use, best first; asks when the list is old.
+    /// Returns the entries to use, best first. Requests a new list if the
+    /// cached one has expired.
     pub async fn entries(&mut self) -> Vec<SocketAddr> {
         if Instant::now() < self.listed_until && !self.listed.is_empty() {
             return self.listed.clone();
@@ -121,7 +122,7 @@
         self.dispatcher.send_repeatable(call, limit, true).await
     }
 
-    /// Goes on to another entry, and asks for a new list.
+    /// Switches to another entry and discards the cached list.
     fn leave(&mut self) {
         self.at += 1;
         self.listed_until = Instant::now();
@@ -149,11 +150,11 @@
         headers
     }
 
-    /// Calls a plain service and waits for the whole answer.
+    /// Calls a plain service and waits for the complete answer.
     ///
     /// # Errors
     ///
-    /// The last failure, with what is known of whether the request ran.
+    /// Returns the last failure, with the verdict on all attempts.
     pub async fn call(
         &mut self,
         call: PlainCall<'_>,
@@ -174,13 +175,13 @@
             let (failed, wait) = match result {
                 Ok(answer) if !is_refusal(&answer) => return Ok(answer),
                 Ok(answer) => refusal_of(&answer),
-                Err(failed) => (failed, Some(PAUSE)),
+                Err(failed) => (failed, Some(RETRY_DELAY)),
             };
             sent = sent.and(failed.verdict);
             let keyed = call.key.is_some();
-            // With a key the system itself keeps a repeat from running.
+            // The idempotency key keeps a retry from running twice.
             let again = failed.verdict == Verdict::NotRun || keyed;
-            let wait = wait.unwrap_or(give_up - Instant::now() + PAUSE);
+            let wait = wait.unwrap_or(give_up - Instant::now() + RETRY_DELAY);
             if !again || Instant::now() + wait >= give_up {
                 let text = failed.text;
                 return Err(CallError::new(sent, text));
@@ -190,13 +191,14 @@
         }
     }
 
-    /// Makes a model call and hands each piece to `on_piece`.
+    /// Makes a model call and passes each piece to `on_piece`.
     ///
-    /// Returns the whole answer.
+    /// Returns the complete answer.
     ///
     /// # Errors
     ///
-    /// The last failure, once `limit` is over or repeating makes no sense.
+    /// Returns the last failure when `limit` has passed or a retry is
+    /// pointless.
     pub async fn chat(
         &mut self,
         body: &Value,
@@ -241,14 +243,14 @@
                     read
                 }
                 Err(failed) if failed.verdict == Verdict::NotRun => {
-                    Read::Refused(failed, PAUSE)
+                    Read::Refused(failed, RETRY_DELAY)
                 }
                 // A model call may be repeated, under the same key.
                 Err(_) => Read::Broken,
             };
             let wait = match read {
                 Read::Whole => return Ok(pieces.concat()),
-                Read::Broken => PAUSE,
+                Read::Broken => RETRY_DELAY,
                 Read::Refused(failed, wait) => {
                     if failed.verdict == Verdict::MayHaveRun
                         && failed.text.contains("nothing is known")
@@ -271,7 +273,7 @@
     }
 }
 
-/// Reads a streamed answer to its end, or to where it breaks off.
+/// Reads a streamed answer until it ends or is interrupted.
 async fn read_stream(
     response: Response<Incoming>,
     pieces: &mut Vec<String>,
@@ -286,7 +288,7 @@
             body: body.unwrap_or_default(),
         };
         let (failed, wait) = refusal_of(&answer);
-        return Read::Refused(failed, wait.unwrap_or(PAUSE));
+        return Read::Refused(failed, wait.unwrap_or(RETRY_DELAY));
     }
     let mut events = BodyDataStream::new(response.into_body()).eventsource();
     loop {
@@ -324,7 +326,7 @@
     }
 }
 
-/// True for an answer of the system rather than of the service.
+/// Whether an answer is a refusal by the system, not one of the service.
 fn is_refusal(answer: &Answer) -> bool {
     answer
         .headers
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,4 +1,4 @@
-//! What both daemons do before they run: version, settings, logs.
+//! Start-up of both daemons: version, settings and logging.
 
 use std::process::ExitCode;
 
@@ -7,12 +7,12 @@
     settings::{self, Errors, Logs},
 };
 
-/// Prints the version, or takes the settings and starts logging.
+/// Prints the version, or validates the settings and starts logging.
 ///
 /// # Errors
 ///
-/// The code to exit with at once: 0 after the version, 2 after saying what
-/// is wrong with the settings.
+/// Returns the code to exit with at once: 0 after printing the version, 2
+/// after printing the errors in the settings.
 pub fn prepare<S>(
     name: &str,
     version: bool,
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -1,13 +1,13 @@
-//! The HTTP edge: an `xitca-web` server behind one plain function.
+//! HTTP server, based on `xitca-web`.
 //!
-//! A handler gets a [`Request`] whose body has been read in full, within
-//! bounds, and returns a [`Response`]. What the server refuses by itself (too
-//! large a body, a body that stalls) never reaches a handler, and is answered
-//! with the verdict "not run".
+//! A handler receives a [`Request`] with its complete body, whose size is
+//! limited, and returns a [`Response`]. Requests with a body that is too large
+//! or that stalls never reach a handler; they are answered with the verdict
+//! "not run".
 //!
-//! The server runs on threads of its own, and uses no io_uring: `xitca-web`
-//! links a crate for it, but the feature that turns it on is off.
-//! `tests/product.rs` keeps watch over that.
+//! The server runs on its own threads and does not use io_uring: `xitca-web`
+//! links a crate for it, but the feature is disabled. `tests/product.rs`
+//! checks that.
 
 use std::{
     future::Future,
@@ -31,28 +31,29 @@
 
 use crate::verdict::Verdict;
 
-/// The largest request body, in bytes.
+/// Maximum length of a request body, in bytes.
 pub const BODY_LIMIT: usize = 4 * 1024 * 1024;
-/// How long a sender may take for the whole body.
+/// Time within which a client has to send the whole body.
 pub const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// The largest request head, in bytes.
+/// Maximum length of a request head, in bytes.
 const HEAD_LIMIT: usize = 64 * 1024;
 
-/// A request with its whole body.
+/// A request with its complete body.
 #[derive(Debug)]
 pub struct Request {
-    /// GET, POST and so on.
+    /// HTTP method.
     pub method: Method,
     /// Path and query.
     pub uri: Uri,
-    /// As they came in.
+    /// Headers as received.
     pub headers: HeaderMap,
-    /// At most [`BODY_LIMIT`] bytes.
+    /// Body of at most [`BODY_LIMIT`] bytes.
     pub body: Bytes,
 }
 
 impl Request {
-    /// A header's text; `None` when missing, doubled or not ASCII.
+    /// Returns the text of a header; `None` if it is missing, repeated or not
+    /// ASCII.
     pub fn header(&self, name: &str) -> Option<&str> {
         let mut all = self.headers.get_all(name).iter();
         let first = all.next()?;
@@ -62,12 +63,12 @@
         first.to_str().ok()
     }
 
-    /// True when a header stands there more than once.
+    /// Whether the request has several headers with this name.
     pub fn repeats(&self, name: &str) -> bool {
         self.headers.get_all(name).iter().count() > 1
     }
 
-    /// The value of a query parameter, undecoded.
+    /// Returns the value of a query parameter, without decoding it.
     pub fn query(&self, name: &str) -> Option<&str> {
         let query = self.uri.query()?;
         query
@@ -78,38 +79,39 @@
     }
 }
 
-/// What goes back to the client.
+/// An HTTP response.
 #[derive(Debug)]
 pub struct Response {
-    /// The status line's number.
+    /// Status code.
     pub status: StatusCode,
-    /// Besides those that the server writes itself.
+    /// Headers in addition to those that the server sets.
     pub headers: HeaderMap,
-    /// The answer.
+    /// Body of the response.
     pub body: Payload,
 }
 
-/// An answer's body.
+/// Body of a response.
 #[derive(Debug)]
 pub enum Payload {
-    /// Known at once.
+    /// The complete body.
     Full(Bytes),
-    /// In pieces. When the sender goes away without [`Piece::End`], the
-    /// connection is cut, so that a client can tell a part from the whole.
+    /// Streamed in pieces. If the sender is dropped without [`Piece::End`], the
+    /// connection is closed, so that a client can tell that the body is
+    /// incomplete.
     Stream(mpsc::Receiver<Piece>),
 }
 
-/// A part of a streamed answer.
+/// A piece of a streamed body.
 #[derive(Debug)]
 pub enum Piece {
-    /// More bytes.
+    /// Bytes of the body.
     Data(Bytes),
-    /// The answer is whole.
+    /// The body is complete.
     End,
 }
 
 impl Response {
-    /// A JSON answer.
+    /// Creates a response with a JSON body.
     pub fn json(status: StatusCode, value: &serde_json::Value) -> Response {
         let mut response = Response {
             status,
@@ -120,7 +122,7 @@
         response
     }
 
-    /// An answer of any type.
+    /// Creates a response with a body of any type.
     pub fn bytes(status: StatusCode, kind: &str, body: Bytes) -> Response {
         let mut response = Response {
             status,
@@ -131,7 +133,7 @@
         response
     }
 
-    /// Sets a header; a value that no header can hold is left out.
+    /// Sets a header. Values that are not valid in a header are ignored.
     pub fn set(&mut self, name: &'static str, value: &str) {
         if let Ok(value) = HeaderValue::from_str(value) {
             self.headers.insert(HeaderName::from_static(name), value);
@@ -152,7 +154,8 @@
 ///
 /// # Errors
 ///
-/// When the address can't be bound or the threads can't be started.
+/// Returns an error if the address can't be bound or the threads can't be
+/// started.
 pub fn spawn<H, F>(
     listen: SocketAddr,
     threads: usize,
@@ -167,7 +170,7 @@
     let address = listener.local_addr()?;
     let handler = Arc::new(handler);
     let (ready, started) = std::sync::mpsc::channel();
-    // The library takes a thread of its own to run on.
+    // The server blocks the thread that it runs on.
     let thread =
         std::thread::Builder::new().name("http".into()).spawn(move || {
             let app = App::new()
@@ -199,12 +202,13 @@
 }
 
 impl Server {
-    /// The address that it listens on.
+    /// Returns the address on which the server listens.
     pub fn address(&self) -> SocketAddr {
         self.address
     }
 
-    /// Stops taking connections, lets requests finish, and joins the threads.
+    /// Stops accepting connections, waits for the requests in flight, and joins
+    /// the threads.
     pub fn shutdown(mut self) {
         self.handle.stop(true);
         if let Some(thread) = self.thread.take() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,20 +1,24 @@
 //! azuremount serves language models and plain services from many small edge
 //! sites on cheap, reclaimable VMs.
 //!
-//! The library holds everything; the programs beside it are thin. Two parts
-//! run as daemons:
+//! The library contains all logic; the programs only parse arguments and call
+//! it. Two components run as daemons:
 //!
-//! - [`control`] keeps the replicated log on the few VMs with a disk:
+//! - [`control`] keeps the replicated log on the few VMs with a disk: the
 //!   configuration, claims on requests that must not run twice, and the fleet
 //!   of endpoints.
-//! - [`entry`] runs on every entry VM. It answers callers, forwards to
-//!   endpoints, and keeps nothing on disk.
+//! - [`entry`] runs on every entry VM. It answers callers, forwards requests to
+//!   endpoints, and stores nothing on disk.
 //!
-//! What they decide by stands apart from all I/O: [`control::raft`],
-//! [`control::ledger`], [`config`] and [`decide`] have no clock, socket or
-//! randomness of their own, and are tested against naive versions.
+//! [`node`] combines a [`gateway`], which forwards requests unchanged, with a
+//! member of the replicated log on VMs with a disk; [`mesh`] connects nodes.
 //!
-//! `docs/DESIGN.md` argues the choices; `docs/GLOSSARY.md` lists the words.
+//! The decision algorithms are separate from all I/O: [`control::raft`],
+//! [`control::ledger`], [`config`] and [`decide`] use no clock, socket or
+//! entropy source, and are tested against naive implementations.
+//!
+//! `docs/DESIGN.md` explains the choices; `docs/GLOSSARY.md` defines the
+//! terms.
 
 pub mod backoff;
 pub mod board;
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -1,7 +1,7 @@
-//! Logs: short sentences, each with the prefix of the part that speaks.
+//! Logging: each line is a short sentence with the name of the component.
 //!
 //! ```text
-//! 2026-12-02T08:00:00Z  INFO control: Leads term 4.
+//! 2026-12-02T08:00:00Z  INFO control: Became leader of term 4.
 //! ```
 
 use std::{
@@ -22,11 +22,11 @@
 
 common! {
     copy
-    /// How a log line is written.
+    /// Format of the log lines.
     pub enum Format {
-        /// For people.
+        /// Text for people.
         Text,
-        /// One JSON object a line.
+        /// One JSON object per line.
         Json,
     }
 }
@@ -58,7 +58,8 @@
 ///
 /// # Errors
 ///
-/// When the filter can't be read, or logging was started before.
+/// Returns an error if the filter is invalid or logging has already been
+/// started.
 pub fn open(format: Format, level: &str) -> Result<(), String> {
     let filter = EnvFilter::try_new(level)
         .map_err(|error| format!("{level:?} is no log filter: {error}"))?;
@@ -72,27 +73,27 @@
     started.map_err(|error| format!("can't start logging: {error}"))
 }
 
-/// Lines that may wait to be written: a few seconds' worth.
-const WAITING_LINES: usize = 2048;
-/// Lines written in a second at most. Three times what a node logs when all
-/// its requests are refused; beyond it lines only say the same again.
-const LINES_PER_SECOND: u64 = 300;
-/// Pause between two writes, so that one write takes many lines.
-const WRITE_PAUSE: Duration = Duration::from_millis(100);
+/// Maximum number of lines that wait to be written: some seconds of logging.
+const MAX_WAITING_LINES: usize = 2048;
+/// Maximum number of lines written in a second: three times what a node logs
+/// when it refuses all requests. Further lines would only repeat these.
+const MAX_LINES_PER_SECOND: u64 = 300;
+/// Interval between two writes, so that each write contains many lines.
+const WRITE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Starts logging JSON lines to standard output, by a thread of its own.
+/// Starts logging JSON lines to standard output, on a separate thread.
 ///
-/// Nothing that logs ever waits: a line that finds no room is dropped, and
-/// the next one written is followed by a count of those.
+/// Logging never blocks: when the queue is full, lines are dropped, and the
+/// next batch ends with the number of dropped lines.
 ///
 /// # Errors
 ///
-/// When the filter can't be read, the thread can't be started, or logging
-/// was started before.
+/// Returns an error if the filter is invalid, the thread can't be started, or
+/// logging has already been started.
 pub fn open_lines(level: &str) -> Result<(), String> {
     let filter = EnvFilter::try_new(level)
         .map_err(|error| format!("{level:?} is no log filter: {error}"))?;
-    let (queue, waiting) = sync_channel(WAITING_LINES);
+    let (queue, waiting) = sync_channel(MAX_WAITING_LINES);
     let dropped = Arc::new(AtomicU64::new(0));
     let lines = Lines { queue, dropped: dropped.clone() };
     std::thread::Builder::new()
@@ -110,13 +111,13 @@
         .map_err(|error| format!("can't start logging: {error}"))
 }
 
-/// Hands lines to the thread that writes them.
+/// Sends lines to the thread that writes them.
 struct Lines {
     queue: SyncSender<Vec<u8>>,
     dropped: Arc<AtomicU64>,
 }
 
-/// One line; handed over when dropped.
+/// One line, sent when dropped.
 struct Line<'a> {
     lines: &'a Lines,
     text: Vec<u8>,
@@ -160,7 +161,7 @@
         }
         let mut batch = Vec::new();
         for line in std::iter::once(first).chain(waiting.try_iter()) {
-            if written < LINES_PER_SECOND {
+            if written < MAX_LINES_PER_SECOND {
                 batch.extend_from_slice(&line);
                 written += 1;
             } else {
@@ -172,8 +173,8 @@
             let line = format!("{{\"dropped_lines\":{missing}}}\n");
             batch.extend_from_slice(line.as_bytes());
         }
-        // Where standard output is gone there is nobody to tell.
+        // A failure can't be reported: standard output is the only log.
         let _ = io::stdout().write_all(&batch);
-        std::thread::sleep(WRITE_PAUSE);
+        std::thread::sleep(WRITE_INTERVAL);
     }
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,8 +1,8 @@
-//! What an entry counts, for Prometheus.
+//! Metrics of an entry, in the format of Prometheus.
 //!
-//! Every histogram has the team and the service as labels. Both come from the
-//! configuration in force, never from a request, so that a caller can't make
-//! the number of series grow.
+//! All histograms have the team and the service as labels. Both come from the
+//! configuration in force, never from a request, so that a caller can't create
+//! additional series.
 
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
@@ -15,7 +15,7 @@
     registry::Registry,
 };
 
-/// Which team and service a value belongs to.
+/// Labels of a histogram.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct Labels {
     /// The team.
@@ -24,16 +24,16 @@
     pub service: String,
 }
 
-/// Why something was refused or failed, and whether it may have run.
+/// Labels of a refusal or failure.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct Outcome {
     /// The HTTP status.
     pub status: u16,
-    /// The verdict's words.
+    /// Text of the verdict.
     pub verdict: &'static str,
 }
 
-/// How a read of the plan ended.
+/// Label of a read of the plan.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct PlanRead {
     /// `read`, or the verdict of the error.
@@ -42,43 +42,43 @@
 
 type Histograms = Family<Labels, Histogram, fn() -> Histogram>;
 
-/// All that one entry counts.
+/// The metrics of one entry.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
-    /// Seconds from request to the end of its answer.
+    /// Time from a request to the end of its answer, in s.
     pub latency: Histograms,
-    /// Seconds from request to the first piece of answer.
+    /// Time from a request to the first piece of its answer, in s.
     pub first_token: Histograms,
-    /// Seconds between two pieces.
+    /// Time between two pieces of an answer, in s.
     pub between_tokens: Histograms,
-    /// Seconds that a request waited for admission.
+    /// Time that a request waited for admission, in s.
     pub queue_wait: Histograms,
-    /// Prompt tokens that an engine computed although another had them.
+    /// Prompt tokens computed by an engine although another had cached them.
     pub recomputed_tokens: Histograms,
     /// Answers other than success.
     pub outcomes: Family<Outcome, Counter>,
-    /// Requests under way.
+    /// Requests in flight.
     pub running: Gauge,
-    /// Streams moved to another endpoint.
+    /// Streams that were resumed at another endpoint.
     pub moved: Counter,
     /// Requests taken over from another entry.
     pub adopted: Counter,
-    /// The revision in force.
+    /// Configuration revision in force.
     pub revision: Gauge,
-    /// Reads of the plan through the quorum, by how they ended.
+    /// Reads of the plan through the quorum, by outcome.
     pub plan_reads: Family<PlanRead, Counter>,
-    /// The term of this node's own member of the log.
+    /// Term of this node's member of the replicated log.
     pub term: Gauge,
-    /// 1 while that member leads.
+    /// 1 while that member is the leader, otherwise 0.
     pub leads: Gauge,
-    /// Statements that name no replica to use.
+    /// Heartbeats and answer headers of replicas that can't be parsed.
     pub unreadable: Counter,
-    /// Replicas that ended under requests of this node.
+    /// Replicas that crashed with requests of this node in flight.
     pub ended_replicas: Counter,
-    /// Requests that became known with enough crashes to be kept away.
+    /// Requests that have reached the number of crashes for quarantine.
     pub suspects: Counter,
-    /// Replicas that have named the rate of requests that they take.
+    /// Replicas that have announced a rate limit.
     pub limited_replicas: Gauge,
     /// Backoffs that replicas have requested of this node.
     pub backoffs: Counter,
@@ -96,7 +96,7 @@
     Histogram::new(exponential_buckets(16.0, 2.0, 14))
 }
 
-/// One request under way, for as long as this lives.
+/// Counts one request as in flight until dropped.
 #[derive(Debug)]
 pub struct Running(Gauge);
 
@@ -107,7 +107,7 @@
 }
 
 impl Metrics {
-    /// Starts at zero.
+    /// Creates metrics that are all 0.
     pub fn open() -> Metrics {
         let mut registry = Registry::with_prefix("azuremount");
         let seconds = || Histograms::new_with_constructor(seconds);
@@ -134,7 +134,8 @@
             leaving_answers: Counter::default(),
             registry: Registry::default(),
         };
-        // First those that tell how control is, as collectors cut long pages.
+        // Metrics of control come first, because collectors truncate long
+        // pages.
         registry.register(
             "revision_in_force",
             "The configuration revision in force",
@@ -238,13 +239,13 @@
         Metrics { registry, ..metrics }
     }
 
-    /// Counts a request as under way until what is returned is dropped.
+    /// Counts a request as in flight until the returned guard is dropped.
     pub fn run(&self) -> Running {
         self.running.inc();
         Running(self.running.clone())
     }
 
-    /// Everything, in the text format that Prometheus reads.
+    /// Returns all metrics in the text format of Prometheus.
     pub fn encode(&self) -> String {
         let mut out = String::new();
         // Writing to a string does not fail.
--- a/src/signal.rs
+++ b/src/signal.rs
@@ -1,17 +1,17 @@
-//! The signals that ask a daemon to stop in order.
+//! The signals on which a daemon shuts down gracefully.
 //!
-//! SIGHUP is one of them: a daemon has no settings to read again, and a process
-//! that it ends leaves the requests that it has accepted without an answer.
+//! SIGHUP is one of them: a daemon has no settings to reload, and the default
+//! action would end the process without answering its accepted requests.
 
 use std::{future::Future, io};
 
 use tokio::signal::unix::{SignalKind, signal};
 
-/// Resolves at the first SIGTERM, SIGINT or SIGHUP from now on.
+/// Returns a future that resolves at the first SIGTERM, SIGINT or SIGHUP.
 ///
 /// # Errors
 ///
-/// When the handlers can't be installed.
+/// Returns an error if the handlers can't be installed.
 pub fn stop() -> io::Result<impl Future<Output = ()>> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
--- a/src/timer.rs
+++ b/src/timer.rs
@@ -1,8 +1,8 @@
-//! The process's one clock, and the service that wakes its parts.
+//! The clock of a process, and its timer service.
 //!
-//! Parts do not sleep on their own: they subscribe, and are called with the
-//! time. So the parts that decide anything take the time as an argument, and
-//! a test can hand them any time it likes.
+//! Components don't sleep by themselves: they subscribe, and are called with
+//! the time. Components that make decisions take the time as an argument, so a
+//! test can pass any time.
 //!
 //! ```no_run
 //! # async fn example() {
@@ -17,8 +17,8 @@
 //! ```
 //!
 //! The clock counts milliseconds since the process started and never jumps.
-//! It goes on while the process is stopped, so that a lease runs out for a
-//! process that is frozen.
+//! It also advances while the process is stopped, so the leases of a suspended
+//! process expire.
 
 use std::{
     sync::Arc,
@@ -59,7 +59,7 @@
 }
 
 impl Timer {
-    /// Starts the service on the running runtime.
+    /// Spawns the service on the current runtime.
     pub fn spawn() -> Timer {
         let (subscribe, new) = mpsc::unbounded_channel();
         let start = Instant::now();
@@ -67,14 +67,14 @@
         Timer { start, subscribe, task: Arc::new(Task(task)) }
     }
 
-    /// Milliseconds since the service started.
+    /// Returns the time since the service started, in ms.
     pub fn now(&self) -> u64 {
         self.start.elapsed().as_millis() as u64
     }
 
     /// Calls `notify` every `period` with the time, until it returns false.
     ///
-    /// It is called on the timer's task and must return at once.
+    /// It is called on the timer's task and must not block.
     pub fn subscribe(
         &self,
         period: Duration,
@@ -111,8 +111,8 @@
     if one.due > now {
         return true;
     }
-    // Ticks that were missed are not made up for: a thawed process would
-    // otherwise run its whole past at once.
+    // Missed ticks are skipped. A process that was suspended would otherwise
+    // run all of them at once.
     one.due = (one.due + one.period).max(now);
     (one.notify)(ms)
 }
--- a/src/util.rs
+++ b/src/util.rs
@@ -1,13 +1,13 @@
-//! Small helpers that several parts share.
+//! Small helper functions that several modules share.
 
 use std::{
     hash::{DefaultHasher, Hash, Hasher},
     time::{SystemTime, UNIX_EPOCH},
 };
 
-/// Gives a type the derives that nearly every type here has.
+/// Adds the derives that nearly all types have.
 ///
-/// With `copy` in front the type is `Copy` as well.
+/// Types after `copy` are also `Copy`, ordered and hashable.
 macro_rules! common {
     (copy $($item:tt)*) => {
         #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -20,21 +20,21 @@
 }
 pub(crate) use common;
 
-/// The wall clock, in milliseconds since 1970.
+/// Returns the wall time, in ms since 1970.
 ///
-/// Only for retention and for logs; leases use the timer's clock, which never
-/// jumps.
+/// Leases use the timer's clock instead, which never jumps.
 pub fn wall_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.map(|time| time.as_millis() as u64).unwrap_or(0)
 }
 
-/// A random number that is not zero, for incarnations and request ids.
+/// Returns a random nonzero number, for incarnations and request ids.
 pub fn random_id() -> u64 {
     rand::random::<u64>() | 1
 }
 
-/// Where `key` stands in a vector sorted by `by`, or where it would go.
+/// Returns the index of `key` in a vector sorted by `by`, or the index at
+/// which it would be inserted.
 pub fn position<T, K: Ord + ?Sized>(
     sorted: &[T],
     key: &K,
@@ -43,9 +43,8 @@
     sorted.binary_search_by(|item| by(item).cmp(key))
 }
 
-/// Puts `item` into a vector sorted by `by`, in place of its equal.
-///
-/// Returns what it replaced.
+/// Inserts `item` into a vector sorted by `by`, or replaces the item with the
+/// same key. Returns the replaced item.
 pub fn upsert<T, K: Ord + ?Sized>(
     sorted: &mut Vec<T>,
     item: T,
@@ -60,14 +59,14 @@
     }
 }
 
-/// A number for a name, the same in every process of one version.
+/// Returns a hash of a name, equal in all processes of one version.
 pub fn name_hash(name: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
     name.hash(&mut hasher);
     hasher.finish()
 }
 
-/// Spreads the bits of a number over all of it (the last steps of SplitMix).
+/// Mixes the bits of a number (the finalizer of SplitMix64).
 pub fn mix(number: u64) -> u64 {
     let mut mixed = number;
     mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
--- a/src/verdict.rs
+++ b/src/verdict.rs
@@ -1,7 +1,7 @@
-//! What is known about whether a request ran.
+//! Verdicts: whether a request may have run.
 //!
-//! Every refusal and every failure that a caller sees carries a [`Verdict`].
-//! It is the one thing a caller needs in order to decide what to do next:
+//! Every refusal and every failure that a caller receives carries a
+//! [`Verdict`], which determines what the caller may do next:
 //!
 //! | verdict | the caller may |
 //! |---|---|
@@ -9,9 +9,9 @@
 //! | `may have run` | ask for the outcome; a repeat could run it twice |
 //! | `ran` | read the answer again by its key |
 //!
-//! A verdict only ever moves from `not run` to `may have run` to `ran`: see
-//! [`Verdict::and`]. The first byte that leaves for an endpoint is the line
-//! between the first two.
+//! A verdict only changes from `not run` to `may have run` to `ran`; see
+//! [`Verdict::and`]. Once the first byte has been sent to an endpoint, a
+//! request may have run.
 
 use crate::util::common;
 
@@ -21,7 +21,7 @@
     pub enum Verdict {
         /// No endpoint was sent any part of it.
         NotRun,
-        /// It was sent, and what became of it is unknown.
+        /// It was sent, and the outcome is unknown.
         MayHaveRun,
         /// An endpoint answered it.
         Ran,
@@ -29,15 +29,15 @@
 }
 
 impl Verdict {
-    /// The header and JSON field that carry a verdict.
+    /// Name of the header and JSON field with a verdict.
     pub const HEADER: &'static str = "azuremount-verdict";
 
-    /// What is known after both were seen of one request.
+    /// Combines the verdicts of two attempts of one request.
     pub fn and(self, later: Verdict) -> Verdict {
         self.max(later)
     }
 
-    /// The words used towards callers.
+    /// Returns the text that callers receive.
     pub fn as_str(self) -> &'static str {
         match self {
             Verdict::NotRun => "not run",
@@ -46,13 +46,13 @@
         }
     }
 
-    /// Reads the words that [`Verdict::as_str`] gives.
+    /// Parses the text that [`Verdict::as_str`] returns.
     pub fn parse(text: &str) -> Option<Verdict> {
         let all = [Verdict::NotRun, Verdict::MayHaveRun, Verdict::Ran];
         all.into_iter().find(|verdict| verdict.as_str() == text)
     }
 
-    /// The number on the wire and on disk.
+    /// Returns the number on the wire and on disk.
     pub fn as_u32(self) -> u32 {
         match self {
             Verdict::NotRun => 0,
@@ -61,7 +61,8 @@
         }
     }
 
-    /// Reads a number off the wire. What is unknown may have run.
+    /// Converts a number from the wire. An unknown number counts as "may have
+    /// run".
     pub fn from_u32(number: u32) -> Verdict {
         match number {
             0 => Verdict::NotRun,
