Test that answers of other replicas set no backoff

answers_of_other_replicas_are_ignored: an answer with the id of another request, and a 421, with Retry-After and a departure. Passes on the code as it is.

--- a/tests/all/backoff.rs
+++ b/tests/all/backoff.rs
@@ -403,6 +403,26 @@
     assert!(got * 3 >= answers.len(), "{got} of {}", answers.len());
 }
 
+/// Guards against a backoff or a departure that another replica said: the
+/// answer belongs to another request, or its sender has taken over the
+/// address.
+#[tokio::test]
+async fn answers_of_other_replicas_are_ignored() {
+    let foreign = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nId: other\r\n\
+                   Retry-After: 60\r\nLeaving: 1\r\n\
+                   Content-Length: 0\r\n\r\n";
+    let misdirected = foreign.replace("503 Full", "421 Misdirected");
+    let misdirected = misdirected.replace("Id: other\r\n", "");
+    for answer in [foreign.to_owned(), misdirected] {
+        let mut replica = Replica::spawn(move |_| vec![answer.clone()]).await;
+        let world = TestNode::open(&[("a", replica.address)]).await;
+        for id in 0..2 {
+            post(world.front, "/once/x", id, "").await;
+        }
+        assert_eq!(replica.seen().len(), 2);
+    }
+}
+
 /// Guards against callers that are told never to return because the only
 /// replica backs off for ever.
 #[tokio::test]
