Hold an incarnation to the backoffs of requests that were sent to it

Found by reading. A notice holds for the incarnations that had started by its wall time, so one of a node whose clock has jumped back by seconds did not hold for a replica that had started within that time, although it had rejected a request that was sent to it. Until the other nodes' clocks are heard again, 0.3 s, nothing corrects the jump.

Change: a notice also keeps the incarnation that the node addressed, and always holds for it. A later incarnation still goes by the wall time.

--- a/src/backoff.rs
+++ b/src/backoff.rs
@@ -8,8 +8,9 @@
 //! An answer doesn't name the incarnation that sent it. A replica that has
 //! just restarted answers before its first heartbeat arrives, and the node
 //! then takes the answer for one of the former incarnation. [`Backoffs`]
-//! therefore keeps the wall time of each request for a backoff, and an
-//! incarnation is held to those that were made after its start.
+//! therefore keeps the wall time of each request for a backoff. An incarnation
+//! is held to those that were made after its start, and, as the node's clock
+//! may have jumped, to those in answers to requests that were sent to it.
 
 use http::{HeaderMap, StatusCode, header};
 
@@ -81,6 +82,9 @@
         pub until: u64,
         /// Wall time of the request for the backoff, in ms.
         pub wall_ms: u64,
+        /// Start of the incarnation that the node had sent the request to, as
+        /// wall time in ms; 0 if it is not known.
+        pub born: u64,
     }
 }
 
@@ -130,7 +134,9 @@
             position(&self.records, &replica, |record| &record.replica);
         let Ok(at) = found else { return 0 };
         let applies = |notice: &&Notice| {
-            notice.wall_ms.saturating_add(MAX_CLOCK_DIFFERENCE_MS) >= born
+            notice.born == born
+                || notice.wall_ms.saturating_add(MAX_CLOCK_DIFFERENCE_MS)
+                    >= born
         };
         let notices = self.records[at].notices.iter().filter(applies);
         notices.map(|notice| notice.until).max().unwrap_or(0)
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -170,8 +170,8 @@
     ) {
         let (id, incarnation) = (choice.id.as_str(), choice.incarnation);
         let key = backoff_key(id, incarnation);
-        // The key names the incarnation, so the wall time has no use.
-        let notice = Notice { until, wall_ms: 0 };
+        // The key names the incarnation.
+        let notice = Notice { until, wall_ms: 0, born: 0 };
         let known = self.endpoints.iter().map(|endpoint| {
             let (id, incarnation) = endpoint.identity();
             backoff_key(id, incarnation)
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -414,21 +414,22 @@
         self.find(service)?.pool.enqueue(now)
     }
 
-    /// Records that a replica wants no requests, as of `notice`. Returns true
-    /// if its backoff lasts longer than was known.
+    /// Records that a replica wants no requests until `until`, as it said at
+    /// the wall time `wall_ms`. Returns true if that is later than was known.
     pub fn record_backoff(
         &mut self,
         now: u64,
         service: &str,
         replica: &str,
-        notice: Notice,
+        until: u64,
+        wall_ms: u64,
     ) -> bool {
         let Some(at) = self.find_at(service) else { return false };
         let routed = &mut self.services[at];
         let key = backoff_key(replica);
         let born = routed.born(replica);
         let before = self.backoffs.until(key, born);
-        self.backoffs.record(now, key, notice);
+        self.backoffs.record(now, key, Notice { until, wall_ms, born });
         let until = self.backoffs.until(key, born);
         routed.pool.set_backoff(replica, 0, until);
         until > before
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -13,7 +13,7 @@
     refusal::id_text,
 };
 use crate::{
-    backoff::{NEVER, Notice},
+    backoff::NEVER,
     mesh::table::{self, Table},
     util::wall_ms,
 };
@@ -93,10 +93,9 @@
             None => wall_ms(),
         };
         let now = self.now();
-        let notice = Notice { until, wall_ms };
         let mut fleet = gateway.fleet();
         let is_longer =
-            fleet.record_backoff(now, &self.service, replica, notice);
+            fleet.record_backoff(now, &self.service, replica, until, wall_ms);
         let backing_off = fleet.backing_off(now);
         drop(fleet);
         gateway.metrics.backing_off_replicas.set(backing_off as i64);
--- a/tests/all/backoff.rs
+++ b/tests/all/backoff.rs
@@ -578,7 +578,8 @@
 fn each_incarnation_is_held_to_its_own_notices() {
     let mut backoffs = Backoffs::default();
     let mut record = |now, until, wall_ms| {
-        backoffs.record(now, 7, Notice { until, wall_ms });
+        let notice = Notice { until, wall_ms, born: 40_000 };
+        backoffs.record(now, 7, notice);
     };
     record(1000, NEVER, 51_000);
     // The next incarnation starts at the wall time 52,000.
@@ -591,15 +592,30 @@
     assert_eq!(backoffs.until(8, 1), 0);
 }
 
+/// Guards against a backoff that is dropped because the node's clock has jumped
+/// back to before the start of the replica.
+#[test]
+fn a_backoff_holds_although_the_clock_has_jumped_back() {
+    let mut backoffs = Backoffs::default();
+    let notice = Notice { until: 6000, wall_ms: 42_000, born: 52_000 };
+    backoffs.record(3000, 7, notice);
+    assert_eq!(backoffs.until(7, 52_000), 6000);
+    assert_eq!(backoffs.until(7, 60_000), 0);
+}
+
 /// Guards against memory that grows with replicas that are gone, and against
 /// backoffs that end early because their replica is silent.
 #[test]
 fn backoffs_are_kept_as_long_as_their_replicas() {
     let mut backoffs = Backoffs::default();
     for replica in 0..100 {
-        backoffs.record(0, replica, Notice { until: NEVER, wall_ms: 0 });
+        backoffs.record(
+            0,
+            replica,
+            Notice { until: NEVER, wall_ms: 0, born: 0 },
+        );
     }
-    backoffs.record(0, 100, Notice { until: 500, wall_ms: 0 });
+    backoffs.record(0, 100, Notice { until: 500, wall_ms: 0, born: 0 });
     assert_eq!((backoffs.count(0), backoffs.count(500)), (101, 100));
     backoffs.expire(1000, |_| false);
     assert_eq!(backoffs.count(0), 100);
