Log and count why attempts at replicas fail, and denied retries

The logs of nodes without a path to replicas say that connections timed out, not whether others were refused, nor why a request was not tried again.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -38,7 +38,7 @@
 use crate::{
     decide::route::RouteRequest,
     fingerprint,
-    metrics::{Labels, Running},
+    metrics::{FailedAttempt, Labels, Running},
     verdict::Verdict,
 };
 
@@ -236,9 +236,13 @@
                         fingerprint = fingerprint::shown(self.fingerprint),
                         replica = target.replica,
                         verdict = failed.verdict.as_str(),
+                        fault = failed.fault.as_str(),
                         after_ms = self.began.elapsed().as_millis() as u64,
                         "Attempt failed: {}.", failed.text
                     );
+                    let fault = FailedAttempt { fault: failed.fault.as_str() };
+                    let failures = &self.gateway.metrics.failed_attempts;
+                    failures.get_or_create(&fault).inc();
                     self.attempts.note(&target.replica, failed.verdict);
                     last = match (failed.verdict, failed.sent) {
                         (Verdict::NotRun, true) => Refusal::retryable(
@@ -300,7 +304,17 @@
         }
         let entries = self.gateway.entries();
         let now = self.now();
-        self.gateway.fleet().try_retry(now, &self.service, entries)
+        let allowed =
+            self.gateway.fleet().try_retry(now, &self.service, entries);
+        if !allowed {
+            info!(
+                target: "gateway",
+                request = id_text(self.request_info.id.as_ref()),
+                service = self.service, entries,
+                "Retry denied: the retry budget is used up."
+            );
+        }
+        allowed
     }
 
     /// Returns the router's choice among the replicas that have not been
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -70,6 +70,8 @@
     pub enum Fault {
         /// The connection was refused: no process listens at the address.
         Refused,
+        /// No connection was open within the timeout.
+        ConnectTimeout,
         /// The replica closed the connection before its answer was complete.
         Broken,
         /// Any failure that says nothing about the state of the replica.
@@ -77,6 +79,18 @@
     }
 }
 
+impl Fault {
+    /// Returns the text for logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Fault::Refused => "refused",
+            Fault::ConnectTimeout => "connect timeout",
+            Fault::Broken => "broken",
+            Fault::Other => "other",
+        }
+    }
+}
+
 impl Error {
     fn not_sent(text: impl ToString) -> Error {
         let text = text.to_string();
@@ -162,7 +176,10 @@
         let until = deadline.min(Instant::now() + CONNECT_TIMEOUT);
         match timeout_at(until, connect(replica, address)).await {
             Ok(made) => made,
-            Err(_) => Err(Error::not_sent("connection timed out")),
+            Err(_) => Err(Error {
+                fault: Fault::ConnectTimeout,
+                ..Error::not_sent("connection timed out")
+            }),
         }
     }
 
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -40,6 +40,13 @@
     pub outcome: &'static str,
 }
 
+/// Label of an attempt that failed.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct FailedAttempt {
+    /// What the connection showed about the replica.
+    pub fault: &'static str,
+}
+
 type Histograms = Family<Labels, Histogram, fn() -> Histogram>;
 
 /// The metrics of one entry.
@@ -86,6 +93,8 @@
     pub backing_off_replicas: Gauge,
     /// Answers in which a replica announced that it leaves.
     pub leaving_answers: Counter,
+    /// Attempts at replicas that failed, by fault.
+    pub failed_attempts: Family<FailedAttempt, Counter>,
 }
 
 fn seconds() -> Histogram {
@@ -132,6 +141,7 @@
             backoffs: Counter::default(),
             backing_off_replicas: Gauge::default(),
             leaving_answers: Counter::default(),
+            failed_attempts: Family::default(),
             registry: Registry::default(),
         };
         // Metrics of control come first, because collectors truncate long
@@ -191,6 +201,11 @@
             "Answers in which a replica announced that it leaves",
             metrics.leaving_answers.clone(),
         );
+        registry.register(
+            "failed_attempts",
+            "Attempts at replicas that failed, by fault",
+            metrics.failed_attempts.clone(),
+        );
         registry.register(
             "latency_seconds",
             "From request to the end of its answer",
