Test that nodes partitioned from all replicas still serve their callers

Callers of a node that reaches no replica are refused or wait until their deadline, although the node reaches other nodes that reach the replicas.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -19,6 +19,7 @@
 mod mesh_scale;
 mod nodes;
 mod packing;
+mod partition;
 mod product;
 mod quarantine;
 mod quota;
--- /dev/null
+++ b/tests/all/partition.rs
@@ -0,0 +1,327 @@
+//! Nodes that are partitioned from all replicas, while callers and the other
+//! nodes still reach them.
+//!
+//! Each node has links of its own to the replicas: it is told the address of a
+//! relay for each of them.
+
+use std::{
+    net::SocketAddr,
+    ops::Range,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use azuremount::{node, wire::Sighting};
+use tokio::{
+    io::copy_bidirectional,
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    task::JoinSet,
+    time::{Instant, sleep, timeout},
+};
+
+use crate::{
+    nodes::Site,
+    world::{
+        Replica, WAIT, apply_plan, ended, events, is_whole, ok, post,
+        sighting, status,
+    },
+};
+
+/// Number of replicas of the service.
+const REPLICAS: usize = 6;
+/// Interval between two heartbeats of a replica.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
+/// Time after which a caller gives up.
+const CALLER_TIMEOUT: Duration = Duration::from_millis(2400);
+/// Time after the start of a partition from which on its nodes have to serve.
+const CONTACT_TIME: Duration = Duration::from_millis(3000);
+/// Duration of the part of a partition in which first attempts are counted.
+const JUDGED_TIME: Duration = Duration::from_millis(2600);
+/// Callers of each node before the partition.
+const CALLERS_BEFORE: usize = 2;
+/// Callers of each node that come in addition when the partition begins.
+const MORE_CALLERS: usize = 4;
+/// Pause of a caller between two requests.
+const CALLER_PAUSE: Duration = Duration::from_millis(30);
+/// Smallest share of first attempts that partitioned nodes have to serve,
+/// compared to the other nodes.
+const MIN_SERVED_RATIO: f64 = 0.9;
+/// Path of each kind of request.
+const PATHS: [&str; 4] = ["/again/x", "/once/x", "/stream/x", "/resume/x"];
+
+/// What a partition does to connections.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Mode {
+    /// No partition.
+    Pass,
+    /// Connections stay open, and nothing passes.
+    Silent,
+    /// Open connections and new ones are reset.
+    Reset,
+    /// Open connections work, and new ones are reset.
+    Live,
+}
+
+/// The path from one node to one replica.
+struct Link {
+    address: SocketAddr,
+    mode: watch::Sender<Mode>,
+}
+
+impl Link {
+    async fn spawn(replica: SocketAddr) -> Link {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let mode = watch::Sender::new(Mode::Pass);
+        tokio::spawn(run_link(listener, replica, mode.subscribe()));
+        Link { address, mode }
+    }
+}
+
+async fn run_link(
+    listener: TcpListener,
+    replica: SocketAddr,
+    mut mode: watch::Receiver<Mode>,
+) {
+    let mut connections = JoinSet::new();
+    loop {
+        let stream = tokio::select! {
+            accepted = listener.accept() => accepted.unwrap().0,
+            changed = mode.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                if *mode.borrow_and_update() == Mode::Reset {
+                    connections.abort_all();
+                }
+                continue;
+            }
+        };
+        let current = *mode.borrow();
+        if matches!(current, Mode::Reset | Mode::Live) {
+            stream.set_zero_linger().unwrap();
+            continue;
+        }
+        connections.spawn(pass(stream, replica, mode.clone()));
+    }
+}
+
+/// Copies both directions of a connection, and pauses while the link is
+/// silent.
+async fn pass(
+    mut stream: TcpStream,
+    replica: SocketAddr,
+    mut mode: watch::Receiver<Mode>,
+) {
+    stream.set_zero_linger().unwrap();
+    let Ok(mut server) = TcpStream::connect(replica).await else { return };
+    loop {
+        let is_silent = |mode: &Mode| *mode == Mode::Silent;
+        if mode.wait_for(|mode| !is_silent(mode)).await.is_err() {
+            return;
+        }
+        tokio::select! {
+            _ = copy_bidirectional(&mut stream, &mut server) => return,
+            silent = mode.wait_for(is_silent) => {
+                if silent.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// First attempt of a caller.
+struct Attempt {
+    node: usize,
+    path: &'static str,
+    sent_at: Instant,
+    is_served: bool,
+}
+
+struct Shared {
+    nodes: Vec<node::Handle>,
+    /// Links by node and replica.
+    links: Vec<Vec<Link>>,
+    attempts: Mutex<Vec<Attempt>>,
+}
+
+impl Shared {
+    /// Sends each replica's heartbeats to all nodes, with the address that
+    /// the node reaches the replica at.
+    async fn send_heartbeats(self: Arc<Shared>) {
+        for sequence in 1.. {
+            for (node, links) in self.nodes.iter().zip(&self.links) {
+                for (replica, link) in links.iter().enumerate() {
+                    let id = format!("r{replica}");
+                    let says = sighting(&id, link.address, 0);
+                    node.apply_heartbeat(Sighting { sequence, ..says });
+                }
+            }
+            sleep(HEARTBEAT_INTERVAL).await;
+        }
+    }
+
+    async fn call(self: Arc<Shared>, node: usize, caller: usize) {
+        let front = self.nodes[node].front().unwrap();
+        for number in 0.. {
+            let path = PATHS[(number + caller) % PATHS.len()];
+            let id = (node * 100 + caller) * 100_000 + number;
+            let sent_at = Instant::now();
+            let answer =
+                timeout(CALLER_TIMEOUT, post(front, path, id, "x")).await;
+            let is_served = answer.is_ok_and(|answer| {
+                status(&answer) == "200" && is_whole(&answer)
+            });
+            let attempt = Attempt { node, path, sent_at, is_served };
+            self.attempts.lock().unwrap().push(attempt);
+            sleep(CALLER_PAUSE).await;
+        }
+    }
+}
+
+fn respond(head: &str) -> Vec<String> {
+    match head.contains("/stream/") || head.contains("/resume/") {
+        true => {
+            let mut pieces = ended(events(1..=4));
+            pieces.insert(2, WAIT.to_owned());
+            pieces
+        }
+        false => ok("fine"),
+    }
+}
+
+/// Several nodes with callers, and the links between nodes and replicas.
+struct Network {
+    _site: Site,
+    replicas: Vec<Replica>,
+    shared: Arc<Shared>,
+    callers: JoinSet<()>,
+}
+
+impl Network {
+    async fn open(nodes: usize) -> Network {
+        let site = Site::open(3, nodes - 3).await;
+        apply_plan(site.node(0), 1).await;
+        site.wait_until_all_serve().await;
+        let mut replicas = Vec::new();
+        for _ in 0..REPLICAS {
+            replicas.push(Replica::spawn(respond).await);
+        }
+        let mut links = Vec::new();
+        for _ in 0..nodes {
+            let mut own = Vec::new();
+            for replica in &replicas {
+                own.push(Link::spawn(replica.address).await);
+            }
+            links.push(own);
+        }
+        let shared = Arc::new(Shared {
+            nodes: site.nodes().cloned().collect(),
+            links,
+            attempts: Mutex::default(),
+        });
+        tokio::spawn(shared.clone().send_heartbeats());
+        sleep(Duration::from_millis(700)).await;
+        let callers = JoinSet::new();
+        let mut network = Network { _site: site, replicas, shared, callers };
+        network.add_callers(0..CALLERS_BEFORE);
+        network
+    }
+
+    /// Adds callers to each node.
+    fn add_callers(&mut self, callers: Range<usize>) {
+        for node in 0..self.shared.nodes.len() {
+            for caller in callers.clone() {
+                self.callers.spawn(self.shared.clone().call(node, caller));
+            }
+        }
+    }
+
+    fn partition(&self, nodes: usize, mode: Mode) {
+        for link in self.shared.links[..nodes].iter().flatten() {
+            link.mode.send_replace(mode);
+        }
+    }
+
+    /// Returns the share of first attempts served, of those sent in a time
+    /// to nodes for which `selects` is true.
+    fn served_share(
+        &self,
+        from: Instant,
+        to: Instant,
+        selects: impl Fn(usize) -> bool,
+    ) -> f64 {
+        let attempts = self.shared.attempts.lock().unwrap();
+        let counted: Vec<&Attempt> = attempts
+            .iter()
+            .filter(|attempt| attempt.sent_at >= from && attempt.sent_at < to)
+            .filter(|attempt| selects(attempt.node))
+            .collect();
+        for path in PATHS {
+            let of_path = counted.iter().filter(|one| one.path == path);
+            let served = of_path.clone().filter(|one| one.is_served).count();
+            println!("{path}: {served} of {}", of_path.count());
+        }
+        let served = counted.iter().filter(|one| one.is_served).count();
+        assert!(!counted.is_empty(), "no caller has sent a request");
+        served as f64 / counted.len() as f64
+    }
+
+    /// Returns the largest number of runs of one request that may run once.
+    fn most_runs(&mut self) -> usize {
+        let mut ids: Vec<String> = self
+            .replicas
+            .iter_mut()
+            .flat_map(Replica::seen)
+            .filter(|head| {
+                head.starts_with("POST /once/")
+                    || head.starts_with("POST /stream/")
+            })
+            .filter_map(|head| {
+                let mut lines = head.lines();
+                let id = lines.find(|line| line.starts_with("id: "));
+                id.map(str::to_owned)
+            })
+            .collect();
+        ids.sort_unstable();
+        ids.chunk_by(|one, other| one == other).map(<[_]>::len).max().unwrap()
+    }
+}
+
+/// Partitions some nodes for a while, and checks that callers of these nodes
+/// are served about as often as the others.
+async fn serves_behind_partition(nodes: usize, partitioned: usize, how: Mode) {
+    let mut network = Network::open(nodes).await;
+    sleep(Duration::from_millis(500)).await;
+    network.partition(partitioned, how);
+    network.add_callers(CALLERS_BEFORE..CALLERS_BEFORE + MORE_CALLERS);
+    sleep(CONTACT_TIME).await;
+    let from = Instant::now();
+    sleep(JUDGED_TIME).await;
+    let to = Instant::now();
+    // Waits for the answers to the last requests.
+    sleep(CALLER_TIMEOUT).await;
+    network.partition(partitioned, Mode::Pass);
+    network.callers.shutdown().await;
+    println!("partitioned:");
+    let cut = network.served_share(from, to, |node| node < partitioned);
+    println!("others:");
+    let others = network.served_share(from, to, |node| node >= partitioned);
+    assert!(
+        cut >= MIN_SERVED_RATIO * others,
+        "{how:?}: partitioned nodes served {cut:.3}, the others {others:.3}"
+    );
+    assert!(network.most_runs() <= 1, "a request ran twice");
+}
+
+/// Guards against nodes that refuse callers, or let them wait, while they
+/// can't reach replicas that other nodes reach.
+#[tokio::test]
+async fn nodes_partitioned_from_all_replicas_still_serve() {
+    serves_behind_partition(6, 3, Mode::Reset).await;
+    serves_behind_partition(6, 3, Mode::Silent).await;
+    serves_behind_partition(6, 3, Mode::Live).await;
+    serves_behind_partition(12, 9, Mode::Reset).await;
+}
