--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -12,5 +12,6 @@
 pub mod quarantine;
 pub mod quota;
 pub mod rate_limit;
+pub mod reach;
 pub mod retry;
 pub mod route;
--- a/src/decide/route/mod.rs
+++ b/src/decide/route/mod.rs
@@ -33,7 +33,7 @@
 mod shortage;
 mod weights;
 
-use rand::{SeedableRng, rngs::StdRng};
+use rand::{SeedableRng, rngs::StdRng, seq::IteratorRandom};
 
 use self::{replica::Replica, weights::MIN_FETCH_TOKENS};
 pub use self::{shortage::Shortage, weights::Weights};
@@ -503,6 +503,15 @@
         Some(self.assign(now, at, request))
     }
 
+    /// Returns up to `count` replicas at random that may be sent requests.
+    pub fn sample(&mut self, now: u64, count: usize) -> Vec<String> {
+        let replicas = self.replicas.iter();
+        let ids = replicas
+            .filter(|replica| replica.accepts(now))
+            .map(|replica| &replica.identity.id);
+        ids.sample(&mut self.rng, count).into_iter().cloned().collect()
+    }
+
     /// Records a piece of the answer to a request.
     pub fn record_progress(&mut self, now: u64, ticket: Ticket, first: bool) {
         let Some(replica) = self.by_number(ticket.number) else { return };
--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -13,6 +13,7 @@
     bodies::Reservation,
     dialect::RequestInfo,
     forward::{AcceptedRequest, Attempts},
+    peer_call::Forwarded,
     plan::{Limits, Plan, Route, Team},
     refusal::Refusal,
 };
@@ -37,6 +38,7 @@
     request: Request<Incoming>,
     request_info: RequestInfo,
     began: Instant,
+    forwarded: Option<Forwarded>,
 ) -> Result<AcceptedRequest, Refusal> {
     let host = host_of(&request)?;
     let read_plan = || {
@@ -48,8 +50,15 @@
         return Err(Refusal::retryable(
             "no plan here yet",
             NO_PLAN_RETRY_AFTER_MS,
-        ));
+        )
+        .try_elsewhere());
     };
+    // An older plan may lack the route or the team's key.
+    if forwarded.as_ref().is_some_and(|sender| sender.plan > plan.version()) {
+        let text = "the plan here is older than the sender's";
+        let refusal = Refusal::retryable(text, NO_PLAN_RETRY_AFTER_MS);
+        return Err(refusal.try_elsewhere());
+    }
     let path = request.uri().path();
     let Some(route) = plan.route(&host, path) else {
         let status = StatusCode::NOT_FOUND;
@@ -60,7 +69,12 @@
         request_info.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms),
     );
     let deadline = began + limit;
-    let service = gateway.draw_service(route);
+    let service = match &forwarded {
+        Some(sender) if route.leads_to(&sender.service) => {
+            sender.service.clone()
+        }
+        _ => gateway.draw_service(route),
+    };
     let (route, team) = (route.clone(), team.cloned());
     let limits = plan.limits();
     let (head, body) = request.into_parts();
@@ -79,6 +93,7 @@
     gateway.check_quarantine(fingerprint, &service).map_err(with_route)?;
     if let Some(team) = &team
         && let Some(quota) = team.quota
+        && forwarded.is_none()
     {
         let cost = cost_of(&request_info, quota.default_tokens);
         let urgent = route.priority == 0;
@@ -101,7 +116,9 @@
         _reservation: reservation,
         began,
         deadline,
-        attempts: Attempts::default(),
+        attempts: Attempts::after(forwarded.as_ref().map_or(0, |one| one.ran)),
+        forwarded: None,
+        peers_tried: Vec::new(),
         chosen: None,
         _running: gateway.metrics.run(),
     })
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -17,6 +17,7 @@
     backoff::{Backoffs, Notice},
     decide::{
         rate_limit::Allocation,
+        reach::{Change, Probe, Reach},
         retry::{Bound, Window},
         route::{
             Availability, Choice, Identity, Policy, Pool, RouteRequest,
@@ -72,6 +73,18 @@
     }
 }
 
+common! {
+    /// Replicas of one service that are probed at the same time.
+    pub struct ProbeRound {
+        /// Name of the service.
+        pub service: String,
+        /// Number of replicas that should be probed, if there are as many.
+        pub asked: usize,
+        /// Ids and addresses of the replicas.
+        pub replicas: Vec<(String, SocketAddrV4)>,
+    }
+}
+
 common! {
     struct Place {
         /// Hash of the id, and the address. Differs if the replica has
@@ -92,6 +105,7 @@
     /// Sorted by replica.
     places: Vec<Place>,
     repeats: Window,
+    reach: Reach,
     /// Whether the weights are those of a service in the plan.
     planned: bool,
 }
@@ -219,6 +233,7 @@
                     pool: open(),
                     places: Vec::new(),
                     repeats: Window::open(self.bound),
+                    reach: Reach::default(),
                     planned: planned.is_some(),
                 };
                 self.services.insert(at, routed);
@@ -244,6 +259,7 @@
     ) -> Option<Target> {
         let routed = self.find(service)?;
         let choice: Choice = routed.pool.pick(now, request)?;
+        routed.reach.record_begin(now);
         let address = routed.address(&choice.id)?;
         let fetch_from = choice.fetch_from.and_then(|id| routed.address(&id));
         Some(Target {
@@ -344,6 +360,7 @@
         load: Option<u32>,
     ) {
         let Some(routed) = self.find(service) else { return };
+        routed.reach.record_heard(now);
         routed.pool.record_progress(now, target.ticket, true);
         if let Some(load) = load {
             routed.pool.record_load(now, &target.replica, 0, load, 0);
@@ -363,10 +380,79 @@
         ticket: Ticket,
     ) {
         if let Some(routed) = self.find(service) {
+            routed.reach.record_heard(now);
             routed.pool.record_progress(now, ticket, false);
         }
     }
 
+    /// Records that a replica of a service sent something.
+    pub fn record_heard(&mut self, now: u64, service: &str) {
+        if let Some(routed) = self.find(service) {
+            routed.reach.record_heard(now);
+        }
+    }
+
+    /// Records that a connection to a replica of a service failed.
+    pub fn record_connection_failure(&mut self, service: &str) {
+        if let Some(routed) = self.find(service) {
+            routed.reach.record_failure();
+        }
+    }
+
+    /// Returns what is known of the connections to a service's replicas.
+    pub fn reach(&self, service: &str) -> Option<&Reach> {
+        let at =
+            position(&self.services, service, |routed| routed.name.as_str());
+        at.ok().map(|at| &self.services[at].reach)
+    }
+
+    /// Returns the hashes of the names of the services that this node does
+    /// not reach, sorted.
+    pub fn unreachable(&self) -> Vec<u64> {
+        let mut hashes: Vec<u64> = self
+            .services
+            .iter()
+            .filter(|routed| routed.reach.is_unreachable())
+            .map(|routed| name_hash(&routed.name))
+            .collect();
+        hashes.sort_unstable();
+        hashes
+    }
+
+    /// Returns the replicas to be probed now, by service, and begins these
+    /// rounds of probes.
+    pub fn begin_probes(&mut self, now: u64) -> Vec<ProbeRound> {
+        let mut rounds = Vec::new();
+        for routed in &mut self.services {
+            let asked = routed.reach.begin_probes(now);
+            if asked == 0 {
+                continue;
+            }
+            let ids = routed.pool.sample(now, asked);
+            let with_address = |id: String| {
+                let address = routed.address(&id)?;
+                Some((id, address))
+            };
+            rounds.push(ProbeRound {
+                service: routed.name.clone(),
+                asked,
+                replicas: ids.into_iter().filter_map(with_address).collect(),
+            });
+        }
+        rounds
+    }
+
+    /// Applies the results of a round of probes.
+    pub fn end_probes(
+        &mut self,
+        now: u64,
+        round: &ProbeRound,
+        probes: &[Probe],
+    ) -> Option<Change> {
+        let routed = self.find(&round.service)?;
+        routed.reach.end_probes(now, round.asked, probes)
+    }
+
     /// Records the end of an attempt.
     pub fn record_end(
         &mut self,
@@ -377,6 +463,7 @@
         outcome: Outcome,
     ) {
         let Some(routed) = self.find(service) else { return };
+        routed.reach.record_end();
         match outcome {
             Outcome::Completed { held_ms } => {
                 routed.pool.record_end(
--- a/src/gateway/flight.rs
+++ b/src/gateway/flight.rs
@@ -8,12 +8,70 @@
     ending::{Attempt, Symptom},
     fleet::{Outcome, Target},
     forward::AcceptedRequest,
+    peer_call::PeerCall,
+    upstream::Pool,
 };
 
 /// Silence on an abandoned attempt after which its replica may have crashed,
 /// in ms: longer than the pauses that an engine makes.
 const CRASH_SUSPICION_SILENCE_MS: u64 = 1000;
 
+/// What carries an attempt to a replica.
+pub(super) enum Carrier {
+    /// A connection of this node.
+    Replica(Flight),
+    /// Another node, which counts the attempt for the routers.
+    Peer(PeerCall),
+}
+
+impl Carrier {
+    /// Returns the id of the replica, or the address of the node.
+    pub fn name(&self) -> String {
+        match self {
+            Carrier::Replica(flight) => flight.replica().to_owned(),
+            Carrier::Peer(call) => call.ip().to_string(),
+        }
+    }
+
+    /// Notes that data of the answer has arrived.
+    pub fn progress(&mut self) {
+        if let Carrier::Replica(flight) = self {
+            flight.progress();
+        }
+    }
+
+    /// Notes that the answer was read to its end.
+    pub fn finish(&mut self, failure: bool) {
+        if let Carrier::Replica(flight) = self {
+            flight.finish(failure);
+        }
+    }
+
+    /// Notes that the connection broke before the answer was complete.
+    pub fn disconnect(&mut self) {
+        if let Carrier::Replica(flight) = self {
+            flight.end = Outcome::Disconnected;
+        }
+    }
+
+    /// Notes that the attempt failed, unless it is known how.
+    pub fn fail(&mut self) {
+        if let Carrier::Replica(flight) = self
+            && flight.end != Outcome::Disconnected
+        {
+            flight.end = Outcome::Failed;
+        }
+    }
+
+    /// Returns the pool that the connection belongs to.
+    pub fn pool<'a>(&self, gateway: &'a Gateway) -> &'a Pool {
+        match self {
+            Carrier::Replica(_) => &gateway.connections,
+            Carrier::Peer(_) => &gateway.peer_connections,
+        }
+    }
+}
+
 /// An attempt in flight at a replica, counted until dropped.
 pub(super) struct Flight {
     gateway: Arc<Gateway>,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -27,8 +27,9 @@
     bodies::Reservation,
     dialect::{AnswerInfo, AttemptInfo, RequestInfo},
     fleet::{Outcome, Target},
-    flight::Flight,
+    flight::{Carrier, Flight},
     parts::{block_ends, prompt_blocks},
+    peer_call::{self, Forwarded, ForwardedGuard, mark_outcome},
     plan::{RetryPolicy, Route, Team},
     refusal::{Refusal, id_text},
     relay,
@@ -81,6 +82,10 @@
     pub began: Instant,
     pub deadline: Instant,
     pub attempts: Attempts,
+    /// Set if another node has forwarded the request to this one.
+    pub forwarded: Option<ForwardedGuard>,
+    /// Addresses of the nodes that the request was sent to.
+    pub peers_tried: Vec<u32>,
     /// The router's latest choice, used for logging.
     pub chosen: Option<Target>,
     pub _running: Running,
@@ -99,6 +104,19 @@
 }
 
 impl Attempts {
+    /// Creates the attempts of a request that replicas may already have run.
+    pub fn after(ran: u32) -> Attempts {
+        Attempts { ran, ..Attempts::default() }
+    }
+
+    /// Returns the verdict over all attempts.
+    pub fn verdict(&self) -> Verdict {
+        match self.ran {
+            0 => Verdict::NotRun,
+            _ => Verdict::MayHaveRun,
+        }
+    }
+
     /// Records a failed attempt.
     pub fn note(&mut self, replica: &str, verdict: Verdict) {
         match verdict {
@@ -129,10 +147,10 @@
     let began = Instant::now();
     let request_info = gateway.dialect.parse_request(request.headers());
     let id = request_info.id.clone();
-    match accept(&gateway, request, request_info, began).await {
+    match accept(&gateway, request, request_info, began, None).await {
         Ok(accepted) => {
             gateway.accepted_count.fetch_add(1, Ordering::Relaxed);
-            run(accepted).await
+            run(accepted).await.unwrap_or_else(Refusal::into_response)
         }
         Err(refusal) => {
             refusal.record(&gateway.metrics, id.as_ref(), began);
@@ -141,6 +159,48 @@
     }
 }
 
+/// Serves a request that another node forwards.
+pub async fn serve_forwarded(
+    gateway: Arc<Gateway>,
+    mut request: Request<Incoming>,
+) -> Response<Body> {
+    let began = Instant::now();
+    let mut request_info = gateway.dialect.parse_request(request.headers());
+    let id = request_info.id.clone();
+    let sender = Forwarded::take(request.headers_mut(), &mut request_info);
+    let accepted = match sender {
+        Some(sender) => {
+            accept_forwarded(&gateway, request, request_info, began, sender)
+                .await
+        }
+        None => Err(Refusal::protocol_error(
+            StatusCode::BAD_REQUEST,
+            "not forwarded by a node",
+        )),
+    };
+    let result = match accepted {
+        Ok(accepted) => run(accepted).await,
+        Err(refusal) => {
+            refusal.record(&gateway.metrics, id.as_ref(), began);
+            Err(refusal)
+        }
+    };
+    mark_outcome(result)
+}
+
+async fn accept_forwarded(
+    gateway: &Arc<Gateway>,
+    request: Request<Incoming>,
+    request_info: RequestInfo,
+    began: Instant,
+    sender: Forwarded,
+) -> Result<AcceptedRequest, Refusal> {
+    let guard = gateway.admit_forwarded()?;
+    let accepted =
+        accept(gateway, request, request_info, began, Some(sender)).await?;
+    Ok(AcceptedRequest { forwarded: Some(guard), ..accepted })
+}
+
 // ---- Attempts at replicas --------------------------------------------------
 
 /// The answer of one replica.
@@ -151,7 +211,9 @@
     Complete(Response<Bytes>),
 }
 
-async fn run(mut accepted: AcceptedRequest) -> Response<Body> {
+async fn run(
+    mut accepted: AcceptedRequest,
+) -> Result<Response<Body>, Refusal> {
     let gateway = accepted.gateway.clone();
     let id = accepted.request_info.id.clone();
     let route = accepted.route.name.clone();
@@ -162,20 +224,21 @@
             accepted.log(answer.status(), "answered");
             accepted.observe_first_token();
             accepted.observe_latency();
-            answer.map(full)
+            Ok(answer.map(full))
         }
         Ok(Reply::Streaming(source, head)) => {
             accepted.log(head.status(), "streams");
             accepted.observe_first_token();
-            relay::open(accepted, *source, head)
+            Ok(relay::open(accepted, *source, head))
         }
         Err(refusal) => {
+            let refusal = refusal.after(accepted.attempts.verdict());
             if refusal.verdict == Verdict::NotRun {
                 accepted.refund_quota();
             }
             let refusal = Refusal { route, ..refusal };
             refusal.record(&gateway.metrics, id.as_ref(), began);
-            refusal.into_response()
+            Err(refusal)
         }
     }
 }
@@ -199,13 +262,35 @@
                     .answer_or_refuse(answer, Refusal::timed_out(verdict));
             }
             let tried = self.attempts.ran + self.attempts.not_run;
-            let target = match tried {
-                0 => self.gateway.wait_at_start(|| self.pick()).await,
-                _ => self.pick(),
+            let is_unreachable = self.gateway.is_unreachable(&self.service);
+            let target = match (is_unreachable, tried) {
+                (true, _) => self.pick_connected(),
+                (false, 0) => self.gateway.wait_at_start(|| self.pick()).await,
+                (false, _) => self.pick(),
             };
-            let Some(target) = target else {
-                let refusal = self.refuse_without_replica(last);
-                return self.answer_or_refuse(answer, refusal);
+            let target = match target {
+                Some(target) => target,
+                None if is_unreachable => {
+                    match self.call_peers(self.request_info.last_event).await {
+                        peer_call::Outcome::Reply(reply) => return Ok(reply),
+                        peer_call::Outcome::Refused(refusal) => {
+                            return self.answer_or_refuse(answer, refusal);
+                        }
+                        peer_call::Outcome::Failed(failed) => {
+                            self.attempts.note("", failed.verdict);
+                            let text = "another node did not answer";
+                            last = Refusal::may_have_run(text);
+                        }
+                    }
+                    if !self.claim_retry() {
+                        return self.answer_or_refuse(answer, last);
+                    }
+                    continue;
+                }
+                None => {
+                    let refusal = self.refuse_without_replica(last);
+                    return self.answer_or_refuse(answer, refusal);
+                }
             };
             if let Some(refusal) = self.check_predicted_wait(&target, tried) {
                 self.release(&target);
@@ -270,7 +355,11 @@
                     }
                 }
             }
-            if !self.claim_retry() {
+            // A retry through another node is the first at a replica if none
+            // was reached before.
+            let is_first = self.attempts.ran == 0
+                && self.gateway.is_unreachable(&self.service);
+            if !is_first && !self.claim_retry() {
                 let refusal = self.refuse_without_replica(last);
                 return self.answer_or_refuse(answer, refusal);
             }
@@ -340,6 +429,26 @@
         Some(target)
     }
 
+    /// Returns a replica to which an open connection works, while no new one
+    /// opens to any replica of the service.
+    fn pick_connected(&self) -> Option<Target> {
+        let since = self.gateway.open_connections_work_since(&self.service)?;
+        let target = self.pick()?;
+        if self.gateway.connections.has_idle_since(&target.replica, since) {
+            return Some(target);
+        }
+        self.release(&target);
+        None
+    }
+
+    /// Returns true when the request may be sent again after an attempt that
+    /// may have run it.
+    pub fn may_repeat(&self) -> bool {
+        let mut next = self.attempts.clone();
+        next.ran += 1;
+        next.allows_another(self.route.retry_policy, self.route.max_attempts)
+    }
+
     /// Releases a chosen replica without sending the request to it.
     fn release(&self, target: &Target) {
         let now = self.now();
@@ -370,13 +479,25 @@
         let taken = connections
             .take(&target.replica, target.address, self.deadline)
             .await;
-        let mut connection =
-            taken.inspect_err(|_| flight.end = Outcome::Failed)?;
+        let mut connection = taken.inspect_err(|_| {
+            flight.end = Outcome::Failed;
+            self.gateway.record_connection_failure(&self.service);
+        })?;
         let request = self.request(target, last_event)?;
         let max_silence = self.max_silence(target);
-        let sent =
-            connection.send(request, self.body.len(), max_silence).await;
+        let may_repeat = self.may_repeat();
+        let sent = tokio::select! {
+            sent = connection.send(request, self.body.len(), max_silence) => {
+                sent
+            }
+            () = self.gateway.wait_until_lost(&self.service), if may_repeat => {
+                Err(Error::may_have_run("all paths to the replicas are lost"))
+            }
+        };
         let response = sent.inspect_err(|failed| {
+            if !failed.sent || failed.fault == Fault::Broken {
+                self.gateway.record_connection_failure(&self.service);
+            }
             let due = Instant::now() < self.deadline;
             if due || failed.verdict != Verdict::MayHaveRun {
                 flight.end = match failed.fault {
@@ -385,6 +506,7 @@
                 };
             }
         })?;
+        self.gateway.fleet().record_heard(self.now(), &self.service);
         let answer_info = self.gateway.dialect.parse_answer(
             self.request_info.id.as_ref(),
             response.status(),
@@ -405,12 +527,14 @@
             let (head, body) = response.into_parts();
             let keep_ms = answer_info.keep_ms;
             let read = Bytes::new();
+            let carrier = Carrier::Replica(flight);
             let source =
-                relay::Source { read, body, connection, flight, keep_ms };
+                relay::Source { read, body, connection, carrier, keep_ms };
             let head = answer_head(head, &Method::GET);
             return Ok(Reply::Streaming(Box::new(source), head));
         }
-        self.read_answer(response, connection, flight, answer_info.keep_ms)
+        let carrier = Carrier::Replica(flight);
+        self.read_answer(response, connection, carrier, answer_info.keep_ms)
             .await
     }
 
@@ -445,11 +569,11 @@
     }
 
     /// Reads an answer to its end, or returns a long one to be streamed.
-    async fn read_answer(
+    pub async fn read_answer(
         &self,
         response: Response<Incoming>,
         connection: Connection,
-        mut flight: Flight,
+        mut carrier: Carrier,
         keep_ms: Option<u64>,
     ) -> Result<Reply, Error> {
         let (head, mut body) = response.into_parts();
@@ -461,7 +585,7 @@
             if length > MAX_BUFFERED_ANSWER_BYTES {
                 let read = read.freeze();
                 let source =
-                    relay::Source { read, body, connection, flight, keep_ms };
+                    relay::Source { read, body, connection, carrier, keep_ms };
                 let head = answer_head(head, &self.method);
                 return Ok(Reply::Streaming(Box::new(source), head));
             }
@@ -473,7 +597,7 @@
                 }
                 Ok(None) => break,
                 Ok(Some(Err(error))) => {
-                    flight.end = Outcome::Disconnected;
+                    carrier.disconnect();
                     return Err(Error {
                         verdict: Verdict::Ran,
                         sent: true,
@@ -491,10 +615,9 @@
                 }
             }
         }
-        flight.finish(failure);
-        self.gateway
-            .connections
-            .put_back(connection, keep_ms.map(Duration::from_millis));
+        carrier.finish(failure);
+        let pool = carrier.pool(&self.gateway);
+        pool.put_back(connection, keep_ms.map(Duration::from_millis));
         let head = answer_head(head, &self.method);
         Ok(Reply::Complete(head.map(|()| read.freeze())))
     }
@@ -519,16 +642,19 @@
             last_event,
         };
         self.gateway.dialect.set_headers(&mut headers, &attempt_info);
+        self.request_with(headers)
+    }
+
+    /// Returns the request with these headers.
+    pub fn request_with(
+        &self,
+        headers: HeaderMap,
+    ) -> Result<Request<Full<Bytes>>, Error> {
         let mut request = Request::builder()
             .method(self.method.clone())
             .uri(self.path.as_str())
             .body(Full::new(self.body.clone()))
-            .map_err(|error| Error {
-                verdict: Verdict::NotRun,
-                sent: false,
-                fault: Fault::Other,
-                text: error.to_string(),
-            })?;
+            .map_err(Error::not_sent)?;
         *request.headers_mut() = headers;
         Ok(request)
     }
@@ -540,11 +666,7 @@
     /// the prompt would be wasted.
     fn max_silence(&self, target: &Target) -> Duration {
         let left = self.deadline.saturating_duration_since(Instant::now());
-        let mut next = self.attempts.clone();
-        next.ran += 1;
-        if !next
-            .allows_another(self.route.retry_policy, self.route.max_attempts)
-        {
+        if !self.may_repeat() {
             return left;
         }
         let target_time = Duration::from_millis(self.route.target_ms);
@@ -634,7 +756,10 @@
 }
 
 /// Returns the head of an answer for the caller.
-fn answer_head(head: http::response::Parts, method: &Method) -> Response<()> {
+pub(super) fn answer_head(
+    head: http::response::Parts,
+    method: &Method,
+) -> Response<()> {
     let length = head.headers.get(header::CONTENT_LENGTH).cloned();
     let mut headers = remove_hop_by_hop_headers(head.headers);
     if let (Some(length), &Method::HEAD) = (length, method) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,8 @@
 //! | [`events`] | splits streams at event boundaries |
 //! | `memory` | remembers which prompt parts replicas were sent recently |
 //! | `notices` | records what replicas say about further requests |
+//! | `peer_call` | forwards requests through another node |
+//! | `probes` | finds out whether the replicas can be reached |
 //! | `overload` | refuses requests that replicas can't start in time |
 //! | `suspects` | tracks requests that may have crashed replicas |
 //! | [`parts`] | maps the parts of a prompt to cache blocks |
@@ -37,7 +39,9 @@
 mod notices;
 mod overload;
 pub mod parts;
+mod peer_call;
 pub mod plan;
+pub(crate) mod probes;
 mod quotas;
 mod rate_limits;
 pub mod refusal;
@@ -48,7 +52,7 @@
 
 use std::sync::{
     Arc, Mutex, MutexGuard,
-    atomic::{AtomicBool, AtomicU64, Ordering},
+    atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
 };
 
 use rand::RngExt;
@@ -63,6 +67,7 @@
     dialect::Dialect,
     ending::CrashDetector,
     fleet::Fleet,
+    peer_call::PeerCalls,
     plan::{Plan, Route, Team},
     quotas::Quotas,
     upstream::Pool,
@@ -124,6 +129,18 @@
     /// Written by the node. Versions only increase.
     pub(crate) plan: Arc<Cell<Option<Plan>>>,
     pub(crate) connections: Pool,
+    /// Connections to other nodes.
+    peer_connections: Pool,
+    /// This node's requests in flight at other nodes.
+    peer_calls: PeerCalls,
+    /// Requests of other nodes in flight at this node.
+    forwarded_in_flight: Arc<AtomicUsize>,
+    /// Port on which other nodes take forwarded requests.
+    forward_port: u16,
+    /// Notified when a connection to a replica has failed.
+    pub(crate) connection_failed: Notify,
+    /// Notified when a service has become reachable or unreachable.
+    reach_changed: watch::Sender<()>,
     pub(crate) metrics: Metrics,
     bodies: Budget,
     crash_detector: CrashDetector,
@@ -160,17 +177,24 @@
 
 impl Gateway {
     /// Creates a gateway without a plan. It refuses every request until a plan
-    /// is set.
+    /// is set. All nodes take forwarded requests on `forward_port`.
     pub fn open(
         options: &Options,
         dialect: Arc<dyn Dialect>,
         timer: Timer,
+        forward_port: u16,
     ) -> Gateway {
         Gateway {
             dialect,
             timer,
             plan: Arc::new(Cell::new(None)),
             connections: Pool::default(),
+            peer_connections: Pool::default(),
+            peer_calls: PeerCalls::default(),
+            forwarded_in_flight: Arc::default(),
+            forward_port,
+            connection_failed: Notify::new(),
+            reach_changed: watch::Sender::new(()),
             metrics: Metrics::open(),
             bodies: Budget::open(options.body_memory),
             crash_detector: CrashDetector::default(),
--- /dev/null
+++ b/src/gateway/peer_call.rs
@@ -0,0 +1,409 @@
+//! Forwards requests through another node while this node does not reach the
+//! replicas of a service.
+//!
+//! The request goes to the other node over HTTP as the caller sent it, with
+//! some headers of the product's own:
+//!
+//! | header | of | contains |
+//! |---|---|---|
+//! | `azuremount-service` | requests | the service that was drawn for the request |
+//! | `azuremount-deadline-ms` | requests | how long the caller still waits |
+//! | `azuremount-plan` | requests | the version of the sender's plan |
+//! | `azuremount-attempts` | requests | replicas that may have run the request |
+//! | `azuremount-last-event` | requests | the event after which a stream resumes |
+//! | `azuremount-outcome` | answers | `answer` of a replica, `refused`, or `elsewhere`: another node may accept it |
+//!
+//! The receiving node does everything that concerns replicas: it chooses one,
+//! keeps to what replicas announce, retries, and counts the usage. It does not
+//! charge the team's quota again, and it never forwards the request to a third
+//! node.
+
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::{Arc, Mutex, MutexGuard, atomic::Ordering},
+    time::Duration,
+};
+
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use rand::seq::IndexedRandom;
+use tokio::time::Instant;
+use tracing::info;
+
+use super::{
+    Gateway,
+    dialect::RequestInfo,
+    flight::Carrier,
+    forward::{AcceptedRequest, Reply, answer_head},
+    refusal::{Refusal, id_text},
+    relay,
+    server::Body,
+    upstream::{Connection, Error},
+};
+use crate::{
+    util::{common, name_hash, position},
+    verdict::Verdict,
+};
+
+const SERVICE: &str = "azuremount-service";
+const DEADLINE: &str = "azuremount-deadline-ms";
+const PLAN: &str = "azuremount-plan";
+const ATTEMPTS: &str = "azuremount-attempts";
+const LAST_EVENT: &str = "azuremount-last-event";
+const OUTCOME: &str = "azuremount-outcome";
+const OUTCOME_ANSWER: &str = "answer";
+const OUTCOME_REFUSED: &str = "refused";
+const OUTCOME_ELSEWHERE: &str = "elsewhere";
+
+/// Maximum number of nodes that one request is sent to.
+const MAX_PEERS_PER_REQUEST: usize = 3;
+/// Maximum number of other nodes' requests in flight at a node. It leaves most
+/// of a node's connections and memory to its own callers.
+const MAX_FORWARDED_IN_FLIGHT: usize = 256;
+/// Retry delay sent to callers while no node that is known reaches the
+/// replicas, in ms: about the time until a node finds that they can be
+/// reached again.
+const UNREACHABLE_RETRY_AFTER_MS: u64 = 500;
+/// Retry delay sent to callers while the other nodes take no more requests, in
+/// ms: about the duration of the requests that they have.
+const PEERS_BUSY_RETRY_AFTER_MS: u64 = 500;
+
+/// Requests in flight at other nodes, by the nodes' addresses.
+#[derive(Debug, Default)]
+pub(super) struct PeerCalls(Mutex<Vec<(u32, u32)>>);
+
+impl PeerCalls {
+    fn lock(&self) -> MutexGuard<'_, Vec<(u32, u32)>> {
+        self.0.lock().unwrap_or_else(|held| held.into_inner())
+    }
+
+    fn begin(&self, peer: u32) {
+        let mut calls = self.lock();
+        match position(&calls, &peer, |(ip, _)| ip) {
+            Ok(at) => calls[at].1 += 1,
+            Err(at) => calls.insert(at, (peer, 1)),
+        }
+    }
+
+    fn end(&self, peer: u32) {
+        let mut calls = self.lock();
+        if let Ok(at) = position(&calls, &peer, |(ip, _)| ip) {
+            calls[at].1 -= 1;
+            if calls[at].1 == 0 {
+                calls.remove(at);
+            }
+        }
+    }
+
+    fn count(&self, peer: u32) -> u32 {
+        let calls = self.lock();
+        position(&calls, &peer, |(ip, _)| ip).map_or(0, |at| calls[at].1)
+    }
+}
+
+/// A request in flight at another node, counted until dropped.
+#[derive(Debug)]
+pub(super) struct PeerCall {
+    gateway: Arc<Gateway>,
+    peer: u32,
+}
+
+impl PeerCall {
+    fn begin(gateway: &Arc<Gateway>, peer: u32) -> PeerCall {
+        gateway.peer_calls.begin(peer);
+        PeerCall { gateway: gateway.clone(), peer }
+    }
+
+    /// Returns the node's address.
+    pub fn ip(&self) -> Ipv4Addr {
+        Ipv4Addr::from(self.peer)
+    }
+}
+
+impl Drop for PeerCall {
+    fn drop(&mut self) {
+        self.gateway.peer_calls.end(self.peer);
+    }
+}
+
+/// A request of another node in flight here, counted until dropped.
+#[derive(Debug)]
+pub(super) struct ForwardedGuard(Arc<std::sync::atomic::AtomicUsize>);
+
+impl Drop for ForwardedGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+common! {
+    /// What a node says about a request that it forwards.
+    pub(super) struct Forwarded {
+        /// The service that was drawn for the request.
+        pub service: String,
+        /// How long the caller still waits, in ms.
+        pub deadline_ms: u64,
+        /// Version of the sender's plan.
+        pub plan: u64,
+        /// Number of replicas that may have run the request.
+        pub ran: u32,
+    }
+}
+
+impl Forwarded {
+    /// Takes the headers of a forwarded request out of `headers`, and changes
+    /// `info` by them.
+    pub fn take(
+        headers: &mut HeaderMap,
+        info: &mut RequestInfo,
+    ) -> Option<Forwarded> {
+        let service = headers.remove(SERVICE)?.to_str().ok()?.to_owned();
+        let mut number = |name| {
+            let value = headers.remove(name)?;
+            value.to_str().ok()?.parse::<u64>().ok()
+        };
+        let forwarded = Forwarded {
+            service,
+            deadline_ms: number(DEADLINE)?,
+            plan: number(PLAN)?,
+            ran: number(ATTEMPTS)? as u32,
+        };
+        info.deadline_ms = Some(forwarded.deadline_ms);
+        info.last_event = number(LAST_EVENT).or(info.last_event);
+        Some(forwarded)
+    }
+}
+
+impl Gateway {
+    /// Counts a request that another node forwards, unless there are too
+    /// many.
+    pub(super) fn admit_forwarded(&self) -> Result<ForwardedGuard, Refusal> {
+        let in_flight = &self.forwarded_in_flight;
+        let before = in_flight.fetch_add(1, Ordering::Relaxed);
+        let guard = ForwardedGuard(in_flight.clone());
+        if before >= MAX_FORWARDED_IN_FLIGHT {
+            let text = "too many requests of other nodes";
+            let refusal = Refusal::retryable(text, PEERS_BUSY_RETRY_AFTER_MS);
+            return Err(refusal.try_elsewhere());
+        }
+        self.metrics.taken_for_others.inc();
+        Ok(guard)
+    }
+
+    /// Returns the address of a node that reaches a service's replicas, and
+    /// the age of its last report in ms.
+    ///
+    /// Of two nodes drawn at random, it is the one with fewer requests of this
+    /// node, so that no single node gets the requests of all nodes that need
+    /// another one. A node in this data centre is preferred among equals.
+    fn pick_peer(&self, service: &str, tried: &[u32]) -> Option<(u32, u64)> {
+        let now = self.timer.now();
+        let table = self.mesh.get()?.table();
+        let near = table.own_peer().data_centre.as_str();
+        let nodes: Vec<(u32, bool, u64)> = table
+            .nodes_reaching(now, name_hash(service))
+            .filter(|node| !tried.contains(&node.peer.ip))
+            .map(|node| {
+                let is_far = node.peer.data_centre != near;
+                (node.peer.ip, is_far, now.saturating_sub(node.heard_at))
+            })
+            .collect();
+        let drawn = nodes.sample(&mut rand::rng(), 2);
+        let best = drawn.min_by_key(|(ip, is_far, _)| {
+            (self.peer_calls.count(*ip), *is_far)
+        });
+        best.map(|(ip, _, age_ms)| (*ip, *age_ms))
+    }
+}
+
+/// Result of forwarding a request through other nodes.
+pub(super) enum Outcome {
+    /// A replica's answer.
+    Reply(Reply),
+    /// No replica answered, and there is no point in another attempt.
+    Refused(Refusal),
+    /// The answer broke off or did not come.
+    Failed(Error),
+}
+
+/// What one other node answered.
+enum PeerAnswer {
+    Reply(Reply),
+    Refused(Refusal),
+    Elsewhere(Refusal),
+}
+
+impl AcceptedRequest {
+    /// Forwards the request through another node that reaches the replicas,
+    /// and through a third one if that node does not take it.
+    pub async fn call_peers(&mut self, last_event: Option<u64>) -> Outcome {
+        let text = "no node reaches the replicas";
+        let mut last = Refusal::retryable(text, UNREACHABLE_RETRY_AFTER_MS);
+        if self.forwarded.is_some() {
+            return Outcome::Refused(last.try_elsewhere());
+        }
+        while self.peers_tried.len() < MAX_PEERS_PER_REQUEST
+            && Instant::now() < self.deadline
+        {
+            let picked =
+                self.gateway.pick_peer(&self.service, &self.peers_tried);
+            let Some((peer, report_age_ms)) = picked else { break };
+            self.peers_tried.push(peer);
+            self.gateway.metrics.forwarded.inc();
+            let ip = Ipv4Addr::from(peer);
+            let request = id_text(self.request_info.id.as_ref());
+            info!(
+                target: "gateway",
+                request, %ip, report_age_ms,
+                service = self.service,
+                "Forwarding to another node."
+            );
+            match self.call_peer(peer, last_event).await {
+                Ok(PeerAnswer::Reply(reply)) => return Outcome::Reply(reply),
+                Ok(PeerAnswer::Refused(refusal)) => {
+                    return Outcome::Refused(refusal);
+                }
+                Ok(PeerAnswer::Elsewhere(refusal)) => last = refusal,
+                Err(error) => {
+                    info!(
+                        target: "gateway",
+                        request, %ip,
+                        verdict = error.verdict.as_str(),
+                        after_ms = self.began.elapsed().as_millis() as u64,
+                        "Another node did not answer: {}.", error.text
+                    );
+                    if error.verdict != Verdict::NotRun {
+                        return Outcome::Failed(error);
+                    }
+                }
+            }
+        }
+        Outcome::Refused(last)
+    }
+
+    async fn call_peer(
+        &self,
+        peer: u32,
+        last_event: Option<u64>,
+    ) -> Result<PeerAnswer, Error> {
+        let call = PeerCall::begin(&self.gateway, peer);
+        let address = SocketAddrV4::new(call.ip(), self.gateway.forward_port);
+        let connections = &self.gateway.peer_connections;
+        let name = call.ip().to_string();
+        let mut connection =
+            connections.take(&name, address, self.deadline).await?;
+        let request = self.request_for_peer(last_event)?;
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        // The other node retries by itself; half of the time is left for a
+        // third node.
+        let max_silence = match self.may_repeat() {
+            true => left / 2,
+            false => left,
+        };
+        let response =
+            connection.send(request, self.body.len(), max_silence).await?;
+        self.read_peer_answer(response, connection, call).await
+    }
+
+    fn request_for_peer(
+        &self,
+        last_event: Option<u64>,
+    ) -> Result<Request<Full<bytes::Bytes>>, Error> {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let mut request = self.request_with(self.headers.clone())?;
+        let headers = request.headers_mut();
+        headers.remove(LAST_EVENT);
+        let service =
+            HeaderValue::from_str(&self.service).map_err(Error::not_sent)?;
+        headers.insert(SERVICE, service);
+        let deadline_ms = left.as_millis() as u64;
+        headers.insert(DEADLINE, HeaderValue::from(deadline_ms));
+        let plan = self.gateway.plan_version();
+        headers.insert(PLAN, HeaderValue::from(plan));
+        headers.insert(ATTEMPTS, HeaderValue::from(self.attempts.ran));
+        if let Some(event) = last_event {
+            headers.insert(LAST_EVENT, HeaderValue::from(event));
+        }
+        Ok(request)
+    }
+
+    async fn read_peer_answer(
+        &self,
+        response: Response<Incoming>,
+        connection: Connection,
+        call: PeerCall,
+    ) -> Result<PeerAnswer, Error> {
+        let (mut head, body) = response.into_parts();
+        let outcome = head.headers.remove(OUTCOME);
+        let outcome = outcome.as_ref().and_then(|value| value.to_str().ok());
+        match outcome {
+            Some(OUTCOME_ANSWER) => {}
+            Some(OUTCOME_REFUSED) => {
+                return Ok(PeerAnswer::Refused(refusal_of(&head)));
+            }
+            Some(OUTCOME_ELSEWHERE) => {
+                return Ok(PeerAnswer::Elsewhere(refusal_of(&head)));
+            }
+            _ => {
+                let text = "the other node's answer has no outcome";
+                return Err(Error::may_have_run(text));
+            }
+        }
+        let carrier = Carrier::Peer(call);
+        if self.route.retry_policy.is_stream() && head.status.is_success() {
+            let source = relay::Source {
+                read: bytes::Bytes::new(),
+                body,
+                connection,
+                carrier,
+                keep_ms: None,
+            };
+            let head = answer_head(head, &self.method);
+            let reply = Reply::Streaming(Box::new(source), head);
+            return Ok(PeerAnswer::Reply(reply));
+        }
+        let response = Response::from_parts(head, body);
+        let reply = self.read_answer(response, connection, carrier, None);
+        reply.await.map(PeerAnswer::Reply)
+    }
+}
+
+/// Returns the refusal of another node.
+///
+/// A refusal whose verdict can't be read counts as "may have run".
+fn refusal_of(head: &http::response::Parts) -> Refusal {
+    let text = |name: &str| head.headers.get(name)?.to_str().ok();
+    let verdict = text(Verdict::HEADER).and_then(Verdict::parse);
+    let verdict = verdict.unwrap_or(Verdict::MayHaveRun);
+    let retry_after = text(header::RETRY_AFTER.as_str());
+    let seconds = retry_after.and_then(|text| text.parse::<f64>().ok());
+    let wait = seconds
+        .and_then(|seconds| Duration::try_from_secs_f64(seconds).ok())
+        .map(|wait| wait.as_millis() as u64);
+    Refusal {
+        status: head.status,
+        verdict,
+        retry_after_ms: wait,
+        ..Refusal::invalid(StatusCode::BAD_GATEWAY, "refused by another node")
+    }
+}
+
+/// Marks the answer to a request that another node has forwarded.
+pub(super) fn mark_outcome(
+    result: Result<Response<Body>, Refusal>,
+) -> Response<Body> {
+    let (mut response, outcome) = match result {
+        Ok(response) => (response, OUTCOME_ANSWER),
+        Err(refusal) => {
+            let outcome = match refusal.elsewhere {
+                true => OUTCOME_ELSEWHERE,
+                false => OUTCOME_REFUSED,
+            };
+            (refusal.into_response(), outcome)
+        }
+    };
+    let outcome = HeaderValue::from_static(outcome);
+    response.headers_mut().insert(OUTCOME, outcome);
+    response
+}
--- a/src/gateway/plan.rs
+++ b/src/gateway/plan.rs
@@ -61,6 +61,14 @@
     }
 }
 
+impl Route {
+    /// Returns true if requests may go to the service.
+    pub fn leads_to(&self, service: &str) -> bool {
+        let mut split = self.split.iter();
+        split.any(|(name, weight)| name == service && *weight > 0)
+    }
+}
+
 common! {
     /// How an engine's replicas are bought.
     pub struct Scaling {
@@ -96,6 +104,8 @@
         /// Time in which a replica fetches one cached token of a prompt from
         /// another replica, in ms; `None` if it can't fetch.
         pub fetch_ms: Option<f32>,
+        /// Path at which replicas answer at any time; `None` if there is none.
+        pub probe_path: Option<String>,
         /// How replicas are bought and released, if they are.
         pub scaling: Option<Scaling>,
     }
--- /dev/null
+++ b/src/gateway/probes.rs
@@ -0,0 +1,125 @@
+//! Probes the replicas of services that may be unreachable from this node.
+//!
+//! [`Reach`](crate::decide::reach::Reach) decides when to probe and what the
+//! results mean. The other nodes are told which services this node does not
+//! reach: they send it no requests of theirs, and callers are sent to nodes
+//! that reach all services.
+
+use std::{sync::Arc, time::Duration};
+
+use futures_util::future::join_all;
+use tokio::time::{Instant, sleep, timeout};
+use tracing::{info, warn};
+
+use super::{Gateway, fleet::ProbeRound};
+use crate::decide::reach::{Change, Probe};
+
+/// Interval at which the node checks whether replicas are to be probed.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Starts rounds of probes as long as the task runs.
+pub(crate) async fn run(gateway: Arc<Gateway>) {
+    loop {
+        tokio::select! {
+            () = sleep(CHECK_INTERVAL) => {}
+            () = gateway.connection_failed.notified() => {}
+        }
+        let now = gateway.timer.now();
+        let rounds = gateway.fleet().begin_probes(now);
+        for round in rounds {
+            let gateway = gateway.clone();
+            tokio::spawn(async move { gateway.probe(round).await });
+        }
+    }
+}
+
+impl Gateway {
+    async fn probe(&self, round: ProbeRound) {
+        let path = self.probe_path(&round.service);
+        let probes = round.replicas.iter().map(|(replica, address)| {
+            self.connections.probe(replica, *address, path.as_deref())
+        });
+        let probes = join_all(probes).await;
+        let now = self.timer.now();
+        let mut fleet = self.fleet();
+        let change = fleet.end_probes(now, &round, &probes);
+        let unreachable = fleet.unreachable();
+        drop(fleet);
+        let Some(change) = change else { return };
+        let failed =
+            probes.iter().filter(|probe| **probe != Probe::Answered).count();
+        let service = round.service;
+        match change {
+            Change::Lost => warn!(
+                target: "gateway",
+                service, probes = probes.len(), failed,
+                "Lost all paths to the replicas; forwarding to other nodes."
+            ),
+            Change::Restored { after_ms } => info!(
+                target: "gateway",
+                service, probes = probes.len(), failed, after_ms,
+                "Replicas can be reached again."
+            ),
+        }
+        self.metrics.unreachable_services.set(unreachable.len() as i64);
+        if let Some(mesh) = self.mesh.get() {
+            mesh.table().own_peer_mut().unreachable = unreachable;
+            mesh.request_urgent_round();
+        }
+        self.reach_changed.send_replace(());
+    }
+
+    fn probe_path(&self, service: &str) -> Option<String> {
+        let plan = self.plan.read();
+        let service = plan.as_ref().as_ref()?.service(service)?;
+        service.probe_path.clone()
+    }
+
+    /// Records that a connection to a replica failed.
+    pub(super) fn record_connection_failure(&self, service: &str) {
+        self.fleet().record_connection_failure(service);
+        self.connection_failed.notify_one();
+    }
+
+    /// Returns true if this node does not reach the replicas of a service.
+    pub(super) fn is_unreachable(&self, service: &str) -> bool {
+        let fleet = self.fleet();
+        fleet.reach(service).is_some_and(|reach| reach.is_unreachable())
+    }
+
+    fn is_quiet(&self, now: u64, service: &str) -> bool {
+        let fleet = self.fleet();
+        fleet.reach(service).is_some_and(|reach| reach.is_quiet(now))
+    }
+
+    /// Returns since when connections that are open prove to work, while no
+    /// new ones open to a service.
+    pub(super) fn open_connections_work_since(
+        &self,
+        service: &str,
+    ) -> Option<Instant> {
+        let now = self.timer.now();
+        let since = self.fleet().reach(service)?.works_since(now)?;
+        let age = Duration::from_millis(now.saturating_sub(since));
+        Instant::now().checked_sub(age)
+    }
+
+    /// Waits until a service is unreachable and nothing arrives from its
+    /// replicas any more.
+    pub(super) async fn wait_until_lost(&self, service: &str) {
+        let mut changes = self.reach_changed.subscribe();
+        loop {
+            let now = self.timer.now();
+            let is_unreachable = self.is_unreachable(service);
+            if is_unreachable && self.is_quiet(now, service) {
+                return;
+            }
+            // Never closed: `self` owns the sender.
+            let change = changes.changed();
+            match is_unreachable {
+                true => drop(timeout(CHECK_INTERVAL, change).await),
+                false => drop(change.await),
+            }
+        }
+    }
+}
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -77,6 +77,8 @@
         pub cause: Option<Box<Cause>>,
         /// Name of the route; empty until it is known.
         pub route: String,
+        /// True when another node may accept the request now.
+        pub elsewhere: bool,
     }
 }
 
@@ -91,6 +93,25 @@
             close: false,
             cause: None,
             route: String::new(),
+            elsewhere: false,
+        }
+    }
+
+    /// Says that another node may accept the request now.
+    pub fn try_elsewhere(self) -> Refusal {
+        Refusal { elsewhere: true, ..self }
+    }
+
+    /// Returns the refusal of a request whose attempts have this verdict: one
+    /// that may have run is never refused as "not run".
+    pub fn after(self, attempts: Verdict) -> Refusal {
+        match (self.verdict, attempts) {
+            (Verdict::NotRun, Verdict::MayHaveRun | Verdict::Ran) => Refusal {
+                cause: self.cause,
+                route: self.route,
+                ..Refusal::may_have_run("no replica answered")
+            },
+            _ => self,
         }
     }
 
@@ -126,6 +147,7 @@
             close: false,
             cause: None,
             route: String::new(),
+            elsewhere: false,
         }
     }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -18,9 +18,9 @@
 
 use super::{
     events::Splitter,
-    fleet::Outcome,
-    flight::Flight,
+    flight::Carrier,
     forward::{AcceptedRequest, Reply},
+    peer_call::Outcome,
     plan::RetryPolicy,
     server::{Body, BodyError},
     upstream::Connection,
@@ -38,7 +38,7 @@
     pub read: Bytes,
     pub body: Incoming,
     pub connection: Connection,
-    pub flight: Flight,
+    pub carrier: Carrier,
     /// How long the replica keeps the idle connection open, in ms.
     pub keep_ms: Option<u64>,
 }
@@ -120,7 +120,7 @@
         let frame = match timeout_at(until, source.body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(_))) => {
-                source.flight.end = Outcome::Disconnected;
+                source.carrier.disconnect();
                 return Received::Broken("the replica's connection broke");
             }
             Ok(None) if !self.is_event_stream => return Received::End,
@@ -128,7 +128,7 @@
                 return Received::End;
             }
             Ok(None) => {
-                source.flight.end = Outcome::Disconnected;
+                source.carrier.disconnect();
                 return Received::Broken("the answer ended within an event");
             }
             Err(_) if Instant::now() >= deadline => return Received::Timeout,
@@ -137,7 +137,7 @@
         let Ok(data) = frame.into_data() else {
             return Received::Data(Bytes::new());
         };
-        source.flight.progress();
+        source.carrier.progress();
         if !self.is_event_stream {
             return Received::Data(data);
         }
@@ -158,12 +158,10 @@
             "Stream ended."
         );
         if let Some(mut source) = self.source.take() {
-            source.flight.finish(false);
+            source.carrier.finish(false);
             let keep = source.keep_ms.map(Duration::from_millis);
-            self.accepted
-                .gateway
-                .connections
-                .put_back(source.connection, keep);
+            let pool = source.carrier.pool(&self.accepted.gateway);
+            pool.put_back(source.connection, keep);
         }
     }
 
@@ -197,10 +195,8 @@
     /// possible.
     async fn resume(&mut self, reason: &'static str) -> bool {
         if let Some(mut source) = self.source.take() {
-            if source.flight.end != Outcome::Disconnected {
-                source.flight.end = Outcome::Failed;
-            }
-            let replica = source.flight.replica().to_owned();
+            source.carrier.fail();
+            let replica = source.carrier.name();
             self.accepted.attempts.note(&replica, Verdict::Ran);
         }
         if self.accepted.route.retry_policy != RetryPolicy::Resumable {
@@ -209,8 +205,11 @@
         while Instant::now() < self.accepted.deadline
             && self.accepted.claim_retry()
         {
-            let Some(target) = self.accepted.pick() else { return false };
             let last = self.splitter.last();
+            if self.accepted.gateway.is_unreachable(&self.accepted.service) {
+                return self.resume_at_peer(last, reason).await;
+            }
+            let Some(target) = self.accepted.pick() else { return false };
             self.accepted.chosen = Some(target.clone());
             info!(
                 target: "gateway",
@@ -238,4 +237,27 @@
         }
         false
     }
+
+    /// Resumes the stream through another node.
+    async fn resume_at_peer(
+        &mut self,
+        last: Option<u64>,
+        reason: &'static str,
+    ) -> bool {
+        info!(
+            target: "gateway",
+            request = self.request_id(),
+            last_event = last.unwrap_or(0),
+            "Stream resumes through another node: {reason}."
+        );
+        match self.accepted.call_peers(last).await {
+            Outcome::Reply(Reply::Streaming(source, _)) => {
+                self.splitter = Splitter::open(last);
+                self.source = Some(*source);
+                self.accepted.gateway.metrics.moved.inc();
+                true
+            }
+            _ => false,
+        }
+    }
 }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -17,8 +17,8 @@
 };
 
 use bytes::Bytes;
-use http::{Request, Response};
-use http_body_util::Full;
+use http::{Request, Response, header};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use tokio::{
@@ -27,7 +27,7 @@
     time::{Instant, timeout, timeout_at},
 };
 
-use crate::{util::common, verdict::Verdict};
+use crate::{decide::reach::Probe, util::common, verdict::Verdict};
 
 /// Time after which opening a connection fails. Links within a deployment take
 /// a few milliseconds. After this time the replica is down or unreachable, and
@@ -46,6 +46,11 @@
 /// longer body the connection is not reused: after an early answer the replica
 /// may still be waiting for bytes of the body that are never sent.
 const MAX_REUSE_BODY_BYTES: usize = 16 * 1024;
+/// Time for the answer to a probe on an open connection.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum size of the answer to a probe after which its connection is kept,
+/// in bytes.
+const MAX_PROBE_BODY_BYTES: usize = 4096;
 /// Maximum number of idle connections kept to one replica.
 const MAX_IDLE_PER_REPLICA: usize = 32;
 
@@ -92,13 +97,15 @@
 }
 
 impl Error {
-    fn not_sent(text: impl ToString) -> Error {
+    /// Returns an error of a request of which nothing was sent.
+    pub(super) fn not_sent(text: impl ToString) -> Error {
         let text = text.to_string();
         let fault = Fault::Other;
         Error { verdict: Verdict::NotRun, sent: false, fault, text }
     }
 
-    fn may_have_run(text: impl ToString) -> Error {
+    /// Returns an error of a request that may have run.
+    pub(super) fn may_have_run(text: impl ToString) -> Error {
         let text = text.to_string();
         let fault = Fault::Other;
         Error { verdict: Verdict::MayHaveRun, sent: true, fault, text }
@@ -142,6 +149,7 @@
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
+    idle_since: Instant,
     until: Instant,
 }
 
@@ -203,6 +211,54 @@
         }
     }
 
+    /// Returns true if there is an idle connection to a replica that was last
+    /// used after `since`.
+    pub fn has_idle_since(&self, replica: &str, since: Instant) -> bool {
+        let now = Instant::now();
+        self.idle().iter().any(|pooled| {
+            pooled.connection.replica == replica
+                && pooled.idle_since > since
+                && now < pooled.until
+                && pooled.connection.sender.is_ready()
+        })
+    }
+
+    /// Opens a connection to a replica and requests `path` on it, or only
+    /// opens it if there is no path. A connection that works is added to the
+    /// pool.
+    pub async fn probe(
+        &self,
+        replica: &str,
+        address: SocketAddrV4,
+        path: Option<&str>,
+    ) -> Probe {
+        let opened = timeout(CONNECT_TIMEOUT, connect(replica, address)).await;
+        let Ok(Ok(mut connection)) = opened else { return Probe::Failed };
+        let Some(path) = path else {
+            self.put_back(connection, None);
+            return Probe::Answered;
+        };
+        let request = Request::get(path)
+            .header(header::HOST, address.to_string())
+            .body(Full::new(Bytes::new()));
+        let Ok(request) = request else { return Probe::Answered };
+        let sent = connection.send(request, 0, PROBE_TIMEOUT).await;
+        match sent {
+            Ok(response) => {
+                let body = Limited::new(response, MAX_PROBE_BODY_BYTES);
+                let read = timeout(PROBE_TIMEOUT, body.collect()).await;
+                if matches!(read, Ok(Ok(_))) {
+                    self.put_back(connection, None);
+                }
+                Probe::Answered
+            }
+            Err(error) if error.fault == Fault::Broken || !error.sent => {
+                Probe::Failed
+            }
+            Err(_) => Probe::Silent,
+        }
+    }
+
     fn take_idle(&self, replica: &str) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle();
@@ -237,7 +293,9 @@
             .iter()
             .filter(|pooled| pooled.connection.replica == connection.replica);
         if same.count() < MAX_IDLE_PER_REPLICA {
-            idle.push(Idle { connection, until: Instant::now() + keep });
+            let idle_since = Instant::now();
+            let until = idle_since + keep;
+            idle.push(Idle { connection, idle_since, until });
         }
     }
 
--- a/src/mesh/round.rs
+++ b/src/mesh/round.rs
@@ -302,6 +302,13 @@
         let others = others.map(|node| (node.peer.ip, &node.peer));
         let mut all: Vec<(u32, &Peer)> = own.into_iter().collect();
         all.extend(others);
+        // Callers of a node without a path to the replicas are served through
+        // another node, which takes longer and breaks more often.
+        let reaches_all =
+            |(_, peer): &(u32, &Peer)| peer.unreachable.is_empty();
+        if all.iter().any(reaches_all) {
+            all.retain(reaches_all);
+        }
         if all.len() > MAX_ACTIVE_FOR_ALL_CALLERS {
             let is_near = |(_, peer): &&(u32, &Peer)| {
                 near.is_some_and(|near| peer.data_centre == near)
@@ -320,6 +327,18 @@
         all.into_iter().map(|(ip, _)| ip.into()).collect()
     }
 
+    /// Returns the active nodes that reach the replicas of a service, by the
+    /// hash of its name.
+    pub fn nodes_reaching(
+        &self,
+        now: u64,
+        service: u64,
+    ) -> impl Iterator<Item = &Node> {
+        self.live(now).filter(move |node| {
+            node.is_active() && !node.peer.unreachable.contains(&service)
+        })
+    }
+
     /// Returns the nodes that can lead, which alone make usage reports.
     fn nodes_with_disk(&self, now: u64) -> Vec<Ipv4Addr> {
         ips(self.live(now).filter(|node| node.peer.has_disk))
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -95,6 +95,12 @@
     pub leaving_answers: Counter,
     /// Attempts at replicas that failed, by fault.
     pub failed_attempts: Family<FailedAttempt, Counter>,
+    /// Services whose replicas this node can't reach.
+    pub unreachable_services: Gauge,
+    /// Requests forwarded to other nodes.
+    pub forwarded: Counter,
+    /// Requests that other nodes have forwarded to this one.
+    pub taken_for_others: Counter,
 }
 
 fn seconds() -> Histogram {
@@ -142,6 +148,9 @@
             backing_off_replicas: Gauge::default(),
             leaving_answers: Counter::default(),
             failed_attempts: Family::default(),
+            unreachable_services: Gauge::default(),
+            forwarded: Counter::default(),
+            taken_for_others: Counter::default(),
             registry: Registry::default(),
         };
         // Metrics of control come first, because collectors truncate long
@@ -206,6 +215,21 @@
             "Attempts at replicas that failed, by fault",
             metrics.failed_attempts.clone(),
         );
+        registry.register(
+            "unreachable_services",
+            "Services whose replicas this node can't reach",
+            metrics.unreachable_services.clone(),
+        );
+        registry.register(
+            "forwarded_requests",
+            "Requests forwarded to other nodes",
+            metrics.forwarded.clone(),
+        );
+        registry.register(
+            "requests_of_other_nodes",
+            "Requests that other nodes have forwarded to this one",
+            metrics.taken_for_others.clone(),
+        );
         registry.register(
             "latency_seconds",
             "From request to the end of its answer",
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -37,6 +37,7 @@
     time::Duration,
 };
 
+use futures_util::future::join_all;
 use tokio::{
     net::TcpListener,
     sync::watch,
@@ -56,6 +57,7 @@
         dialect::Dialect,
         forward,
         plan::{Draft, Invalid, Plan},
+        probes,
         server::{self, Server},
     },
     mesh::{
@@ -80,6 +82,8 @@
 const PROCESS_EXIT_RESERVE: Duration = Duration::from_millis(400);
 /// Time for each background task to end before it is aborted.
 const TASK_STOP_TIMEOUT: Duration = Duration::from_millis(100);
+/// Distance of the port for forwarded requests from the port for other nodes.
+const FORWARD_PORT_OFFSET: u16 = 1;
 /// Minimum interval between log lines about unreadable heartbeats.
 const UNREADABLE_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of characters of a sender's name in a log line.
@@ -151,7 +155,8 @@
     stop_peer_server: watch::Sender<bool>,
     front: SocketAddrV4,
     peer_port: u16,
-    server: Mutex<Option<Server>>,
+    /// The server for callers, and the one for forwarded requests.
+    servers: Mutex<Vec<Server>>,
     tasks: Mutex<Vec<JoinHandle<()>>>,
     duties: Mutex<Option<duty::Handle>>,
 }
@@ -169,10 +174,12 @@
 /// Returns an error if an address can't be bound.
 pub async fn spawn(options: Options) -> io::Result<Handle> {
     let timer = Timer::spawn();
+    let forward_port = options.peer_address.port() + FORWARD_PORT_OFFSET;
     let gateway = Arc::new(Gateway::open(
         &options.gateway,
         options.dialect.clone(),
         timer.clone(),
+        forward_port,
     ));
     let seat = options.folder.clone().map(|folder| {
         let options = seat::Options {
@@ -208,7 +215,7 @@
         stop_peer_server: watch::Sender::new(false),
         front: options.front,
         peer_port: port,
-        server: Mutex::new(None),
+        servers: Mutex::default(),
         tasks: Mutex::new(Vec::new()),
         duties: Mutex::new(None),
     });
@@ -234,20 +241,31 @@
     gateway.set_mesh(mesh.clone());
     let _ = node.mesh.set(mesh.clone());
     let front = TcpListener::bind(SocketAddr::V4(options.front)).await?;
-    let serving = gateway.clone();
-    let limits = move || {
-        let plan = serving.plan.read();
-        plan.as_ref().as_ref().map(Plan::limits).unwrap_or_default()
+    let forward_address =
+        SocketAddrV4::new(*options.peer_address.ip(), forward_port);
+    let forwarded = TcpListener::bind(SocketAddr::V4(forward_address)).await?;
+    let limits = |gateway: Arc<Gateway>| {
+        move || {
+            let plan = gateway.plan.read();
+            plan.as_ref().as_ref().map(Plan::limits).unwrap_or_default()
+        }
     };
     let serving = gateway.clone();
-    let server = server::spawn(front, limits, move |request| {
-        forward::serve(serving.clone(), request)
-    })?;
-    *lock(&node.server) = Some(server);
+    let for_callers =
+        server::spawn(front, limits(gateway.clone()), move |request| {
+            forward::serve(serving.clone(), request)
+        })?;
+    let serving = gateway.clone();
+    let for_nodes =
+        server::spawn(forwarded, limits(gateway.clone()), move |request| {
+            forward::serve_forwarded(serving.clone(), request)
+        })?;
+    *lock(&node.servers) = vec![for_callers, for_nodes];
     let folder = options.folder;
     let mut tasks = vec![
         tokio::spawn(peers::serve(node.clone(), listener)),
         tokio::spawn(recall::learn(node.clone(), folder.clone())),
+        tokio::spawn(probes::run(gateway.clone())),
     ];
     if let Some(folder) = folder {
         tasks.push(tokio::spawn(recall::save(node.clone(), folder)));
@@ -305,7 +323,7 @@
     /// Returns the address at which this node serves callers, or `None` once
     /// it is stopping.
     pub fn front(&self) -> Option<SocketAddr> {
-        lock(&self.node.server).as_ref().map(Server::address)
+        lock(&self.node.servers).first().map(Server::address)
     }
 
     /// Returns the addresses that callers in a data centre may connect to: the
@@ -429,18 +447,17 @@
         info!(target: "node", "Stopping: address withdrawn from callers.");
         node.stopping.store(true, Ordering::Relaxed);
         node.announce_serving();
-        let server = lock(&node.server).take();
-        if let Some(server) = &server {
+        let servers = std::mem::take(&mut *lock(&node.servers));
+        for server in &servers {
             server.close_after_answers();
         }
         // Duties stop first, because a successor only waits until this node's
         // lease has expired.
         *lock(&node.duties) = None;
         sleep(accept_duration(grace)).await;
-        if let Some(server) = server {
-            let left = end.saturating_duration_since(Instant::now());
-            server.shutdown(left).await;
-        }
+        let left = end.saturating_duration_since(Instant::now());
+        let stopping = servers.into_iter().map(|server| server.shutdown(left));
+        join_all(stopping).await;
         if let Some(seat) = &node.seat {
             seat.stop().await;
         }
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -876,6 +876,9 @@
     /// Since the sender heard of it; 0 when it speaks for itself.
     #[prost(uint32, tag = "13")]
     pub age_ms: u32,
+    /// Hashes of the names of services whose replicas it can't reach.
+    #[prost(fixed64, repeated, tag = "14")]
+    pub unreachable: ::prost::alloc::vec::Vec<u64>,
 }
 /// What is known of one incarnation of a replica.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/tests/all/partition.rs
+++ b/tests/all/partition.rs
@@ -316,12 +316,30 @@
     assert!(network.most_runs() <= 1, "a request ran twice");
 }
 
-/// Guards against nodes that refuse callers, or let them wait, while they
-/// can't reach replicas that other nodes reach.
+/// Guards against nodes that refuse all requests while their connections to
+/// replicas are reset, although other nodes reach the replicas.
 #[tokio::test]
-async fn nodes_partitioned_from_all_replicas_still_serve() {
+async fn nodes_whose_connections_to_replicas_are_reset_still_serve() {
     serves_behind_partition(6, 3, Mode::Reset).await;
+}
+
+/// Guards against nodes whose requests wait for replicas that nothing reaches
+/// any more, although other nodes reach them.
+#[tokio::test]
+async fn nodes_whose_connections_to_replicas_hang_still_serve() {
     serves_behind_partition(6, 3, Mode::Silent).await;
+}
+
+/// Guards against nodes that serve only as many requests as they have open
+/// connections to replicas, while no new connection opens.
+#[tokio::test]
+async fn nodes_that_open_no_new_connections_to_replicas_still_serve() {
     serves_behind_partition(6, 3, Mode::Live).await;
+}
+
+/// Guards against nodes that refuse all requests where most nodes can't reach
+/// the replicas.
+#[tokio::test]
+async fn few_connected_nodes_serve_the_callers_of_many_partitioned_ones() {
     serves_behind_partition(12, 9, Mode::Reset).await;
 }
--- a/tests/all/world.rs
+++ b/tests/all/world.rs
@@ -35,6 +35,9 @@
 /// Timeout of waits in tests, far longer than any wait of a passing test.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Path at which replicas answer probes.
+pub const PROBE_PATH: &str = "/health";
+
 /// A dialect with test-only header names.
 pub struct TestDialect;
 
@@ -154,6 +157,7 @@
             cache_tokens: 0,
             tokens_per_event: 1,
             fetch_ms: None,
+            probe_path: Some(PROBE_PATH.to_owned()),
             scaling: None,
         }],
         teams: vec![Team {
@@ -410,6 +414,12 @@
         }
         let text = String::from_utf8_lossy(&read).into_owned();
         read.clear();
+        if text.starts_with(&format!("GET {PROBE_PATH} ")) {
+            if stream.write_all(ok("")[0].as_bytes()).await.is_err() {
+                return;
+            }
+            continue;
+        }
         let _ = send.send(text.clone());
         let pieces = respond(&text);
         if pieces.is_empty() {
