Resolve a forwarded request at the node that received it

What callers saw: while a new plan spread, nodes refused requests that partitioned nodes forwarded to them, as the sender's plan was newer.

Cause: the receiving node resolved route and team by its own plan, and so had to refuse what the sender knew from a newer one.

Change: the sender passes on what it has resolved, and the receiver needs no plan. This also keeps a plan that is newer at the receiver from handling a request differently in one node than in the other.

--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -13,7 +13,6 @@
     bodies::Reservation,
     dialect::RequestInfo,
     forward::{AcceptedRequest, Attempts},
-    peer_call::Forwarded,
     plan::{Limits, Plan, Route, Team},
     refusal::Refusal,
 };
@@ -38,7 +37,6 @@
     request: Request<Incoming>,
     request_info: RequestInfo,
     began: Instant,
-    forwarded: Option<Forwarded>,
 ) -> Result<AcceptedRequest, Refusal> {
     let host = host_of(&request)?;
     let read_plan = || {
@@ -50,15 +48,8 @@
         return Err(Refusal::retryable(
             "no plan here yet",
             NO_PLAN_RETRY_AFTER_MS,
-        )
-        .try_elsewhere());
+        ));
     };
-    // An older plan may lack the route or the team's key.
-    if forwarded.as_ref().is_some_and(|sender| sender.plan > plan.version()) {
-        let text = "the plan here is older than the sender's";
-        let refusal = Refusal::retryable(text, NO_PLAN_RETRY_AFTER_MS);
-        return Err(refusal.try_elsewhere());
-    }
     let path = request.uri().path();
     let Some(route) = plan.route(&host, path) else {
         let status = StatusCode::NOT_FOUND;
@@ -68,15 +59,41 @@
     let limit = Duration::from_millis(
         request_info.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms),
     );
-    let deadline = began + limit;
-    let service = match &forwarded {
-        Some(sender) if route.leads_to(&sender.service) => {
-            sender.service.clone()
-        }
-        _ => gateway.draw_service(route),
+    let resolved = Resolved {
+        service: gateway.draw_service(route),
+        route: route.clone(),
+        team: team.cloned(),
+        deadline: began + limit,
     };
-    let (route, team) = (route.clone(), team.cloned());
-    let limits = plan.limits();
+    let accepted = receive(gateway, request, request_info, began, resolved);
+    let accepted = accepted.await?;
+    charge_quota(&accepted).await.map_err(|refusal| Refusal {
+        route: accepted.route.name.clone(),
+        ..refusal
+    })?;
+    Ok(accepted)
+}
+
+/// How a request is to be handled, by its head.
+pub(super) struct Resolved {
+    pub route: Route,
+    pub service: String,
+    pub team: Option<Team>,
+    pub deadline: Instant,
+}
+
+/// Reads the body of a request and checks that the request is not
+/// quarantined.
+pub(super) async fn receive(
+    gateway: &Arc<Gateway>,
+    request: Request<Incoming>,
+    request_info: RequestInfo,
+    began: Instant,
+    resolved: Resolved,
+) -> Result<AcceptedRequest, Refusal> {
+    let Resolved { route, service, team, deadline } = resolved;
+    let host = host_of(&request)?;
+    let limits = gateway.limits();
     let (head, body) = request.into_parts();
     let mut reservation = gateway.bodies.reserve();
     let body = read_body(body, limits, deadline, &mut reservation).await?;
@@ -88,20 +105,9 @@
         team.as_ref().map_or("", |team| &team.name).as_bytes(),
         &body,
     ]);
-    let with_route =
-        |refusal| Refusal { route: route.name.clone(), ..refusal };
-    gateway.check_quarantine(fingerprint, &service).map_err(with_route)?;
-    if let Some(team) = &team
-        && let Some(quota) = team.quota
-        && forwarded.is_none()
-    {
-        let cost = cost_of(&request_info, quota.default_tokens);
-        let urgent = route.priority == 0;
-        let quota_known = || gateway.knows_quota_use(&team.name).then_some(());
-        gateway.wait_at_start(quota_known).await;
-        let admitted = gateway.admit_by_quota(&team.name, quota, cost, urgent);
-        admitted.map_err(with_route)?;
-    }
+    gateway
+        .check_quarantine(fingerprint, &service)
+        .map_err(|refusal| Refusal { route: route.name.clone(), ..refusal })?;
     Ok(AcceptedRequest {
         gateway: gateway.clone(),
         route,
@@ -116,7 +122,7 @@
         _reservation: reservation,
         began,
         deadline,
-        attempts: Attempts::after(forwarded.as_ref().map_or(0, |one| one.ran)),
+        attempts: Attempts::default(),
         forwarded: None,
         peers_tried: Vec::new(),
         chosen: None,
@@ -124,6 +130,17 @@
     })
 }
 
+async fn charge_quota(accepted: &AcceptedRequest) -> Result<(), Refusal> {
+    let gateway = &accepted.gateway;
+    let Some(team) = &accepted.team else { return Ok(()) };
+    let Some(quota) = team.quota else { return Ok(()) };
+    let cost = cost_of(&accepted.request_info, quota.default_tokens);
+    let urgent = accepted.route.priority == 0;
+    let quota_known = || gateway.knows_quota_use(&team.name).then_some(());
+    gateway.wait_at_start(quota_known).await;
+    gateway.admit_by_quota(&team.name, quota, cost, urgent)
+}
+
 /// Returns the host in lower case and without a port.
 ///
 /// A request with several Host headers, or whose request line names another
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -29,7 +29,7 @@
     fleet::{Outcome, Target},
     flight::{Carrier, Flight},
     parts::{block_ends, prompt_blocks},
-    peer_call::{self, Forwarded, ForwardedGuard, mark_outcome},
+    peer_call::{self, ForwardedGuard, accept_forwarded, mark_outcome},
     plan::{RetryPolicy, Route, Team},
     refusal::{Refusal, id_text},
     relay,
@@ -104,7 +104,7 @@
 }
 
 impl Attempts {
-    /// Creates the attempts of a request that replicas may already have run.
+    /// Creates the attempts of a request that `ran` replicas may have run.
     pub fn after(ran: u32) -> Attempts {
         Attempts { ran, ..Attempts::default() }
     }
@@ -147,7 +147,7 @@
     let began = Instant::now();
     let request_info = gateway.dialect.parse_request(request.headers());
     let id = request_info.id.clone();
-    match accept(&gateway, request, request_info, began, None).await {
+    match accept(&gateway, request, request_info, began).await {
         Ok(accepted) => {
             gateway.accepted_count.fetch_add(1, Ordering::Relaxed);
             run(accepted).await.unwrap_or_else(Refusal::into_response)
@@ -162,22 +162,13 @@
 /// Serves a request that another node forwards.
 pub async fn serve_forwarded(
     gateway: Arc<Gateway>,
-    mut request: Request<Incoming>,
+    request: Request<Incoming>,
 ) -> Response<Body> {
     let began = Instant::now();
-    let mut request_info = gateway.dialect.parse_request(request.headers());
+    let request_info = gateway.dialect.parse_request(request.headers());
     let id = request_info.id.clone();
-    let sender = Forwarded::take(request.headers_mut(), &mut request_info);
-    let accepted = match sender {
-        Some(sender) => {
-            accept_forwarded(&gateway, request, request_info, began, sender)
-                .await
-        }
-        None => Err(Refusal::protocol_error(
-            StatusCode::BAD_REQUEST,
-            "not forwarded by a node",
-        )),
-    };
+    let accepted =
+        accept_forwarded(&gateway, request, request_info, began).await;
     let result = match accepted {
         Ok(accepted) => run(accepted).await,
         Err(refusal) => {
@@ -188,19 +179,6 @@
     mark_outcome(result)
 }
 
-async fn accept_forwarded(
-    gateway: &Arc<Gateway>,
-    request: Request<Incoming>,
-    request_info: RequestInfo,
-    began: Instant,
-    sender: Forwarded,
-) -> Result<AcceptedRequest, Refusal> {
-    let guard = gateway.admit_forwarded()?;
-    let accepted =
-        accept(gateway, request, request_info, began, Some(sender)).await?;
-    Ok(AcceptedRequest { forwarded: Some(guard), ..accepted })
-}
-
 // ---- Attempts at replicas --------------------------------------------------
 
 /// The answer of one replica.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -68,7 +68,7 @@
     ending::CrashDetector,
     fleet::Fleet,
     peer_call::PeerCalls,
-    plan::{Plan, Route, Team},
+    plan::{Limits, Plan, Route, Team},
     quotas::Quotas,
     upstream::Pool,
 };
@@ -250,6 +250,12 @@
         self.plan.read().as_ref().as_ref().map_or(0, Plan::version)
     }
 
+    /// Returns the limits on callers' requests.
+    pub fn limits(&self) -> Limits {
+        let plan = self.plan.read();
+        plan.as_ref().as_ref().map(Plan::limits).unwrap_or_default()
+    }
+
     /// Updates replicas, rate limits and quotas from the mesh.
     pub fn refresh(&self) {
         let Some(mesh) = self.mesh.get() else { return };
--- a/src/gateway/peer_call.rs
+++ b/src/gateway/peer_call.rs
@@ -1,17 +1,17 @@
 //! Forwards requests through another node while this node does not reach the
 //! replicas of a service.
 //!
-//! The request goes to the other node over HTTP as the caller sent it, with
-//! some headers of the product's own:
+//! The request goes to the other node over HTTP as the caller sent it. The
+//! header `azuremount-forwarded` contains what the sender has resolved, as a
+//! message of [`wire`](crate::wire) in hexadecimal: nodes apply a new plan at
+//! different moments, and the other node may not have the sender's. The answer
+//! has the header `azuremount-outcome`:
 //!
-//! | header | of | contains |
-//! |---|---|---|
-//! | `azuremount-service` | requests | the service that was drawn for the request |
-//! | `azuremount-deadline-ms` | requests | how long the caller still waits |
-//! | `azuremount-plan` | requests | the version of the sender's plan |
-//! | `azuremount-attempts` | requests | replicas that may have run the request |
-//! | `azuremount-last-event` | requests | the event after which a stream resumes |
-//! | `azuremount-outcome` | answers | `answer` of a replica, `refused`, or `elsewhere`: another node may accept it |
+//! | outcome | meaning |
+//! |---|---|
+//! | `answer` | a replica's answer |
+//! | `refused` | a refusal by the other node |
+//! | `elsewhere` | a refusal; a third node may accept the request |
 //!
 //! The receiving node does everything that concerns replicas: it chooses one,
 //! keeps to what replicas announce, retries, and counts the usage. It does not
@@ -24,33 +24,33 @@
     time::Duration,
 };
 
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use prost::Message;
 use rand::seq::IndexedRandom;
 use tokio::time::Instant;
 use tracing::info;
 
 use super::{
     Gateway,
+    accept::{Resolved, receive},
     dialect::RequestInfo,
     flight::Carrier,
-    forward::{AcceptedRequest, Reply, answer_head},
+    forward::{AcceptedRequest, Attempts, Reply, answer_head},
+    plan::{RetryPolicy, Route, Team},
     refusal::{Refusal, id_text},
     relay,
     server::Body,
     upstream::{Connection, Error},
 };
 use crate::{
-    util::{common, name_hash, position},
+    util::{name_hash, position},
     verdict::Verdict,
+    wire::Forwarded,
 };
 
-const SERVICE: &str = "azuremount-service";
-const DEADLINE: &str = "azuremount-deadline-ms";
-const PLAN: &str = "azuremount-plan";
-const ATTEMPTS: &str = "azuremount-attempts";
-const LAST_EVENT: &str = "azuremount-last-event";
+const FORWARDED: &str = "azuremount-forwarded";
 const OUTCOME: &str = "azuremount-outcome";
 const OUTCOME_ANSWER: &str = "answer";
 const OUTCOME_REFUSED: &str = "refused";
@@ -137,42 +137,68 @@
     }
 }
 
-common! {
-    /// What a node says about a request that it forwards.
-    pub(super) struct Forwarded {
-        /// The service that was drawn for the request.
-        pub service: String,
-        /// How long the caller still waits, in ms.
-        pub deadline_ms: u64,
-        /// Version of the sender's plan.
-        pub plan: u64,
-        /// Number of replicas that may have run the request.
-        pub ran: u32,
-    }
+/// Reads a request that another node forwards.
+///
+/// The sender has resolved the route and the team, by a plan that may be newer
+/// or older than the one here, and has charged the quota.
+pub(super) async fn accept_forwarded(
+    gateway: &Arc<Gateway>,
+    mut request: Request<Incoming>,
+    mut request_info: RequestInfo,
+    began: Instant,
+) -> Result<AcceptedRequest, Refusal> {
+    let value = request.headers_mut().remove(FORWARDED);
+    let says = value.as_ref().and_then(|value| value.to_str().ok());
+    let Some(says) = says.and_then(decode) else {
+        let text = "not forwarded by a node";
+        let status = StatusCode::BAD_REQUEST;
+        return Err(Refusal::protocol_error(status, text));
+    };
+    let guard = gateway.admit_forwarded()?;
+    request_info.last_event = says.last_event.or(request_info.last_event);
+    let attempts = Attempts::after(says.ran);
+    let resolved = Resolved {
+        service: says.service,
+        deadline: began + Duration::from_millis(says.deadline_ms),
+        route: Route {
+            name: says.route,
+            host: String::new(),
+            prefix: String::new(),
+            retry_policy: RetryPolicy::from_u32(says.retry_policy),
+            timeout_ms: says.deadline_ms,
+            target_ms: says.target_ms,
+            priority: says.priority,
+            split: Vec::new(),
+            max_attempts: says.max_attempts,
+            public: says.team.is_none(),
+        },
+        team: says.team.map(|name| Team {
+            name,
+            keys: Vec::new(),
+            priority: None,
+            quota: None,
+        }),
+    };
+    let accepted =
+        receive(gateway, request, request_info, began, resolved).await?;
+    Ok(AcceptedRequest { attempts, forwarded: Some(guard), ..accepted })
 }
 
-impl Forwarded {
-    /// Takes the headers of a forwarded request out of `headers`, and changes
-    /// `info` by them.
-    pub fn take(
-        headers: &mut HeaderMap,
-        info: &mut RequestInfo,
-    ) -> Option<Forwarded> {
-        let service = headers.remove(SERVICE)?.to_str().ok()?.to_owned();
-        let mut number = |name| {
-            let value = headers.remove(name)?;
-            value.to_str().ok()?.parse::<u64>().ok()
-        };
-        let forwarded = Forwarded {
-            service,
-            deadline_ms: number(DEADLINE)?,
-            plan: number(PLAN)?,
-            ran: number(ATTEMPTS)? as u32,
-        };
-        info.deadline_ms = Some(forwarded.deadline_ms);
-        info.last_event = number(LAST_EVENT).or(info.last_event);
-        Some(forwarded)
-    }
+fn encode(says: &Forwarded) -> String {
+    let bytes = says.encode_to_vec();
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn decode(text: &str) -> Option<Forwarded> {
+    let bytes: Option<Vec<u8>> = text
+        .as_bytes()
+        .chunks(2)
+        .map(|pair| {
+            let pair = std::str::from_utf8(pair).ok()?;
+            u8::from_str_radix(pair, 16).ok()
+        })
+        .collect();
+    Forwarded::decode(bytes?.as_slice()).ok()
 }
 
 impl Gateway {
@@ -311,20 +337,22 @@
         last_event: Option<u64>,
     ) -> Result<Request<Full<bytes::Bytes>>, Error> {
         let left = self.deadline.saturating_duration_since(Instant::now());
+        let says = Forwarded {
+            service: self.service.clone(),
+            route: self.route.name.clone(),
+            retry_policy: self.route.retry_policy.as_u32(),
+            deadline_ms: left.as_millis() as u64,
+            target_ms: self.route.target_ms,
+            priority: self.priority(),
+            max_attempts: self.route.max_attempts,
+            team: self.team.as_ref().map(|team| team.name.clone()),
+            ran: self.attempts.ran,
+            last_event,
+        };
+        let says =
+            HeaderValue::try_from(encode(&says)).map_err(Error::not_sent)?;
         let mut request = self.request_with(self.headers.clone())?;
-        let headers = request.headers_mut();
-        headers.remove(LAST_EVENT);
-        let service =
-            HeaderValue::from_str(&self.service).map_err(Error::not_sent)?;
-        headers.insert(SERVICE, service);
-        let deadline_ms = left.as_millis() as u64;
-        headers.insert(DEADLINE, HeaderValue::from(deadline_ms));
-        let plan = self.gateway.plan_version();
-        headers.insert(PLAN, HeaderValue::from(plan));
-        headers.insert(ATTEMPTS, HeaderValue::from(self.attempts.ran));
-        if let Some(event) = last_event {
-            headers.insert(LAST_EVENT, HeaderValue::from(event));
-        }
+        request.headers_mut().insert(FORWARDED, says);
         Ok(request)
     }
 
--- a/src/gateway/plan.rs
+++ b/src/gateway/plan.rs
@@ -29,6 +29,24 @@
         matches!(self, RetryPolicy::Idempotent | RetryPolicy::Resumable)
     }
 
+    /// Returns the number on the wire.
+    pub fn as_u32(self) -> u32 {
+        self as u32
+    }
+
+    /// Converts a number from the wire. A request with an unknown number may
+    /// run once only.
+    pub fn from_u32(number: u32) -> RetryPolicy {
+        let all = [
+            RetryPolicy::Idempotent,
+            RetryPolicy::Once,
+            RetryPolicy::Stream,
+            RetryPolicy::Resumable,
+        ];
+        let found = all.into_iter().find(|policy| policy.as_u32() == number);
+        found.unwrap_or(RetryPolicy::Once)
+    }
+
     /// Returns true when the answer is an event stream.
     pub fn is_stream(self) -> bool {
         matches!(self, RetryPolicy::Stream | RetryPolicy::Resumable)
@@ -61,14 +79,6 @@
     }
 }
 
-impl Route {
-    /// Returns true if requests may go to the service.
-    pub fn leads_to(&self, service: &str) -> bool {
-        let mut split = self.split.iter();
-        split.any(|(name, weight)| name == service && *weight > 0)
-    }
-}
-
 common! {
     /// How an engine's replicas are bought.
     pub struct Scaling {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -56,7 +56,7 @@
         self, Gateway,
         dialect::Dialect,
         forward,
-        plan::{Draft, Invalid, Plan},
+        plan::{Draft, Invalid},
         probes,
         server::{self, Server},
     },
@@ -244,20 +244,18 @@
     let forward_address =
         SocketAddrV4::new(*options.peer_address.ip(), forward_port);
     let forwarded = TcpListener::bind(SocketAddr::V4(forward_address)).await?;
-    let limits = |gateway: Arc<Gateway>| {
-        move || {
-            let plan = gateway.plan.read();
-            plan.as_ref().as_ref().map(Plan::limits).unwrap_or_default()
-        }
+    let limits = |gateway: &Arc<Gateway>| {
+        let gateway = gateway.clone();
+        move || gateway.limits()
     };
     let serving = gateway.clone();
     let for_callers =
-        server::spawn(front, limits(gateway.clone()), move |request| {
+        server::spawn(front, limits(&gateway), move |request| {
             forward::serve(serving.clone(), request)
         })?;
     let serving = gateway.clone();
     let for_nodes =
-        server::spawn(forwarded, limits(gateway.clone()), move |request| {
+        server::spawn(forwarded, limits(&gateway), move |request| {
             forward::serve_forwarded(serving.clone(), request)
         })?;
     *lock(&node.servers) = vec![for_callers, for_nodes];
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -1121,6 +1121,36 @@
     #[prost(bool, tag = "4")]
     pub paced: bool,
 }
+/// What a node says of a caller's request that it forwards over HTTP.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Forwarded {
+    /// The service that was drawn for the request.
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// The name of its route.
+    #[prost(string, tag = "2")]
+    pub route: ::prost::alloc::string::String,
+    /// 0: idempotent, 1: once, 2: stream, 3: resumable
+    #[prost(uint32, tag = "3")]
+    pub retry_policy: u32,
+    /// How long the caller still waits.
+    #[prost(uint64, tag = "4")]
+    pub deadline_ms: u64,
+    #[prost(uint64, tag = "5")]
+    pub target_ms: u64,
+    #[prost(uint32, tag = "6")]
+    pub priority: u32,
+    #[prost(uint32, tag = "7")]
+    pub max_attempts: u32,
+    #[prost(string, optional, tag = "8")]
+    pub team: ::core::option::Option<::prost::alloc::string::String>,
+    /// Replicas that may have run the request already.
+    #[prost(uint32, tag = "9")]
+    pub ran: u32,
+    /// The event after which a stream resumes.
+    #[prost(uint64, optional, tag = "10")]
+    pub last_event: ::core::option::Option<u64>,
+}
 /// Generated client implementations.
 pub mod members_client {
     #![allow(
--- a/tests/all/partition.rs
+++ b/tests/all/partition.rs
@@ -47,6 +47,8 @@
 /// Smallest share of first attempts that partitioned nodes have to serve,
 /// compared to the other nodes.
 const MIN_SERVED_RATIO: f64 = 0.9;
+/// Pause between two new plans.
+const PLAN_INTERVAL: Duration = Duration::from_millis(100);
 /// Path of each kind of request.
 const PATHS: [&str; 4] = ["/again/x", "/once/x", "/stream/x", "/resume/x"];
 
@@ -290,10 +292,21 @@
     }
 }
 
+/// Applies new plans at a node, one after the other.
+async fn change_plans(node: node::Handle) {
+    for version in 2.. {
+        apply_plan(&node, version).await;
+        sleep(PLAN_INTERVAL).await;
+    }
+}
+
 /// Partitions some nodes for a while, and checks that callers of these nodes
 /// are served about as often as the others.
 async fn serves_behind_partition(nodes: usize, partitioned: usize, how: Mode) {
-    let mut network = Network::open(nodes).await;
+    check(Network::open(nodes).await, partitioned, how).await;
+}
+
+async fn check(mut network: Network, partitioned: usize, how: Mode) {
     sleep(Duration::from_millis(500)).await;
     network.partition(partitioned, how);
     network.add_callers(CALLERS_BEFORE..CALLERS_BEFORE + MORE_CALLERS);
@@ -343,3 +356,13 @@
 async fn few_connected_nodes_serve_the_callers_of_many_partitioned_ones() {
     serves_behind_partition(12, 9, Mode::Reset).await;
 }
+
+/// Guards against nodes that refuse forwarded requests while a new plan is not
+/// yet in force at all nodes.
+#[tokio::test]
+async fn nodes_take_forwarded_requests_while_plans_change() {
+    let mut network = Network::open(6).await;
+    let node = network.shared.nodes[0].clone();
+    network.callers.spawn(change_plans(node));
+    check(network, 3, Mode::Reset).await;
+}
