Do not take a refused connection behind a partition for a crash

What callers saw: after a partition in which connections are refused, a request that had been in flight at three replicas when it began was refused everywhere as one that crashes replicas.

Cause: a refused connection after one that broke counted as proof that the replica had crashed. Behind a partition every replica refuses.

Change: the refusal counts only if other replicas of the service can be reached, which the probes that it causes decide. Otherwise heartbeats, which other nodes hear, decide as for a silent replica.

The new test fails before (503 at node 0) and passes after.

--- a/src/decide/reach.rs
+++ b/src/decide/reach.rs
@@ -98,6 +98,11 @@
         self.unreachable_since.is_some()
     }
 
+    /// Returns true unless probes are due or in flight after a failure.
+    pub fn is_settled(&self) -> bool {
+        !self.is_suspected && !self.is_probing
+    }
+
     /// Returns true if attempts wait and no replica has sent anything for
     /// some time.
     pub fn is_quiet(&self, now: u64) -> bool {
--- a/src/gateway/ending.rs
+++ b/src/gateway/ending.rs
@@ -9,7 +9,7 @@
 //!
 //! | observation | meaning |
 //! |---|---|
-//! | a new connection is refused | crashed |
+//! | a new connection is refused, and other replicas can be reached | crashed |
 //! | a later incarnation or another replica there is heard | crashed |
 //! | heartbeats of other replicas arrive at nodes, but none of it | crashed |
 //! | it announced its departure | no crash: its requests end with it |
@@ -293,6 +293,8 @@
             refused = connections
                 .refuses_connections(&target.replica, target.address)
                 .await;
+            // Behind a network partition, every replica refuses connections.
+            refused = refused && self.reaches_others(service).await;
         }
         loop {
             let now = self.timer.now();
--- a/src/gateway/probes.rs
+++ b/src/gateway/probes.rs
@@ -17,6 +17,12 @@
 /// Interval at which the node checks whether replicas are to be probed.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Longest time from a failed connection to the end of the round of probes
+/// that it causes.
+const MAX_PROBE_DURATION: Duration = Duration::from_millis(1000);
+/// Interval at which the end of a round of probes is checked for.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Starts rounds of probes as long as the task runs.
 pub(crate) async fn run(gateway: Arc<Gateway>) {
     loop {
@@ -104,6 +110,22 @@
         Instant::now().checked_sub(age)
     }
 
+    /// Returns true if this node reaches the replicas of a service after one
+    /// of them refused a connection. Waits for the probes that this causes.
+    pub(super) async fn reaches_others(&self, service: &str) -> bool {
+        self.record_connection_failure(service);
+        let until = Instant::now() + MAX_PROBE_DURATION;
+        while !self.has_settled(service) && Instant::now() < until {
+            sleep(SETTLE_INTERVAL).await;
+        }
+        !self.is_unreachable(service)
+    }
+
+    fn has_settled(&self, service: &str) -> bool {
+        let fleet = self.fleet();
+        fleet.reach(service).is_none_or(|reach| reach.is_settled())
+    }
+
     /// Waits until a service is unreachable and nothing arrives from its
     /// replicas any more.
     pub(super) async fn wait_until_lost(&self, service: &str) {
--- a/tests/all/partition.rs
+++ b/tests/all/partition.rs
@@ -63,6 +63,8 @@
     Reset,
     /// Open connections work, and new ones are reset.
     Live,
+    /// Open connections are reset, and new ones are refused.
+    Refused,
 }
 
 /// The path from one node to one replica.
@@ -82,10 +84,11 @@
 }
 
 async fn run_link(
-    listener: TcpListener,
+    mut listener: TcpListener,
     replica: SocketAddr,
     mut mode: watch::Receiver<Mode>,
 ) {
+    let address = listener.local_addr().unwrap();
     let mut connections = JoinSet::new();
     loop {
         let stream = tokio::select! {
@@ -94,9 +97,15 @@
                 if changed.is_err() {
                     return;
                 }
-                if *mode.borrow_and_update() == Mode::Reset {
+                let current = *mode.borrow_and_update();
+                if matches!(current, Mode::Reset | Mode::Refused) {
                     connections.abort_all();
                 }
+                if current == Mode::Refused {
+                    drop(listener);
+                    let _ = mode.wait_for(|mode| *mode != Mode::Refused).await;
+                    listener = TcpListener::bind(address).await.unwrap();
+                }
                 continue;
             }
         };
@@ -366,3 +375,28 @@
     network.callers.spawn(change_plans(node));
     check(network, 3, Mode::Reset).await;
 }
+
+/// Guards against requests that are quarantined because the connections of a
+/// partitioned node broke and the replicas then refused new ones.
+#[tokio::test]
+async fn replicas_that_a_partitioned_node_cannot_reach_have_not_crashed() {
+    let mut network = Network::open(3).await;
+    network.callers.shutdown().await;
+    let nodes = network.shared.nodes.clone();
+    let front = nodes[0].front().unwrap();
+    let mut in_flight = JoinSet::new();
+    for id in 0..3 {
+        in_flight.spawn(post(front, "/stream/x", id, "in flight"));
+    }
+    sleep(Duration::from_millis(150)).await;
+    network.partition(1, Mode::Refused);
+    in_flight.join_all().await;
+    sleep(Duration::from_millis(500)).await;
+    network.partition(1, Mode::Pass);
+    sleep(Duration::from_millis(1000)).await;
+    for (id, node) in nodes.iter().enumerate() {
+        let front = node.front().unwrap();
+        let answer = post(front, "/stream/x", 10 + id, "in flight").await;
+        assert_eq!(status(&answer), "200", "node {id}: {answer}");
+    }
+}
