Probe other replicas at once after a refusal, and back off from slow ones

While a service is unreachable, two replicas are now probed, 400 ms after the last probes ended, and probes wait 500 ms for an answer. Where no other node reaches the service either and connections open, requests are sent as before: the replicas are slow, not partitioned.

--- a/src/decide/reach.rs
+++ b/src/decide/reach.rs
@@ -15,12 +15,16 @@
 /// one, after which its replicas are probed, in ms. Engines under load pause
 /// for some tenths of a second.
 const MAX_QUIET_MS: u64 = 600;
-/// Time between the beginnings of two rounds of probes, in ms.
+/// Minimum time between the beginnings of two rounds of probes, in ms.
 const PROBE_INTERVAL_MS: u64 = 250;
+/// Time from the end of a round of probes to the next one while the service is
+/// unreachable, in ms. Replicas that answer late, as they or the links are
+/// overloaded, must not be kept busy by the probes of all nodes.
+const UNREACHABLE_PROBE_PAUSE_MS: u64 = 400;
 /// Number of replicas that are probed after a failure.
-const PROBES_AFTER_FAILURE: usize = 4;
+const PROBES_AFTER_FAILURE: usize = 6;
 /// Number of replicas that are probed while the service is unreachable.
-const PROBES_WHILE_UNREACHABLE: usize = 3;
+const PROBES_WHILE_UNREACHABLE: usize = 2;
 /// Number of replicas that are probed after silence. Another round follows if
 /// the probe fails.
 const PROBES_AFTER_SILENCE: usize = 1;
@@ -66,7 +70,11 @@
     is_probing: bool,
     /// When the last round of probes began, in ms.
     probed_at: Option<u64>,
+    /// When the last round of probes ended, in ms.
+    probes_ended_at: u64,
     unreachable_since: Option<u64>,
+    /// True when the last probes failed without a connection.
+    is_disconnected: bool,
 }
 
 impl Reach {
@@ -98,9 +106,10 @@
         self.unreachable_since.is_some()
     }
 
-    /// Returns true unless probes are due or in flight after a failure.
-    pub fn is_settled(&self) -> bool {
-        !self.is_suspected && !self.is_probing
+    /// Returns true if no connection opens. Otherwise an unreachable service
+    /// may be only too slow to answer probes.
+    pub fn is_disconnected(&self) -> bool {
+        self.is_unreachable() && self.is_disconnected
     }
 
     /// Returns true if attempts wait and no replica has sent anything for
@@ -121,9 +130,13 @@
     /// Returns the number of replicas to be probed now, and begins a round
     /// of probes if it is not 0.
     pub fn begin_probes(&mut self, now: u64) -> usize {
-        let is_recent =
-            self.probed_at.is_some_and(|at| now < at + PROBE_INTERVAL_MS);
         // The first failure after a quiet time is probed at once.
+        let is_recent = match self.is_unreachable() {
+            true => now < self.probes_ended_at + UNREACHABLE_PROBE_PAUSE_MS,
+            false => {
+                self.probed_at.is_some_and(|at| now < at + PROBE_INTERVAL_MS)
+            }
+        };
         if self.is_probing || is_recent {
             return 0;
         }
@@ -148,6 +161,7 @@
         probes: &[Probe],
     ) -> Option<Change> {
         self.is_probing = false;
+        self.probes_ended_at = now;
         let began_at = self.probed_at.unwrap_or(now);
         // A busy replica answers late, but it sends something to others.
         let hears_others = self.heard_at >= began_at;
@@ -159,6 +173,7 @@
         let lost = probes.iter().filter(is_lost).count();
         let reached = probes.len() - lost;
         let all_lost = lost > 0 && reached == 0;
+        self.is_disconnected = probes.iter().all(|p| *p == Probe::Failed);
         match self.unreachable_since {
             None if all_lost && asked <= PROBES_AFTER_SILENCE => {
                 // One replica may have crashed.
--- a/src/gateway/ending.rs
+++ b/src/gateway/ending.rs
@@ -294,7 +294,8 @@
                 .refuses_connections(&target.replica, target.address)
                 .await;
             // Behind a network partition, every replica refuses connections.
-            refused = refused && self.reaches_others(service).await;
+            refused =
+                refused && self.reaches_others(service, &target.replica).await;
         }
         loop {
             let now = self.timer.now();
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -428,20 +428,27 @@
             if asked == 0 {
                 continue;
             }
-            let ids = routed.pool.sample(now, asked);
-            let with_address = |id: String| {
-                let address = routed.address(&id)?;
-                Some((id, address))
-            };
             rounds.push(ProbeRound {
                 service: routed.name.clone(),
                 asked,
-                replicas: ids.into_iter().filter_map(with_address).collect(),
+                replicas: routed.sample(now, asked),
             });
         }
         rounds
     }
 
+    /// Returns the ids and addresses of up to `count` replicas at random that
+    /// may be sent requests.
+    pub fn sample(
+        &mut self,
+        now: u64,
+        service: &str,
+        count: usize,
+    ) -> Vec<(String, SocketAddrV4)> {
+        let routed = self.find(service);
+        routed.map_or_else(Vec::new, |routed| routed.sample(now, count))
+    }
+
     /// Applies the results of a round of probes.
     pub fn end_probes(
         &mut self,
@@ -639,6 +646,19 @@
         at.ok().map(|at| self.places[at].address)
     }
 
+    fn sample(
+        &mut self,
+        now: u64,
+        count: usize,
+    ) -> Vec<(String, SocketAddrV4)> {
+        let ids = self.pool.sample(now, count);
+        let with_address = |id: String| {
+            let address = self.address(&id)?;
+            Some((id, address))
+        };
+        ids.into_iter().filter_map(with_address).collect()
+    }
+
     /// Returns the wall time at which a replica started, or 0.
     fn born(&self, replica: &str) -> u64 {
         let at =
--- a/src/gateway/flight.rs
+++ b/src/gateway/flight.rs
@@ -167,6 +167,9 @@
             self.end,
         );
         drop(fleet);
+        if self.end == Outcome::Disconnected {
+            self.gateway.record_connection_failure(&self.service);
+        }
         let symptom = match self.end {
             Outcome::Disconnected => Symptom::Broken,
             Outcome::Failed | Outcome::Abandoned
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -249,7 +249,8 @@
             let target = match target {
                 Some(target) => target,
                 None if is_unreachable => {
-                    match self.call_peers(self.request_info.last_event).await {
+                    let last_event = self.request_info.last_event;
+                    match self.call_peers(last_event).await {
                         peer_call::Outcome::Reply(reply) => return Ok(reply),
                         peer_call::Outcome::Refused(refusal) => {
                             return self.answer_or_refuse(answer, refusal);
@@ -258,12 +259,23 @@
                             self.attempts.note("", failed.verdict);
                             let text = "another node did not answer";
                             last = Refusal::may_have_run(text);
+                            if !self.claim_retry() {
+                                return self.answer_or_refuse(answer, last);
+                            }
+                            continue;
                         }
+                        peer_call::Outcome::NoPeer => {}
                     }
-                    if !self.claim_retry() {
-                        return self.answer_or_refuse(answer, last);
-                    }
-                    continue;
+                    // Where no node reaches the replicas, they may be only
+                    // too slow for probes.
+                    let may_be_slow =
+                        !self.gateway.is_disconnected(&self.service);
+                    let slow = may_be_slow.then(|| self.pick()).flatten();
+                    let Some(target) = slow else {
+                        let refusal = peer_call::unreachable();
+                        return self.answer_or_refuse(answer, refusal);
+                    };
+                    target
                 }
                 None => {
                     let refusal = self.refuse_without_replica(last);
@@ -473,7 +485,7 @@
             }
         };
         let response = sent.inspect_err(|failed| {
-            if !failed.sent || failed.fault == Fault::Broken {
+            if !failed.sent {
                 self.gateway.record_connection_failure(&self.service);
             }
             let due = Instant::now() < self.deadline;
--- a/src/gateway/peer_call.rs
+++ b/src/gateway/peer_call.rs
@@ -245,6 +245,8 @@
 
 /// Result of forwarding a request through other nodes.
 pub(super) enum Outcome {
+    /// No node is known that reaches the replicas.
+    NoPeer,
     /// A replica's answer.
     Reply(Reply),
     /// No replica answered, and there is no point in another attempt.
@@ -264,8 +266,7 @@
     /// Forwards the request through another node that reaches the replicas,
     /// and through a third one if that node does not take it.
     pub async fn call_peers(&mut self, last_event: Option<u64>) -> Outcome {
-        let text = "no node reaches the replicas";
-        let mut last = Refusal::retryable(text, UNREACHABLE_RETRY_AFTER_MS);
+        let mut last = unreachable();
         if self.forwarded.is_some() {
             return Outcome::Refused(last.try_elsewhere());
         }
@@ -274,7 +275,12 @@
         {
             let picked =
                 self.gateway.pick_peer(&self.service, &self.peers_tried);
-            let Some((peer, report_age_ms)) = picked else { break };
+            let Some((peer, report_age_ms)) = picked else {
+                if self.peers_tried.is_empty() {
+                    return Outcome::NoPeer;
+                }
+                break;
+            };
             self.peers_tried.push(peer);
             self.gateway.metrics.forwarded.inc();
             let ip = Ipv4Addr::from(peer);
@@ -397,6 +403,12 @@
     }
 }
 
+/// Refuses a request because no node reaches the replicas.
+pub(super) fn unreachable() -> Refusal {
+    let text = "no node reaches the replicas";
+    Refusal::retryable(text, UNREACHABLE_RETRY_AFTER_MS)
+}
+
 /// Returns the refusal of another node.
 ///
 /// A refusal whose verdict can't be read counts as "may have run".
--- a/src/gateway/probes.rs
+++ b/src/gateway/probes.rs
@@ -7,7 +7,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use futures_util::future::join_all;
+use futures_util::{StreamExt, future::join_all, stream::FuturesUnordered};
 use tokio::time::{Instant, sleep, timeout};
 use tracing::{info, warn};
 
@@ -17,11 +17,8 @@
 /// Interval at which the node checks whether replicas are to be probed.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Longest time from a failed connection to the end of the round of probes
-/// that it causes.
-const MAX_PROBE_DURATION: Duration = Duration::from_millis(1000);
-/// Interval at which the end of a round of probes is checked for.
-const SETTLE_INTERVAL: Duration = Duration::from_millis(10);
+/// Number of other replicas that are probed after one refused a connection.
+const PROBES_AFTER_REFUSAL: usize = 3;
 
 /// Starts rounds of probes as long as the task runs.
 pub(crate) async fn run(gateway: Arc<Gateway>) {
@@ -81,6 +78,41 @@
         service.probe_path.clone()
     }
 
+    /// Returns true if no connection opens to the replicas of a service.
+    pub(super) fn is_disconnected(&self, service: &str) -> bool {
+        let fleet = self.fleet();
+        fleet.reach(service).is_some_and(|reach| reach.is_disconnected())
+    }
+
+    /// Returns true if a connection to another replica of the service than
+    /// `refused` opens now.
+    pub(super) async fn reaches_others(
+        &self,
+        service: &str,
+        refused: &str,
+    ) -> bool {
+        let now = self.timer.now();
+        let mut others =
+            self.fleet().sample(now, service, PROBES_AFTER_REFUSAL + 1);
+        others.retain(|(replica, _)| replica != refused);
+        others.truncate(PROBES_AFTER_REFUSAL);
+        // A service with one replica has no other one to compare with.
+        if others.is_empty() {
+            return true;
+        }
+        let path = self.probe_path(service);
+        let probes = others.iter().map(|(replica, address)| {
+            self.connections.probe(replica, *address, path.as_deref())
+        });
+        let mut probes: FuturesUnordered<_> = probes.collect();
+        while let Some(probe) = probes.next().await {
+            if probe == Probe::Answered {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Records that a connection to a replica failed.
     pub(super) fn record_connection_failure(&self, service: &str) {
         self.fleet().record_connection_failure(service);
@@ -110,22 +142,6 @@
         Instant::now().checked_sub(age)
     }
 
-    /// Returns true if this node reaches the replicas of a service after one
-    /// of them refused a connection. Waits for the probes that this causes.
-    pub(super) async fn reaches_others(&self, service: &str) -> bool {
-        self.record_connection_failure(service);
-        let until = Instant::now() + MAX_PROBE_DURATION;
-        while !self.has_settled(service) && Instant::now() < until {
-            sleep(SETTLE_INTERVAL).await;
-        }
-        !self.is_unreachable(service)
-    }
-
-    fn has_settled(&self, service: &str) -> bool {
-        let fleet = self.fleet();
-        fleet.reach(service).is_none_or(|reach| reach.is_settled())
-    }
-
     /// Waits until a service is unreachable and nothing arrives from its
     /// replicas any more.
     pub(super) async fn wait_until_lost(&self, service: &str) {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -206,8 +206,15 @@
             && self.accepted.claim_retry()
         {
             let last = self.splitter.last();
-            if self.accepted.gateway.is_unreachable(&self.accepted.service) {
-                return self.resume_at_peer(last, reason).await;
+            let (gateway, service) =
+                (&self.accepted.gateway, &self.accepted.service);
+            if gateway.is_unreachable(service) {
+                let is_disconnected = gateway.is_disconnected(service);
+                match self.resume_at_peer(last, reason).await {
+                    Some(resumed) => return resumed,
+                    None if is_disconnected => return false,
+                    None => {}
+                }
             }
             let Some(target) = self.accepted.pick() else { return false };
             self.accepted.chosen = Some(target.clone());
@@ -238,12 +245,13 @@
         false
     }
 
-    /// Resumes the stream through another node.
+    /// Resumes the stream through another node. Returns `None` if there is no
+    /// node that reaches the replicas.
     async fn resume_at_peer(
         &mut self,
         last: Option<u64>,
         reason: &'static str,
-    ) -> bool {
+    ) -> Option<bool> {
         info!(
             target: "gateway",
             request = self.request_id(),
@@ -255,9 +263,10 @@
                 self.splitter = Splitter::open(last);
                 self.source = Some(*source);
                 self.accepted.gateway.metrics.moved.inc();
-                true
+                Some(true)
             }
-            _ => false,
+            Outcome::NoPeer => None,
+            _ => Some(false),
         }
     }
 }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -46,8 +46,9 @@
 /// longer body the connection is not reused: after an early answer the replica
 /// may still be waiting for bytes of the body that are never sent.
 const MAX_REUSE_BODY_BYTES: usize = 16 * 1024;
-/// Time for the answer to a probe on an open connection.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for the answer to a probe on an open connection. It covers a pause of
+/// some tenths of a second that engines make under load.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum size of the answer to a probe after which its connection is kept,
 /// in bytes.
 const MAX_PROBE_BODY_BYTES: usize = 4096;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -25,6 +25,7 @@
 mod quota;
 mod raft;
 mod rate_limits;
+mod reach;
 #[allow(dead_code)]
 mod relay;
 mod requests;
