Share one check of the paths between crashes seen at the same moment

When all connections of a node broke, each of its replicas was probed by itself and had three others probed, from each partitioned node.

Investigations that need to know whether other replicas can be reached share one check, and none connects while the service is unreachable. Three replicas are probed after a failure, one while the service is unreachable.

--- a/src/decide/reach.rs
+++ b/src/decide/reach.rs
@@ -22,9 +22,10 @@
 /// overloaded, must not be kept busy by the probes of all nodes.
 const UNREACHABLE_PROBE_PAUSE_MS: u64 = 400;
 /// Number of replicas that are probed after a failure.
-const PROBES_AFTER_FAILURE: usize = 6;
-/// Number of replicas that are probed while the service is unreachable.
-const PROBES_WHILE_UNREACHABLE: usize = 2;
+const PROBES_AFTER_FAILURE: usize = 3;
+/// Number of replicas that are probed at a time while the service is
+/// unreachable.
+const PROBES_WHILE_UNREACHABLE: usize = 1;
 /// Number of replicas that are probed after silence. Another round follows if
 /// the probe fails.
 const PROBES_AFTER_SILENCE: usize = 1;
--- a/src/gateway/ending.rs
+++ b/src/gateway/ending.rs
@@ -289,13 +289,10 @@
         let mut refused = false;
         if symptom == Symptom::Broken {
             sleep(RECONNECT_DELAY).await;
-            let connections = &self.connections;
-            refused = connections
-                .refuses_connections(&target.replica, target.address)
-                .await;
             // Behind a network partition, every replica refuses connections.
-            refused =
-                refused && self.reaches_others(service, &target.replica).await;
+            refused = !self.is_unreachable(service)
+                && self.refuses_connections(target).await
+                && self.reaches_others(service, target, since).await;
         }
         loop {
             let now = self.timer.now();
@@ -319,6 +316,11 @@
         }
     }
 
+    async fn refuses_connections(&self, target: &Target) -> bool {
+        let connections = &self.connections;
+        connections.refuses_connections(&target.replica, target.address).await
+    }
+
     fn fate(&self, target: &Target, since: u64) -> Fate {
         let Some(mesh) = self.mesh.get() else { return Fate::Unknown };
         mesh.table().fate(&target.replica, since)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -69,6 +69,7 @@
     fleet::Fleet,
     peer_call::PeerCalls,
     plan::{Limits, Plan, Route, Team},
+    probes::PathCheck,
     quotas::Quotas,
     upstream::Pool,
 };
@@ -139,6 +140,9 @@
     forward_port: u16,
     /// Notified when a connection to a replica has failed.
     pub(crate) connection_failed: Notify,
+    /// Recent checks of whether replicas can be reached. The lock is held
+    /// during a check.
+    path_checks: tokio::sync::Mutex<Vec<PathCheck>>,
     /// Notified when a service has become reachable or unreachable.
     reach_changed: watch::Sender<()>,
     pub(crate) metrics: Metrics,
@@ -194,6 +198,7 @@
             forwarded_in_flight: Arc::default(),
             forward_port,
             connection_failed: Notify::new(),
+            path_checks: tokio::sync::Mutex::default(),
             reach_changed: watch::Sender::new(()),
             metrics: Metrics::open(),
             bodies: Budget::open(options.body_memory),
--- a/src/gateway/probes.rs
+++ b/src/gateway/probes.rs
@@ -11,8 +11,14 @@
 use tokio::time::{Instant, sleep, timeout};
 use tracing::{info, warn};
 
-use super::{Gateway, fleet::ProbeRound};
-use crate::decide::reach::{Change, Probe};
+use super::{
+    Gateway,
+    fleet::{ProbeRound, Target},
+};
+use crate::{
+    decide::reach::{Change, Probe},
+    util::common,
+};
 
 /// Interval at which the node checks whether replicas are to be probed.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -20,6 +26,10 @@
 /// Number of other replicas that are probed after one refused a connection.
 const PROBES_AFTER_REFUSAL: usize = 3;
 
+/// Time for which the result of a check is kept, in ms: longer than the
+/// investigations of crashes at the same moment are apart.
+const CHECK_RETENTION_MS: u64 = 2000;
+
 /// Starts rounds of probes as long as the task runs.
 pub(crate) async fn run(gateway: Arc<Gateway>) {
     loop {
@@ -36,6 +46,15 @@
     }
 }
 
+common! {
+    /// Whether replicas of a service could be reached.
+    pub(super) struct PathCheck {
+        service: String,
+        began_at: u64,
+        reached: bool,
+    }
+}
+
 impl Gateway {
     async fn probe(&self, round: ProbeRound) {
         let path = self.probe_path(&round.service);
@@ -84,13 +103,33 @@
         fleet.reach(service).is_some_and(|reach| reach.is_disconnected())
     }
 
-    /// Returns true if a connection to another replica of the service than
-    /// `refused` opens now.
+    /// Returns true if other replicas of the service can be reached after one
+    /// refused a connection. `since` is when its connections broke.
+    ///
+    /// In a partition, connections to many replicas break at the same time.
+    /// They share one check.
     pub(super) async fn reaches_others(
         &self,
         service: &str,
-        refused: &str,
+        refused: &Target,
+        since: u64,
     ) -> bool {
+        let mut checks = self.path_checks.lock().await;
+        let now = self.timer.now();
+        checks.retain(|check| now < check.began_at + CHECK_RETENTION_MS);
+        let known = checks
+            .iter()
+            .find(|check| check.service == service && check.began_at >= since);
+        if let Some(check) = known {
+            return check.reached;
+        }
+        let reached = self.probe_others(service, &refused.replica).await;
+        let service = service.to_owned();
+        checks.push(PathCheck { service, began_at: now, reached });
+        reached
+    }
+
+    async fn probe_others(&self, service: &str, refused: &str) -> bool {
         let now = self.timer.now();
         let mut others =
             self.fleet().sample(now, service, PROBES_AFTER_REFUSAL + 1);
--- a/tests/all/reach.rs
+++ b/tests/all/reach.rs
@@ -89,7 +89,7 @@
     reach.record_failure();
     probe(&mut reach, 0, 1000, Probe::Failed);
     let (count, _) = probe(&mut reach, 1000, 11_000, Probe::Failed);
-    assert!(count <= 50, "{count} probes in 10 s");
+    assert!(count <= 30, "{count} probes in 10 s");
 }
 
 /// Guards against replicas that count as partitioned because they answer
@@ -100,6 +100,6 @@
     reach.record_failure();
     let asked = reach.begin_probes(0);
     reach.record_heard(200);
-    assert_eq!(reach.end_probes(500, asked, &[Probe::Silent; 6]), None);
+    assert_eq!(reach.end_probes(500, asked, &[Probe::Silent; 3]), None);
     assert!(!reach.is_unreachable());
 }
