Take a backoff of more than an hour for unreadable

The value is now read as one that can't be parsed, with a log line that shows it, as are 1e300 and text already.

--- a/src/backoff.rs
+++ b/src/backoff.rs
@@ -22,6 +22,10 @@
 /// for a rejection, in ms. With a shorter one, a replica that rejects every
 /// request would be tried more often than one that requests none.
 const MIN_BACKOFF_MS: u64 = 1000;
+/// Longest backoff that a replica can request, in ms. A replica that wants no
+/// requests for longer leaves, and a larger number is a fault of the replica
+/// that would take it out of use for good.
+pub const MAX_BACKOFF_MS: u64 = 3_600_000;
 /// Largest difference between the clocks of a replica and a node, in ms.
 const MAX_CLOCK_DIFFERENCE_MS: u64 = 100;
 /// Time for which the backoffs of a replica are kept that this node doesn't
@@ -36,9 +40,9 @@
     pub enum Backoff {
         /// The answer requests none.
         None,
-        /// Length in ms; [`NEVER`] if it exceeds the range of the type.
+        /// Length in ms, at most [`MAX_BACKOFF_MS`].
         Ms(u64),
-        /// The header can't be parsed.
+        /// The header can't be parsed, or the length exceeds the maximum.
         Unreadable,
     }
 }
@@ -62,9 +66,12 @@
             text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
         let seconds = text.parse::<f64>().ok().filter(|_| is_decimal);
         // The conversion saturates.
-        seconds.map_or(Backoff::Unreadable, |seconds| {
-            Backoff::Ms((seconds * 1000.0).ceil() as u64)
-        })
+        let length_ms =
+            seconds.map(|seconds| (seconds * 1000.0).ceil() as u64);
+        match length_ms.filter(|length| *length <= MAX_BACKOFF_MS) {
+            Some(length) => Backoff::Ms(length),
+            None => Backoff::Unreadable,
+        }
     }
 
     /// Whether a rejection that requests this backoff says nothing about the
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -507,7 +507,8 @@
             flight.began_at(),
             &answer_info,
         );
-        self.record_notices(&target.replica, &answer_info);
+        let retry_after = response.headers().get(header::RETRY_AFTER);
+        self.record_notices(&target.replica, &answer_info, retry_after);
         if answer_info.not_run {
             let mut fleet = self.gateway.fleet();
             fleet.record_rejected(self.now(), &self.service, target.ticket);
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -4,6 +4,7 @@
 //! time, and it may announce that it leaves. Both are kept in the fleet, whose
 //! routers then select other replicas.
 
+use http::HeaderValue;
 use tracing::{info, warn};
 
 use super::{
@@ -29,7 +30,14 @@
 
 impl AcceptedRequest {
     /// Records what an answer of a replica says about further requests.
-    pub(super) fn record_notices(&self, replica: &str, answer: &AnswerInfo) {
+    ///
+    /// `retry_after` is the header that the backoff was read from.
+    pub(super) fn record_notices(
+        &self,
+        replica: &str,
+        answer: &AnswerInfo,
+        retry_after: Option<&HeaderValue>,
+    ) {
         // Such an answer may be another replica's.
         if !answer.matches || answer.wrong_replica {
             return;
@@ -53,7 +61,7 @@
                 metrics.unreadable.inc();
                 warn!(
                     target: "gateway",
-                    replica, request,
+                    replica, request, value = ?retry_after,
                     "Can't read the backoff in a response."
                 );
             }
