Test that verdicts are exact over forwarded requests

Replicas answer, reject, close the connection or fail at random; 160 requests of all kinds to a partitioned node are compared with what the replicas saw: none that may have run is refused as not run, none that did not run is answered as if it had, and none runs twice that may not.

--- a/tests/all/partition.rs
+++ b/tests/all/partition.rs
@@ -12,6 +12,7 @@
 };
 
 use azuremount::{node, wire::Sighting};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
 use tokio::{
     io::copy_bidirectional,
     net::{TcpListener, TcpStream},
@@ -23,7 +24,7 @@
 use crate::{
     nodes::Site,
     world::{
-        Replica, WAIT, apply_plan, ended, events, is_whole, ok, post,
+        Replica, WAIT, apply_plan, ended, events, full, is_whole, ok, post,
         sighting, status,
     },
 };
@@ -213,12 +214,22 @@
 
 impl Network {
     async fn open(nodes: usize) -> Network {
+        let mut network = Network::open_with(nodes, respond).await;
+        network.add_callers(0..CALLERS_BEFORE);
+        network
+    }
+
+    /// Opens a network without callers, whose replicas answer by `respond`.
+    async fn open_with(
+        nodes: usize,
+        respond: impl Fn(&str) -> Vec<String> + Clone + Send + Sync + 'static,
+    ) -> Network {
         let site = Site::open(3, nodes - 3).await;
         apply_plan(site.node(0), 1).await;
         site.wait_until_all_serve().await;
         let mut replicas = Vec::new();
         for _ in 0..REPLICAS {
-            replicas.push(Replica::spawn(respond).await);
+            replicas.push(Replica::spawn(respond.clone()).await);
         }
         let mut links = Vec::new();
         for _ in 0..nodes {
@@ -236,9 +247,7 @@
         tokio::spawn(shared.clone().send_heartbeats());
         sleep(Duration::from_millis(700)).await;
         let callers = JoinSet::new();
-        let mut network = Network { _site: site, replicas, shared, callers };
-        network.add_callers(0..CALLERS_BEFORE);
-        network
+        Network { _site: site, replicas, shared, callers }
     }
 
     /// Adds callers to each node.
@@ -400,3 +409,83 @@
         assert_eq!(status(&answer), "200", "node {id}: {answer}");
     }
 }
+
+/// What a replica does with a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Reaction {
+    Answers,
+    Rejects,
+    /// Closes the connection without an answer.
+    Closes,
+    /// Answers with a server error.
+    Fails,
+}
+
+fn react(head: &str, reaction: Reaction) -> Vec<String> {
+    match reaction {
+        Reaction::Answers => respond(head),
+        Reaction::Rejects => full(),
+        Reaction::Closes => Vec::new(),
+        Reaction::Fails => {
+            vec!["HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n".to_owned()]
+        }
+    }
+}
+
+/// Returns the id in the head of a request.
+fn id_of(head: &str) -> Option<usize> {
+    head.lines().find_map(|line| line.strip_prefix("id: "))?.parse().ok()
+}
+
+/// Guards against requests that are refused as not run although a replica may
+/// have run them, or that run twice, when they are forwarded by a partitioned
+/// node. Compares the answers with what the replicas saw.
+#[tokio::test]
+async fn verdicts_are_exact_over_forwarded_requests() {
+    let seen: Arc<Mutex<Vec<(usize, Reaction)>>> = Arc::default();
+    let rng = Arc::new(Mutex::new(StdRng::seed_from_u64(7)));
+    let record = seen.clone();
+    let network = Network::open_with(3, move |head| {
+        let reaction = match rng.lock().unwrap().random_range(0..8) {
+            0..4 => Reaction::Answers,
+            4..6 => Reaction::Rejects,
+            6 => Reaction::Closes,
+            _ => Reaction::Fails,
+        };
+        let id = id_of(head).expect("a request without an id");
+        record.lock().unwrap().push((id, reaction));
+        react(head, reaction)
+    })
+    .await;
+    network.partition(1, Mode::Reset);
+    let front = network.shared.nodes[0].front().unwrap();
+    let mut outcomes = Vec::new();
+    for id in 0..160 {
+        let path = PATHS[id % PATHS.len()];
+        // Each request has a body of its own, so that none is quarantined.
+        let answer = post(front, path, id, &id.to_string()).await;
+        outcomes.push(status(&answer).to_owned());
+        let reactions: Vec<Reaction> = seen
+            .lock()
+            .unwrap()
+            .iter()
+            .filter(|(seen, _)| *seen == id)
+            .map(|(_, reaction)| *reaction)
+            .collect();
+        let runs = reactions.iter().filter(|one| **one != Reaction::Rejects);
+        let runs = runs.count();
+        let case = format!("{path} {id}: {reactions:?}, {answer}");
+        if path.starts_with("/once/") || path.starts_with("/stream/") {
+            assert!(runs <= 1, "{case}");
+        }
+        match status(&answer) {
+            "200" => assert!(reactions.contains(&Reaction::Answers), "{case}"),
+            "503" => assert_eq!(runs, 0, "{case}"),
+            _ => assert!(runs > 0, "{case}"),
+        }
+    }
+    for expected in ["200", "503", "502", "500"] {
+        let count = outcomes.iter().filter(|one| *one == expected).count();
+        assert!(count > 0, "no request was answered with {expected}");
+    }
+}
