Do not conclude from a few replicas on others that back off

Three of the four replicas had crashed and the fourth had requested a backoff, so that it was not probed (node 0, 09:06).

--- a/src/decide/route/mod.rs
+++ b/src/decide/route/mod.rs
@@ -547,11 +547,20 @@
     }
 
     /// Returns up to `count` replicas at random that may be sent requests.
+    ///
+    /// Returns none if what they show says too little about the other serving
+    /// replicas: if there are no more than `count`, or less than half of all.
     pub fn sample(&mut self, now: u64, count: usize) -> Vec<String> {
-        let replicas = self.replicas.iter();
-        let ids = replicas
-            .filter(|replica| replica.accepts(now))
-            .map(|replica| &replica.identity.id);
+        let serving =
+            self.replicas.iter().filter(|replica| replica.is_serving());
+        let accepting = serving.clone().filter(|one| one.accepts(now));
+        let serving = serving.count();
+        let accepted = accepting.clone().count();
+        let is_all = accepted == serving;
+        if !is_all && (accepted <= count || 2 * accepted < serving) {
+            return Vec::new();
+        }
+        let ids = accepting.map(|replica| &replica.identity.id);
         ids.sample(&mut self.rng, count).into_iter().cloned().collect()
     }
 
