--- a/tests/all/partition.rs
+++ b/tests/all/partition.rs
@@ -14,7 +14,7 @@
 use azuremount::{node, wire::Sighting};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use tokio::{
-    io::copy_bidirectional,
+    io::{AsyncWriteExt, copy_bidirectional},
     net::{TcpListener, TcpStream},
     sync::watch,
     task::JoinSet,
@@ -25,7 +25,7 @@
     nodes::Site,
     world::{
         Replica, WAIT, apply_plan, ended, events, full, is_whole, ok, post,
-        sighting, status,
+        read_answer, sighting, status,
     },
 };
 
@@ -48,6 +48,8 @@
 /// Smallest share of first attempts that partitioned nodes have to serve,
 /// compared to the other nodes.
 const MIN_SERVED_RATIO: f64 = 0.9;
+/// Requests that the team of the test plan may send at once.
+const QUOTA_BURST: usize = 3;
 /// Pause between two new plans.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
 /// Path of each kind of request.
@@ -489,3 +491,31 @@
         assert!(count > 0, "no request was answered with {expected}");
     }
 }
+
+/// Guards against a quota that is charged by the node that receives a request
+/// and again by the one that it is forwarded to.
+#[tokio::test]
+async fn a_forwarded_request_is_charged_once() {
+    let network = Network::open_with(3, |_| ok("fine")).await;
+    network.partition(1, Mode::Reset);
+    let front = network.shared.nodes[0].front().unwrap();
+    // The path is found to be lost by a request without a quota.
+    assert_eq!(status(&post(front, "/again/x", 0, "x").await), "200");
+    sleep(Duration::from_millis(500)).await;
+    for id in 1..=QUOTA_BURST {
+        let mut client = TcpStream::connect(front).await.unwrap();
+        let request = format!(
+            "POST /team/x HTTP/1.1\r\nHost: here\r\nKey: sesame\r\n\
+             Id: {id}\r\nContent-Length: 0\r\n\r\n"
+        );
+        client.write_all(request.as_bytes()).await.unwrap();
+        let answer = read_answer(&mut client).await;
+        assert_eq!(status(&answer), "200", "{id}: {answer}");
+    }
+    let runs = network.shared.nodes[0].metrics();
+    let forwarded = "azuremount_forwarded_requests_total";
+    let line = runs.lines().find(|line| line.starts_with(forwarded));
+    let count: usize =
+        line.unwrap().rsplit(' ').next().unwrap().parse().unwrap();
+    assert!(count > QUOTA_BURST, "{count} requests were forwarded");
+}
