Probe the replicas that answered last when a connection fails

The replicas that answered this node last are probed now; none of them answers in a partition. While a service is unreachable the draw is random as before, as those may have crashed since.

--- a/src/decide/route/mod.rs
+++ b/src/decide/route/mod.rs
@@ -546,11 +546,17 @@
         Some(self.assign(now, at, request))
     }
 
-    /// Returns up to `count` replicas at random that may be sent requests.
+    /// Returns up to `most` replicas at random that may be sent requests, so
+    /// that `count` of them can be probed.
     ///
-    /// Returns none if what they show says too little about the other serving
+    /// Returns none if what these show says too little about the other serving
     /// replicas: if there are no more than `count`, or less than half of all.
-    pub fn sample(&mut self, now: u64, count: usize) -> Vec<String> {
+    pub fn sample(
+        &mut self,
+        now: u64,
+        count: usize,
+        most: usize,
+    ) -> Vec<String> {
         let serving =
             self.replicas.iter().filter(|replica| replica.is_serving());
         let accepting = serving.clone().filter(|one| one.accepts(now));
@@ -561,7 +567,8 @@
             return Vec::new();
         }
         let ids = accepting.map(|replica| &replica.identity.id);
-        ids.sample(&mut self.rng, count).into_iter().cloned().collect()
+        let most = most.min(accepted);
+        ids.sample(&mut self.rng, most).into_iter().cloned().collect()
     }
 
     /// Records a piece of the answer to a request.
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -428,25 +428,26 @@
             if asked == 0 {
                 continue;
             }
-            rounds.push(ProbeRound {
-                service: routed.name.clone(),
-                asked,
-                replicas: routed.sample(now, asked),
-            });
+            let replicas = match routed.reach.is_unreachable() {
+                true => routed.sample(now, asked),
+                false => routed.latest_to_answer(now, asked),
+            };
+            let service = routed.name.clone();
+            rounds.push(ProbeRound { service, asked, replicas });
         }
         rounds
     }
 
-    /// Returns the ids and addresses of up to `count` replicas at random that
-    /// may be sent requests.
-    pub fn sample(
+    /// Returns the ids and addresses of the `count` replicas that answered
+    /// this node last, of those that may be sent requests.
+    pub fn latest_to_answer(
         &mut self,
         now: u64,
         service: &str,
         count: usize,
     ) -> Vec<(String, SocketAddrV4)> {
-        let routed = self.find(service);
-        routed.map_or_else(Vec::new, |routed| routed.sample(now, count))
+        let Some(routed) = self.find(service) else { return Vec::new() };
+        routed.latest_to_answer(now, count)
     }
 
     /// Applies the results of a round of probes.
@@ -675,7 +676,28 @@
         now: u64,
         count: usize,
     ) -> Vec<(String, SocketAddrV4)> {
-        let ids = self.pool.sample(now, count);
+        let ids = self.pool.sample(now, count, count);
+        self.with_addresses(ids)
+    }
+
+    /// Returns the replicas that answered this node last. Of those that
+    /// crashed lately, many may still be listed, and none answers.
+    fn latest_to_answer(
+        &mut self,
+        now: u64,
+        count: usize,
+    ) -> Vec<(String, SocketAddrV4)> {
+        let mut ids = self.pool.sample(now, count, usize::MAX);
+        let answered_at = |id: &str| {
+            let at = position(&self.places, id, |place| &place.replica);
+            at.map_or(0, |at| self.places[at].answered_at)
+        };
+        ids.sort_by_cached_key(|id| std::cmp::Reverse(answered_at(id)));
+        ids.truncate(count);
+        self.with_addresses(ids)
+    }
+
+    fn with_addresses(&self, ids: Vec<String>) -> Vec<(String, SocketAddrV4)> {
         let with_address = |id: String| {
             let address = self.address(&id)?;
             Some((id, address))
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -189,6 +189,18 @@
     Complete(Response<Bytes>),
 }
 
+/// What follows while this node does not reach the replicas.
+enum Next {
+    /// An attempt at a replica, which may be only slow.
+    Attempt(Target),
+    /// The answer that came through another node.
+    Reply(Reply),
+    /// No answer, and no point in another attempt.
+    Refused(Refusal),
+    /// Another attempt, if the request may be retried.
+    Retry(Refusal),
+}
+
 async fn run(
     mut accepted: AcceptedRequest,
 ) -> Result<Response<Body>, Refusal> {
@@ -248,35 +260,20 @@
             };
             let target = match target {
                 Some(target) => target,
-                None if is_unreachable => {
-                    let last_event = self.request_info.last_event;
-                    match self.call_peers(last_event).await {
-                        peer_call::Outcome::Reply(reply) => return Ok(reply),
-                        peer_call::Outcome::Refused(refusal) => {
-                            return self.answer_or_refuse(answer, refusal);
-                        }
-                        peer_call::Outcome::Failed(failed) => {
-                            self.attempts.note("", failed.verdict);
-                            let text = "another node did not answer";
-                            last = Refusal::may_have_run(text);
-                            if !self.claim_retry() {
-                                return self.answer_or_refuse(answer, last);
-                            }
-                            continue;
+                None if is_unreachable => match self.forward().await {
+                    Next::Attempt(target) => target,
+                    Next::Reply(reply) => return Ok(reply),
+                    Next::Refused(refusal) => {
+                        return self.answer_or_refuse(answer, refusal);
+                    }
+                    Next::Retry(refusal) => {
+                        last = refusal;
+                        if !self.claim_retry() {
+                            return self.answer_or_refuse(answer, last);
                         }
-                        peer_call::Outcome::NoPeer => {}
+                        continue;
                     }
-                    // Where no node reaches the replicas, they may be only
-                    // too slow for probes.
-                    let may_be_slow =
-                        !self.gateway.is_disconnected(&self.service);
-                    let slow = may_be_slow.then(|| self.pick()).flatten();
-                    let Some(target) = slow else {
-                        let refusal = peer_call::unreachable();
-                        return self.answer_or_refuse(answer, refusal);
-                    };
-                    target
-                }
+                },
                 None => {
                     let refusal = self.refuse_without_replica(last);
                     return self.answer_or_refuse(answer, refusal);
@@ -345,17 +342,45 @@
                     }
                 }
             }
-            // A retry through another node is the first at a replica if none
-            // was reached before.
-            let is_first = self.attempts.ran == 0
-                && self.gateway.is_unreachable(&self.service);
-            if !is_first && !self.claim_retry() {
+            if !self.is_first_elsewhere() && !self.claim_retry() {
                 let refusal = self.refuse_without_replica(last);
                 return self.answer_or_refuse(answer, refusal);
             }
         }
     }
 
+    /// Forwards the request through another node, as this one does not reach
+    /// the replicas.
+    async fn forward(&mut self) -> Next {
+        match self.call_peers(self.request_info.last_event).await {
+            peer_call::Outcome::Reply(reply) => return Next::Reply(reply),
+            peer_call::Outcome::Refused(refusal) => {
+                return Next::Refused(refusal);
+            }
+            peer_call::Outcome::Failed(failed) => {
+                self.attempts.note("", failed.verdict);
+                let text = "another node did not answer";
+                return Next::Retry(Refusal::may_have_run(text));
+            }
+            peer_call::Outcome::NoPeer => {}
+        }
+        // Where no node reaches the replicas, they may be only too slow for
+        // probes.
+        let may_be_slow = !self.gateway.is_disconnected(&self.service);
+        match may_be_slow.then(|| self.pick()).flatten() {
+            Some(target) => Next::Attempt(target),
+            None => Next::Refused(peer_call::unreachable()),
+        }
+    }
+
+    /// Returns true if no replica was reached and the next attempt goes
+    /// through another node. It is no retry for the replicas.
+    fn is_first_elsewhere(&self) -> bool {
+        self.attempts.ran == 0
+            && self.attempts.not_run <= MAX_NOT_RUN_RETRIES + 1
+            && self.gateway.is_unreachable(&self.service)
+    }
+
     /// Returns a replica's error answer if there is one, otherwise the
     /// refusal.
     fn answer_or_refuse(
--- a/src/gateway/probes.rs
+++ b/src/gateway/probes.rs
@@ -131,8 +131,11 @@
 
     async fn probe_others(&self, service: &str, refused: &str) -> bool {
         let now = self.timer.now();
-        let mut others =
-            self.fleet().sample(now, service, PROBES_AFTER_REFUSAL + 1);
+        let mut others = self.fleet().latest_to_answer(
+            now,
+            service,
+            PROBES_AFTER_REFUSAL + 1,
+        );
         others.retain(|(replica, _)| replica != refused);
         others.truncate(PROBES_AFTER_REFUSAL);
         // A service with one replica has no other one to compare with.
--- a/tests/all/decide.rs
+++ b/tests/all/decide.rs
@@ -591,10 +591,10 @@
 fn few_replicas_are_no_sample_of_those_that_back_off() {
     let mut pool = Pool::open(Policy::Cost, Weights::default(), 1);
     pool.set_replicas("a", &identities(4));
-    assert_eq!(pool.sample(0, 3).len(), 3);
+    assert_eq!(pool.sample(0, 3, 3).len(), 3);
     for at in 0..3 {
         pool.set_backoff_at(at, 1000);
-        assert_eq!(pool.sample(0, 3), Vec::<String>::new());
+        assert_eq!(pool.sample(0, 3, 3), Vec::<String>::new());
     }
-    assert_eq!(pool.sample(1000, 3).len(), 3);
+    assert_eq!(pool.sample(1000, 3, 3).len(), 3);
 }
