--- a/tests/all/brittle.rs
+++ b/tests/all/brittle.rs
@@ -267,3 +267,29 @@
     assert!(pool.pick(now + wait_ms / 10, &ASK).is_none(), "{wait_ms} ms");
     assert!(pool.pick(now + wait_ms, &ASK).is_some(), "{wait_ms} ms");
 }
+
+/// Guards against nodes that learn one by one that replicas have become full
+/// at once, and together make them fall over meanwhile.
+#[test]
+fn brittle_replicas_stay_up_when_they_become_full_at_once() {
+    let nodes = 12;
+    let mut pools: Vec<Pool> =
+        (0..nodes as u64).map(|seed| pool(nodes, REPLICAS, seed)).collect();
+    for now in (0..10_000).step_by(100) {
+        let pool = &mut pools[now as usize / 100 % nodes];
+        let choice = send_accepted(pool, now).unwrap();
+        pool.record_end(now + 50, choice.ticket, true, Some(50.0));
+    }
+    let mut rejections = vec![0; REPLICAS];
+    for now in (10_000..11_000).step_by(7) {
+        let pool = &mut pools[now as usize / 7 % nodes];
+        if let Some(choice) = pool.pick(now, &ASK) {
+            pool.record_rejected(now, choice.ticket);
+            pool.record_end(now, choice.ticket, false, None);
+            rejections[choice.id[1..].parse::<usize>().unwrap()] += 1;
+        }
+    }
+    let fallen = rejections.iter().filter(|count| **count > BORNE).count();
+    println!("{rejections:?} rejections within a second");
+    assert!(fallen <= 2 + REPLICAS / 10, "{fallen} falls");
+}
