--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -28,6 +28,7 @@
 mod raft;
 mod rate_limits;
 mod reach;
+mod rejections;
 #[allow(dead_code)]
 mod relay;
 mod requests;
