Log all shared parts of a prompt, also where an attempt fails

The logs could not tell which part of a prompt was at crashed replicas: a request's line had the hash of the last part but one, and requests that failed before their answer began had no part at all. The lines of answered requests, failed attempts, and streams that fail or resume have all parts that other prompts may share, as their callers name them.

--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -5,6 +5,8 @@
 //! platform, so a [`Dialect`] parses them into these types and writes the
 //! headers that the gateway sets.
 
+use std::fmt;
+
 use http::{HeaderMap, HeaderValue, StatusCode};
 
 pub use crate::backoff::Backoff;
@@ -32,10 +34,33 @@
 }
 
 impl RequestInfo {
+    /// Returns the parts that other prompts may share. The last part of a
+    /// prompt is its own.
+    pub fn shared_parts(&self) -> &[(u64, u32)] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
     /// Returns the id of the last part that other prompts may share, 0 if
-    /// there is none. The last part of a prompt is its own.
+    /// there is none.
     pub fn prefix(&self) -> u64 {
-        self.parts.iter().rev().nth(1).map_or(0, |(part, _)| *part)
+        self.shared_parts().last().map_or(0, |(part, _)| *part)
+    }
+
+    /// Formats the ids of the parts that other prompts may share, for the log.
+    pub fn shown_parts(&self) -> impl fmt::Display + '_ {
+        ShownParts(self.shared_parts())
+    }
+}
+
+struct ShownParts<'a>(&'a [(u64, u32)]);
+
+impl fmt::Display for ShownParts<'_> {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (at, (part, _)) in self.0.iter().enumerate() {
+            let separator = if at > 0 { "," } else { "" };
+            write!(out, "{separator}{part:x}")?;
+        }
+        Ok(())
     }
 }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -353,6 +353,7 @@
                         target: "gateway",
                         request = id_text(self.request_info.id.as_ref()),
                         fingerprint = fingerprint::shown(self.fingerprint),
+                        parts = %self.request_info.shown_parts(),
                         replica = target.replica,
                         verdict = failed.verdict.as_str(),
                         fault = failed.fault.as_str(),
@@ -830,6 +831,7 @@
                 .tokens
                 .map_or(0, |(prompt, _)| prompt),
             prefix = self.request_info.prefix(),
+            parts = %self.request_info.shown_parts(),
             foretold_ms = chosen
                 .map_or(0, |target| target.predicted_ms as u64),
             cached = chosen.map_or(0, |target| target.cached_tokens),
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -189,6 +189,7 @@
             target: "gateway",
             request = self.request_id(),
             fingerprint = fingerprint::shown(self.accepted.fingerprint),
+            parts = %self.accepted.request_info.shown_parts(),
             route = self.accepted.route.name,
             replica = self.replica(),
             last_event = self.splitter.last().unwrap_or(0),
@@ -248,6 +249,7 @@
             info!(
                 target: "gateway",
                 request = self.request_id(),
+                parts = %self.accepted.request_info.shown_parts(),
                 replica = target.replica,
                 version = target.version,
                 last_event = last.unwrap_or(0),
