Test that a part of prompts that crashes replicas is refused, which fails

Callers saw their streams break off with one replica after the other: all prompts of the requests that crashed them have one part in common, and no two of these requests are alike.

--- a/tests/all/endings.rs
+++ b/tests/all/endings.rs
@@ -33,6 +33,8 @@
 
 /// A replica crashes when it begins to run a request that contains this.
 const FATAL: &str = "fatal";
+/// A replica also crashes under a request with this part in its prompt.
+pub const CRASHING_PART: u64 = 70_707;
 /// A replica closes the connection of a request that contains this, without a
 /// crash.
 const BREAKS: &str = "breaks";
@@ -54,7 +56,7 @@
 
 /// What happens to connections to a replica that has crashed.
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum AfterCrash {
+pub enum AfterCrash {
     /// A relay accepts it and closes it without a byte.
     Closes,
     /// A relay resets it.
@@ -69,17 +71,17 @@
     ReturnsBehindRelay,
 }
 
-struct Shared {
+pub struct Shared {
     after_crash: AfterCrash,
-    nodes: Vec<node::Handle>,
+    pub nodes: Vec<node::Handle>,
     /// Running replicas, with the sequence number of their last heartbeat.
     live: Mutex<Vec<(Sighting, u64)>>,
     started: AtomicUsize,
     crash_count: AtomicUsize,
     /// Paths of the requests that crashed replicas, with the times.
-    crashes: Mutex<Vec<(String, Instant)>>,
+    pub crashes: Mutex<Vec<(String, Instant)>>,
     /// Crashes every second replica at once.
-    outage: Notify,
+    pub outage: Notify,
 }
 
 impl Shared {
@@ -202,7 +204,7 @@
                     }
                 }
                 Some(head) = heads.recv() => {
-                    if !head.contains(FATAL) {
+                    if !is_fatal(&head) {
                         continue;
                     }
                     self.record_crash(&head);
@@ -239,6 +241,10 @@
     let _ = stream.read(&mut read).await;
 }
 
+fn is_fatal(head: &str) -> bool {
+    head.contains(FATAL) || head.contains(&format!("{CRASHING_PART}:"))
+}
+
 fn respond(head: &str) -> Vec<String> {
     if head.contains(SLOW) {
         let mut pieces = ended(events(1..=3));
@@ -248,7 +254,7 @@
     if head.contains(BREAKS) {
         return vec![CLOSE.to_owned()];
     }
-    if head.contains(FATAL) {
+    if is_fatal(head) {
         // Only the head of a stream is sent.
         let mut pieces = events(1..=1);
         pieces.truncate(1);
@@ -259,9 +265,9 @@
 }
 
 /// Several nodes, and a service whose replicas crash.
-struct Service {
+pub struct Service {
     _site: Site,
-    shared: Arc<Shared>,
+    pub shared: Arc<Shared>,
 }
 
 impl Service {
@@ -270,7 +276,7 @@
     }
 
     /// Opens a service with `others` nodes besides the three that have a disk.
-    async fn open_with_others(
+    pub async fn open_with_others(
         others: usize,
         replicas: usize,
         after_crash: AfterCrash,
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -22,6 +22,7 @@
 mod origin;
 mod packing;
 mod partition;
+mod parts;
 mod product;
 mod quarantine;
 mod quota;
--- /dev/null
+++ b/tests/all/parts.rs
@@ -0,0 +1,124 @@
+//! Parts of prompts that crash replicas, on nodes before replicas that crash.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep, timeout},
+};
+
+use crate::{
+    endings::{AfterCrash, CRASHING_PART, Service},
+    world::{post_prompt, status},
+};
+
+/// Number of replicas of the service.
+const REPLICAS: usize = 12;
+/// Crashes after which all nodes have to refuse a part.
+const MAX_CRASHES: usize = 5;
+/// Time within which connected nodes have to know of the fifth crash.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Requests with the part that may reach replicas after that.
+const MAX_LATE_ARRIVALS: usize = 3;
+/// Ratio of sound requests that have to be served after twice that time.
+const MIN_SERVED_RATIO: f64 = 0.5;
+/// Time for which callers send requests.
+const PLAY_TIME: Duration = Duration::from_secs(13);
+/// Interval between two requests with the part, and between two sound ones.
+const CRASHING_INTERVAL: Duration = Duration::from_millis(150);
+const SOUND_INTERVAL: Duration = Duration::from_millis(40);
+/// Time after which a caller gives up.
+const CALLER_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Parts that all prompts share.
+const COMMON_PARTS: [u64; 2] = [1, 2];
+/// Parts that some sound prompts share.
+const SOUND_PARTS: u64 = 8;
+
+/// Returns a prompt of the common parts, `part` at `place` among them, and a
+/// part of its own.
+fn prompt(place: usize, part: u64, id: usize) -> String {
+    let mut parts = COMMON_PARTS.to_vec();
+    parts.insert(place, part);
+    parts.push(1_000_000 + id as u64);
+    let parts: Vec<String> =
+        parts.iter().map(|part| format!("{part}:150")).collect();
+    parts.join(",")
+}
+
+/// Sends sound requests, and requests with a part that crashes replicas, no
+/// two alike, to all nodes in turn. Fails if too many of the latter reach
+/// replicas, or too few sound ones are served.
+async fn assert_part_is_refused(place: usize, after_crash: AfterCrash) {
+    let service = Service::open_with_others(3, REPLICAS, after_crash).await;
+    let began = Instant::now();
+    let nodes = Arc::new(service.shared.nodes.clone());
+    let send = |number: usize, part: u64, path: &'static str| {
+        let nodes = nodes.clone();
+        async move {
+            let front = nodes[number % nodes.len()].front().unwrap();
+            let parts = prompt(place, part, number);
+            let body = format!("body {number}");
+            let sent_at = Instant::now();
+            let answer = post_prompt(front, path, number, &parts, &body);
+            let answer = timeout(CALLER_TIMEOUT, answer).await;
+            (sent_at, status(&answer.unwrap_or_default()) == "200")
+        }
+    };
+    let mut sound = JoinSet::new();
+    let mut crashing = JoinSet::new();
+    let mut next_crashing = Instant::now();
+    for number in 0.. {
+        if began.elapsed() > PLAY_TIME {
+            break;
+        }
+        let part = 10 + number as u64 % SOUND_PARTS;
+        sound.spawn(send(number, part, "/resume/x"));
+        if Instant::now() >= next_crashing {
+            next_crashing += CRASHING_INTERVAL;
+            let id = 500_000 + number;
+            crashing.spawn(send(id, CRASHING_PART, "/stream/x"));
+        }
+        sleep(SOUND_INTERVAL).await;
+    }
+    crashing.join_all().await;
+    let arrivals: Vec<Instant> = {
+        let crashes = service.shared.crashes.lock().unwrap();
+        crashes.iter().map(|(_, at)| *at).collect()
+    };
+    let fifth = arrivals.get(MAX_CRASHES - 1).copied().unwrap_or(began);
+    let late = arrivals.iter().filter(|at| **at > fifth + CONTACT_TIME);
+    let late = late.count();
+    assert!(
+        late <= MAX_LATE_ARRIVALS,
+        "{late} of {} requests arrived late",
+        arrivals.len()
+    );
+    let answers = sound.join_all().await;
+    let last = answers
+        .iter()
+        .filter(|(sent_at, _)| *sent_at > fifth + 2 * CONTACT_TIME);
+    let last: Vec<bool> = last.map(|(_, served)| *served).collect();
+    let served = last.iter().filter(|is_served| **is_served).count();
+    let ratio = served as f64 / last.len().max(1) as f64;
+    assert!(ratio >= MIN_SERVED_RATIO, "{ratio:.2} of sound requests served");
+}
+
+/// Guards against a part of prompts that crashes replica after replica, under
+/// requests that are never the same twice.
+#[tokio::test]
+async fn a_part_that_crashes_replicas_is_refused_by_all_nodes() {
+    assert_part_is_refused(2, AfterCrash::Returns).await;
+}
+
+/// Guards against blame on a part that leads to the one that crashes replicas.
+#[tokio::test]
+async fn a_part_is_refused_whatever_stands_behind_it() {
+    assert_part_is_refused(0, AfterCrash::Returns).await;
+}
+
+/// Guards against the same fault behind relays that close connections while a
+/// replica is down.
+#[tokio::test]
+async fn a_part_that_crashes_replicas_behind_relays_is_refused() {
+    assert_part_is_refused(1, AfterCrash::Closes).await;
+}
--- a/tests/all/world.rs
+++ b/tests/all/world.rs
@@ -291,12 +291,23 @@
     path: &str,
     id: usize,
     body: &str,
+) -> String {
+    post_prompt(front, path, id, "", body).await
+}
+
+/// Sends a request whose prompt is made of these parts, such as "7:900,8:600".
+pub async fn post_prompt(
+    front: SocketAddr,
+    path: &str,
+    id: usize,
+    parts: &str,
+    body: &str,
 ) -> String {
     let mut client = TcpStream::connect(front).await.unwrap();
     let length = body.len();
     let request = format!(
         "POST {path} HTTP/1.1\r\nHost: here\r\nId: {id}\r\n\
-         Content-Length: {length}\r\n\r\n{body}"
+         Parts: {parts}\r\nContent-Length: {length}\r\n\r\n{body}"
     );
     client.write_all(request.as_bytes()).await.unwrap();
     read_answer(&mut client).await
