Prove the success of answers without a length by what replicas do next

An answer that ends with its connection looks complete when its replica crashes, so it counted as no success. Where all answers of a service are like that, no part of a prompt would ever be cleared, and the parts that all requests share would be blamed for the crashes of another one. A stream of this kind that ends before its first event is broken off and sent again where that is allowed: before, its caller got a whole, empty stream.

Tests: stream_that_closes_before_its_first_event_is_sent_again, complete_answers_that_end_with_their_connection_are_whole (a body, a stream, reuse of the caller's connection), a_part_is_refused_where_answers_have_no_length.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -16,6 +16,7 @@
 pub struct Splitter {
     buffer: BytesMut,
     last: Option<u64>,
+    has_events: bool,
 }
 
 /// Why a stream can't be forwarded.
@@ -36,7 +37,7 @@
     /// Creates a splitter for a stream that continues after the event with the
     /// id `last`, if any.
     pub fn open(last: Option<u64>) -> Splitter {
-        Splitter { buffer: BytesMut::new(), last }
+        Splitter { last, ..Splitter::default() }
     }
 
     /// Returns the id of the last whole event.
@@ -44,6 +45,11 @@
         self.last
     }
 
+    /// Returns true when a whole event has been received.
+    pub fn has_events(&self) -> bool {
+        self.has_events
+    }
+
     /// Returns true when no part of an event is buffered.
     pub fn is_between_events(&self) -> bool {
         self.buffer.is_empty()
@@ -64,6 +70,7 @@
                 false => Ok(Bytes::new()),
             };
         };
+        self.has_events = true;
         let whole = self.buffer.split_to(end).freeze();
         self.check_ids(&whole)?;
         Ok(whole)
--- a/src/gateway/flight.rs
+++ b/src/gateway/flight.rs
@@ -9,6 +9,7 @@
     fleet::{Outcome, Target},
     forward::AcceptedRequest,
     peer_call::PeerCall,
+    survival::Proof,
     suspects::Identity,
     upstream::Pool,
 };
@@ -83,9 +84,8 @@
     /// When data of the answer last arrived, or the attempt began, in ms.
     heard_at: u64,
     has_started: bool,
-    /// True when a complete answer proves that the replica survived the
-    /// request.
-    proves_survival: bool,
+    /// What a complete answer shows.
+    proof: Proof,
     /// The outcome that is counted on drop.
     pub end: Outcome,
 }
@@ -101,22 +101,17 @@
             began_at: accepted.now(),
             heard_at: accepted.now(),
             has_started: false,
-            proves_survival: false,
+            proof: Proof::None,
             // The outcome when the caller disconnects and the attempt is
             // dropped.
             end: Outcome::Abandoned,
         }
     }
 
-    /// Notes that the answer has begun.
-    ///
-    /// `proves` is true when a complete answer will prove that the replica
-    /// survived the request. An error answer may be sent before the request
-    /// runs, and an answer without a length looks complete when its replica
-    /// crashes.
-    pub fn began(&mut self, answer_info: &AnswerInfo, proves_survival: bool) {
+    /// Notes that the answer has begun. `proof` is what its end will show.
+    pub fn began(&mut self, answer_info: &AnswerInfo, proof: Proof) {
         self.has_started = true;
-        self.proves_survival = proves_survival;
+        self.proof = proof;
         let now = self.gateway.timer.now();
         self.heard_at = now;
         let mut fleet = self.gateway.fleet();
@@ -127,8 +122,19 @@
     pub fn finish(&mut self, failure: bool) {
         let now = self.gateway.timer.now();
         let held_ms = now.saturating_sub(self.began_at) as u32;
-        if self.proves_survival && !failure {
-            self.gateway.record_success(&self.identity, now);
+        match self.proof {
+            Proof::Complete if !failure => {
+                self.gateway.record_success(&self.identity, now);
+            }
+            Proof::WhenHeard if !failure => {
+                self.gateway.record_unproven_answer(
+                    &self.identity,
+                    &self.service,
+                    &self.target.replica,
+                    now,
+                );
+            }
+            _ => {}
         }
         self.end = match failure {
             true => Outcome::Failed,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -37,6 +37,7 @@
     refusal::{Refusal, id_text},
     relay,
     server::{Body, full},
+    survival::Proof,
     suspects::Identity,
     upstream::{Connection, Error, Fault},
 };
@@ -621,11 +622,16 @@
             fleet.record_rejected(self.now(), &self.service, target.ticket);
         }
         self.check_answer(&answer_info, &mut flight)?;
-        let proves = response.status().is_success() && is_framed(&response);
-        flight.began(&answer_info, proves);
+        let proof = match response.status().is_success() {
+            true if is_framed(&response) => Proof::Complete,
+            true => Proof::WhenHeard,
+            false => Proof::None,
+        };
+        flight.began(&answer_info, proof);
         self.gateway.count_began(self.team.as_ref());
         let streams = self.route.retry_policy.is_stream();
         if streams && response.status().is_success() {
+            let is_framed = is_framed(&response);
             let (head, body) = response.into_parts();
             let keep_ms = answer_info.keep_ms;
             let read = Bytes::new();
@@ -634,6 +640,7 @@
             let source = relay::Source {
                 read,
                 body,
+                is_framed,
                 connection,
                 carrier,
                 keep_ms,
@@ -685,6 +692,7 @@
         mut carrier: Carrier,
         keep_ms: Option<u64>,
     ) -> Result<Reply, Error> {
+        let is_framed = is_framed(&response);
         let (head, mut body) = response.into_parts();
         let failure = head.status.is_server_error();
         let mut read = BytesMut::new();
@@ -697,6 +705,7 @@
                 let source = relay::Source {
                     read,
                     body,
+                    is_framed,
                     connection,
                     carrier,
                     keep_ms,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 //! | `resume` | decides where a stream goes on that a caller resumes |
 //! | `overload` | refuses requests that replicas can't start in time |
 //! | `suspects` | tracks requests that may have crashed replicas |
+//! | `survival` | tells whether replicas survived what they answered |
 //! | [`parts`] | maps the parts of a prompt to cache blocks |
 //! | `quotas` | enforces the teams' quotas |
 //! | `rate_limits` | tracks the rate limits that replicas announce |
@@ -51,6 +52,7 @@
 mod relay;
 mod resume;
 pub mod server;
+mod survival;
 mod suspects;
 pub mod upstream;
 
@@ -76,6 +78,7 @@
     plan::{Limits, Plan, Route, Team},
     probes::PathCheck,
     quotas::Quotas,
+    survival::UnprovenAnswers,
     upstream::Pool,
 };
 use crate::{
@@ -155,6 +158,7 @@
     pub(crate) metrics: Metrics,
     bodies: Budget,
     crash_detector: CrashDetector,
+    unproven_answers: UnprovenAnswers,
     origins: Origins,
     /// Requests that may have crashed replicas.
     quarantine: Mutex<Quarantine>,
@@ -214,6 +218,7 @@
             metrics: Metrics::open(),
             bodies: Budget::open(options.body_memory),
             crash_detector: CrashDetector::default(),
+            unproven_answers: UnprovenAnswers::default(),
             origins: Origins::default(),
             quarantine: Mutex::default(),
             part_quarantine: Mutex::new(Quarantine::of(Subject::Part)),
@@ -280,6 +285,7 @@
         let now = self.timer.now();
         self.fleet_refreshed_at.store(now, Ordering::Relaxed);
         let plan = self.plan.read();
+        self.record_proven_answers();
         self.expire_quarantine();
         self.origins.expire(now);
         let mut fleet = self.fleet();
--- a/src/gateway/peer_call.rs
+++ b/src/gateway/peer_call.rs
@@ -419,6 +419,8 @@
             let source = relay::Source {
                 read: bytes::Bytes::new(),
                 body,
+                // Nodes send each other streams in chunks.
+                is_framed: true,
                 connection,
                 carrier,
                 keep_ms: None,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -37,6 +37,8 @@
     /// The part of the body that has already been read.
     pub read: Bytes,
     pub body: Incoming,
+    /// False when the answer ends with its connection.
+    pub is_framed: bool,
     pub connection: Connection,
     pub carrier: Carrier,
     /// How long the replica keeps the idle connection open, in ms.
@@ -145,6 +147,10 @@
                 source.carrier.disconnect();
                 return Received::Broken("the answer ended within an event");
             }
+            Ok(None) if !source.is_framed && !self.splitter.has_events() => {
+                source.carrier.disconnect();
+                return Received::Broken("the answer ended without an event");
+            }
             Ok(None) => return Received::End,
             Err(_) if Instant::now() >= deadline => return Received::Timeout,
             Err(_) => return Received::Broken("the replica timed out"),
--- a/tests/all/endings.rs
+++ b/tests/all/endings.rs
@@ -40,6 +40,9 @@
 const BREAKS: &str = "breaks";
 /// A replica takes a while to answer a request that contains this.
 pub const SLOW: &str = "slow";
+/// A replica answers a request that contains this without a length, so that
+/// the answer ends with its connection.
+pub const PLAIN: &str = "plain";
 /// Interval between two heartbeats of a replica.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 /// Time for which a replica is down after a crash.
@@ -246,6 +249,15 @@
 }
 
 fn respond(head: &str) -> Vec<String> {
+    let plain = |events: &str| {
+        let head = "HTTP/1.1 200 OK\r\n\r\n".to_owned();
+        vec![head, events.to_owned(), WAIT.to_owned()]
+    };
+    if is_fatal(head) && head.contains(PLAIN) {
+        let mut pieces = plain("id: 1\nda");
+        pieces.push(HANG.to_owned());
+        return pieces;
+    }
     if is_fatal(head) {
         // Only the head of a stream is sent.
         let mut pieces = events(1..=1);
@@ -253,6 +265,12 @@
         pieces.push(HANG.to_owned());
         return pieces;
     }
+    if head.contains(PLAIN) {
+        let mut pieces = plain("id: 1\ndata: piece 1\n\n");
+        pieces.push("id: 2\ndata: piece 2\n\n".to_owned());
+        pieces.push(CLOSE.to_owned());
+        return pieces;
+    }
     if head.contains(SLOW) {
         let mut pieces = ended(events(1..=3));
         pieces.insert(2, WAIT.to_owned());
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -452,6 +452,59 @@
     assert!(is_whole(&answer), "{answer}");
 }
 
+/// As above, where the connection ends before the first event: such an answer
+/// must not look like a complete stream.
+#[tokio::test]
+async fn stream_that_closes_before_its_first_event_is_sent_again() {
+    let respond = |_: &str| {
+        let pieces = ["HTTP/1.1 200 OK\r\n\r\n", CLOSE];
+        pieces.map(str::to_owned).to_vec()
+    };
+    let empty = Replica::spawn(respond).await;
+    let sound = Replica::spawn(|_| ended(events(1..=2))).await;
+    let world =
+        TestNode::open(&[("one", empty.address), ("two", sound.address)])
+            .await;
+    for _ in 0..4 {
+        let answer = world.get("/resume/x").await;
+        assert_eq!(ids(&answer), [1, 2], "{answer}");
+        assert!(is_whole(&answer), "{answer}");
+    }
+    let world = TestNode::open(&[("one", empty.address)]).await;
+    let answer = world.get("/stream/x").await;
+    assert!(!is_whole(&answer), "{answer}");
+}
+
+/// Guards against streams whose answers have no length and that are cut off or
+/// doubled although they are complete. Their ends reach the caller as the end
+/// of the answer, and the caller's connection serves further requests.
+#[tokio::test]
+async fn complete_answers_that_end_with_their_connection_are_whole() {
+    let mut replica = Replica::spawn(|head| {
+        let body = match head.starts_with("GET /resume/") {
+            true => "id: 1\ndata: one\n\nid: 2\ndata: two\n\n",
+            false => "no event",
+        };
+        let head = "HTTP/1.0 200 OK\r\n\r\n".to_owned();
+        vec![head, body.to_owned(), CLOSE.to_owned()]
+    })
+    .await;
+    let world = TestNode::open(&[("one", replica.address)]).await;
+    let mut caller = TcpStream::connect(world.front).await.unwrap();
+    for path in ["/resume/x", "/again/x", "/once/x", "/resume/y"] {
+        let request = format!("GET {path} HTTP/1.1\r\nHost: here\r\n\r\n");
+        caller.write_all(request.as_bytes()).await.unwrap();
+        let answer = read_answer(&mut caller).await;
+        assert_eq!(status(&answer), "200", "{answer}");
+        assert!(is_whole(&answer), "{answer}");
+        match path.starts_with("/resume/") {
+            true => assert_eq!(ids(&answer), [1, 2], "{answer}"),
+            false => assert!(answer.contains("no event"), "{answer}"),
+        }
+    }
+    assert_eq!(replica.seen().len(), 4, "a request ran twice");
+}
+
 /// As above, on a route whose streams can't be resumed: the caller's answer
 /// must be visibly incomplete, and the request must not run a second time.
 #[tokio::test]
--- a/tests/all/parts.rs
+++ b/tests/all/parts.rs
@@ -8,7 +8,7 @@
 };
 
 use crate::{
-    endings::{AfterCrash, CRASHING_PART, SLOW, Service},
+    endings::{AfterCrash, CRASHING_PART, PLAIN, SLOW, Service},
     world::{post_prompt, status},
 };
 
@@ -49,7 +49,11 @@
 /// Sends sound requests, and requests with a part that crashes replicas, no
 /// two alike, to all nodes in turn. Fails if too many of the latter reach
 /// replicas, or too few sound ones are served.
-async fn assert_part_is_refused(place: usize, after_crash: AfterCrash) {
+async fn assert_part_is_refused(
+    place: usize,
+    after_crash: AfterCrash,
+    body: &'static str,
+) {
     let service = Service::open_with_others(3, REPLICAS, after_crash).await;
     let began = Instant::now();
     let nodes = Arc::new(service.shared.nodes.clone());
@@ -58,7 +62,7 @@
         async move {
             let front = nodes[number % nodes.len()].front().unwrap();
             let parts = prompt(place, part, number);
-            let body = format!("{SLOW} {number}");
+            let body = format!("{body} {number}");
             let sent_at = Instant::now();
             let answer = post_prompt(front, path, number, &parts, &body);
             let answer = timeout(CALLER_TIMEOUT, answer).await;
@@ -109,18 +113,25 @@
 /// requests that are never the same twice.
 #[tokio::test]
 async fn a_part_that_crashes_replicas_is_refused_by_all_nodes() {
-    assert_part_is_refused(2, AfterCrash::Returns).await;
+    assert_part_is_refused(2, AfterCrash::Returns, SLOW).await;
 }
 
 /// Guards against blame on a part that leads to the one that crashes replicas.
 #[tokio::test]
 async fn a_part_is_refused_whatever_stands_behind_it() {
-    assert_part_is_refused(0, AfterCrash::Returns).await;
+    assert_part_is_refused(0, AfterCrash::Returns, SLOW).await;
 }
 
 /// Guards against the same fault behind relays that close connections while a
 /// replica is down.
 #[tokio::test]
 async fn a_part_that_crashes_replicas_behind_relays_is_refused() {
-    assert_part_is_refused(1, AfterCrash::Closes).await;
+    assert_part_is_refused(1, AfterCrash::Closes, SLOW).await;
+}
+
+/// Guards against blame on the parts that all requests share where answers end
+/// with their connections, so that none of them proves a success at its end.
+#[tokio::test]
+async fn a_part_is_refused_where_answers_have_no_length() {
+    assert_part_is_refused(2, AfterCrash::Returns, PLAIN).await;
 }
