Soak a part of prompts that crashes replicas

A second caller of the soak sends requests that have only a part of their prompts in common, under ever new paths, bodies and ids, and each replica that runs one crashes. All sound requests share the two parts beside it. The check of the request that is the same each time is as it was.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     KEY, Shared,
+    fatal::sound_prompt,
     http::{Failed, Sender, call, connect},
     notice,
     promise::Kind,
@@ -107,6 +108,7 @@
             .header("host", "here")
             .header("authorization", format!("Bearer {KEY}"))
             .header(wire::REQUEST_ID, id)
+            .header(wire::PARTS, sound_prompt(self.requests as usize))
             .header(notice::NODE, self.node.to_string())
             .header(notice::SENT, sent_ms.to_string())
             .header(wire::DEADLINE, REQUEST_TIMEOUT.as_millis().to_string())
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -36,6 +36,7 @@
 
 use crate::{
     caller::Caller,
+    fatal::Fatal,
     faults::Faults,
     http::call,
     promise::Ledger,
@@ -258,7 +259,9 @@
         tasks.push(tokio::spawn(operator::change(shared.clone(), number)));
     }
     tasks.push(tokio::spawn(operator::read(shared.clone())));
-    tasks.push(tokio::spawn(fatal::repeat(shared.clone())));
+    for fatal in Fatal::ALL {
+        tasks.push(tokio::spawn(fatal::repeat(shared.clone(), fatal)));
+    }
     tasks.push(tokio::spawn(limit::vary_rate_limits(shared.clone())));
     tasks.push(tokio::spawn(notice::vary(shared.clone())));
     let mut faults = Faults::new(shared.clone(), site, replicas, cloud);
@@ -287,7 +290,10 @@
         served: counts.served,
         refused: counts.refused,
         failed: counts.failed,
-        ended: shared.ledger.fatal_crashes(),
+        ended: Fatal::ALL
+            .into_iter()
+            .map(|fatal| shared.ledger.fatal_crashes(fatal))
+            .sum(),
         p50_ms,
         p99_ms,
         breaches,
--- a/soak/src/promise.rs
+++ b/soak/src/promise.rs
@@ -10,6 +10,8 @@
 use hdrhistogram::Histogram;
 use serde_json::Value;
 
+use crate::fatal::Fatal;
+
 /// Lease of a duty. Within it, two holders must not alternate.
 const LEASE_DURATION: Duration = Duration::from_millis(3000);
 /// Time after a thaw or a healed link in which calls that were sent before may
@@ -68,8 +70,8 @@
     /// Accepted calls by duty and subject.
     calls: BTreeMap<String, Vec<Call>>,
     excused_until: Option<Instant>,
-    /// Number of replicas that the fatal request has crashed.
-    fatal_crashes: u32,
+    /// What crashed a replica, for each crash under a fatal request.
+    fatal_crashes: Vec<Fatal>,
     counts: Counts,
     /// Newest configuration version sent, and when each was acknowledged.
     sent: u64,
@@ -128,14 +130,16 @@
         }
     }
 
-    /// Records that the fatal request crashes a replica.
-    pub fn record_fatal_crash(&self) {
-        self.state().fatal_crashes += 1;
+    /// Records that a fatal request crashes a replica.
+    pub fn record_fatal_crash(&self, fatal: Fatal) {
+        self.state().fatal_crashes.push(fatal);
     }
 
-    /// Returns the number of replicas that the fatal request has crashed.
-    pub fn fatal_crashes(&self) -> u32 {
-        self.state().fatal_crashes
+    /// Returns the number of replicas that fatal requests have crashed.
+    pub fn fatal_crashes(&self, fatal: Fatal) -> u32 {
+        let state = self.state();
+        let crashes = state.fatal_crashes.iter();
+        crashes.filter(|one| **one == fatal).count() as u32
     }
 
     /// Records that a caller received its answer after `took`.
--- a/soak/src/replica.rs
+++ b/soak/src/replica.rs
@@ -26,7 +26,8 @@
 };
 
 use crate::{
-    SERVICE, Shared, TEAM, fatal,
+    SERVICE, Shared, TEAM,
+    fatal::Fatal,
     http::{Body, Failed, call, full, serve},
     limit::Limit,
     notice::{self, Notices, Reaction},
@@ -368,8 +369,9 @@
             ledger.record_breach(format!("{id}: attributed to another team"));
         }
         let path = request.uri().path();
-        if path == fatal::PATH {
-            ledger.record_fatal_crash();
+        let parts = text(wire::PARTS).unwrap_or_default();
+        if let Some(fatal) = Fatal::find(path, &parts) {
+            ledger.record_fatal_crash(fatal);
             self.end.notify_one();
             // Waits until the connection is closed.
             return pending().await;
