Quarantine parts of chats that crash endpoints at entries

Entries had the fault of the nodes: chats with the same instructions and ever other questions have another fingerprint each, so each of them could crash three endpoints. The messages of a chat but the last are its shared parts now; what a request is known by, its fingerprint and its parts, is one type for nodes and entries (quarantine::Identity). Entries still do not tell each other of crashes.

--- a/src/decide/quarantine/mod.rs
+++ b/src/decide/quarantine/mod.rs
@@ -49,13 +49,14 @@
 //! - The log of the control plane: it costs a commit for each crash, and
 //!   nothing can be committed behind a network partition.
 
+mod identity;
 mod outage;
 mod part;
 mod record;
 mod sound;
 mod word;
 
-pub use self::{part::PartReason, word::Report};
+pub use self::{identity::Identity, part::PartReason, word::Report};
 use self::{record::Record, sound::Successes};
 use crate::util::{common, position};
 
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -2,6 +2,8 @@
 
 use serde_json::Value;
 
+use crate::fingerprint;
+
 /// Maximum number of answer tokens if the request sets none.
 const DEFAULT_MAX_TOKENS: u64 = 512;
 
@@ -16,6 +18,9 @@
     pub max_pieces: u64,
     /// Prompt, made of the roles and contents of all messages.
     pub prompt: String,
+    /// Hashes of all messages but the last. Requests with the same
+    /// instructions or the same history share these parts of their prompts.
+    pub shared_parts: Vec<u64>,
     /// Body as the caller sent it.
     pub body: Value,
 }
@@ -36,6 +41,7 @@
             .filter(|messages| !messages.is_empty())
             .ok_or("messages must be a list with at least one message")?;
         let mut prompt = String::new();
+        let mut shared_parts = Vec::new();
         for message in messages {
             let role = message["role"]
                 .as_str()
@@ -43,11 +49,14 @@
             let content = message["content"]
                 .as_str()
                 .ok_or("each message's content must be text")?;
+            let part = [role.as_bytes(), content.as_bytes()];
+            shared_parts.push(fingerprint::of(&part));
             prompt.push_str(role);
             prompt.push('\n');
             prompt.push_str(content);
             prompt.push('\n');
         }
+        shared_parts.pop();
         let stream = match &value["stream"] {
             Value::Null => false,
             Value::Bool(stream) => *stream,
@@ -61,7 +70,14 @@
                 .ok_or("max_tokens must be from 1 to 1000000")?,
             _ => return Err("max_tokens must be a number".to_owned()),
         };
-        Ok(Chat { model, stream, max_pieces, prompt, body: value })
+        Ok(Chat {
+            model,
+            stream,
+            max_pieces,
+            prompt,
+            shared_parts,
+            body: value,
+        })
     }
 
     /// Estimates the number of tokens in the prompt, at four bytes per token.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -64,7 +64,10 @@
 use crate::{
     board::Cell,
     control::client::Client,
-    decide::retry::Budget,
+    decide::{
+        quarantine::{Quarantine, Subject},
+        retry::Budget,
+    },
     http_server::{self, Server},
     metrics::Metrics,
     settings,
@@ -191,6 +194,7 @@
         peers: Peers::default(),
         admission: Admission::default(),
         quarantine: Mutex::default(),
+        part_quarantine: Mutex::new(Quarantine::of(Subject::Part)),
         retries: Mutex::new(Budget::open(10, random_id())),
         dispatcher: Dispatcher::open(),
         metrics: Metrics::open(),
--- a/src/entry/model.rs
+++ b/src/entry/model.rs
@@ -26,7 +26,6 @@
     refusal::Refusal,
     requests::{NewRecord, Outcome, Owner, Record},
     state::Shared,
-    suspects,
 };
 use crate::{
     backoff::Backoff,
@@ -34,6 +33,7 @@
     decide::{
         moving::{self, Stream},
         prefix,
+        quarantine::Identity,
         route::{Choice, RouteRequest, VersionRule},
     },
     fingerprint,
@@ -78,10 +78,8 @@
     if let Some(known) = state.requests.get(&id) {
         return check_same_body(known, &body);
     }
-    state.check_quarantine(
-        fingerprint_of(&caller.team, &service.name, &body),
-        &service.name,
-    )?;
+    let identity = identity_of(&caller.team, &service.name, &body, chat);
+    state.check_quarantine(&identity, &service.name)?;
     let arrived = state.now();
     let cost = f64::from(chat.prompt_tokens()) + chat.max_pieces as f64;
     let permit = admission::admit(
@@ -136,8 +134,14 @@
     Ok(record)
 }
 
-fn fingerprint_of(team: &str, service: &str, body: &[u8]) -> u64 {
-    fingerprint::of(&[team.as_bytes(), service.as_bytes(), body])
+fn identity_of(
+    team: &str,
+    service: &str,
+    body: &[u8],
+    chat: &Chat,
+) -> Identity {
+    let parts = [team.as_bytes(), service.as_bytes(), body];
+    Identity::new(fingerprint::of(&parts), chat.shared_parts.clone())
 }
 
 fn check_same_body(
@@ -196,7 +200,7 @@
 }
 
 struct Run<'a> {
-    fingerprint: u64,
+    identity: Identity,
     state: &'a Shared,
     record: &'a Arc<Record>,
     chat: &'a Chat,
@@ -215,10 +219,11 @@
         chat: &'a Chat,
     ) -> Run<'a> {
         Run {
-            fingerprint: fingerprint_of(
+            identity: identity_of(
                 &record.team,
                 &record.service,
                 &record.body,
+                chat,
             ),
             state,
             record,
@@ -263,7 +268,7 @@
             ));
             match self.attempt(&endpoint, &choice).await {
                 Attempt::Completed => {
-                    self.state.record_success(self.fingerprint);
+                    self.state.record_success(&self.identity);
                     self.state.retries().record_success();
                     return Outcome::Finished;
                 }
@@ -300,18 +305,16 @@
                     let state = self.state;
                     state
                         .investigate_failure(
-                            self.fingerprint,
+                            &self.identity,
                             &endpoint,
                             &failed,
                         )
                         .await;
                     let service = &self.record.service;
-                    let quarantined =
-                        state.quarantine_reason(self.fingerprint, service);
-                    if let Some(reason) = quarantined {
-                        return Outcome::Failed(suspects::quarantine_text(
-                            reason,
-                        ));
+                    if let Some(text) =
+                        state.quarantine_text(&self.identity, service)
+                    {
+                        return Outcome::Failed(text);
                     }
                     self.excluded.push((endpoint.id, endpoint.incarnation));
                     self.new_connection = true;
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -38,7 +38,10 @@
 use crate::{
     backoff::Backoff,
     config::Service,
-    decide::route::{Choice, RouteRequest, VersionRule},
+    decide::{
+        quarantine::Identity,
+        route::{Choice, RouteRequest, VersionRule},
+    },
     fingerprint,
     http_server::{Request, Response},
     metrics::Labels,
@@ -162,8 +165,8 @@
     state: &Shared,
     service_call: ServiceCall,
 ) -> Result<Answer, Refusal> {
-    let fingerprint = fingerprint::of(&digest_parts(&service_call));
-    state.check_quarantine(fingerprint, &service_call.service.name)?;
+    let identity = identity_of(&service_call);
+    state.check_quarantine(&identity, &service_call.service.name)?;
     let caller = &service_call.caller;
     let start_by = caller.deadline;
     let permit = admission::admit(
@@ -196,7 +199,7 @@
             Ok(answer) => {
                 state.retries().record_success();
                 if answer.status.is_success() {
-                    state.record_success(fingerprint);
+                    state.record_success(&identity);
                 }
                 return Ok(answer);
             }
@@ -206,12 +209,10 @@
                     "Endpoint {} failed: {}.", endpoint.id, failed.text
                 );
                 verdict = verdict.and(failed.verdict);
-                state
-                    .investigate_failure(fingerprint, &endpoint, &failed)
-                    .await;
+                state.investigate_failure(&identity, &endpoint, &failed).await;
                 excluded.push((endpoint.id, endpoint.incarnation));
                 let service = &service_call.service.name;
-                if state.quarantine_reason(fingerprint, service).is_some() {
+                if state.quarantine_text(&identity, service).is_some() {
                     break;
                 }
             }
@@ -241,8 +242,8 @@
     state: Shared,
     service_call: ServiceCall,
 ) -> Result<Response, Refusal> {
-    let fingerprint = fingerprint::of(&digest_parts(&service_call));
-    state.check_quarantine(fingerprint, &service_call.service.name)?;
+    let identity = identity_of(&service_call);
+    state.check_quarantine(&identity, &service_call.service.name)?;
     let key = service_call.caller.key.clone().unwrap_or_default();
     let caller = &service_call.caller;
     let permit = admission::admit(
@@ -337,10 +338,8 @@
                     endpoint.id,
                     failed.text
                 );
-                let fingerprint = fingerprint::of(&digest_parts(service_call));
-                state
-                    .investigate_failure(fingerprint, &endpoint, &failed)
-                    .await;
+                let identity = identity_of(service_call);
+                state.investigate_failure(&identity, &endpoint, &failed).await;
                 return Err(settle_unknown(state, key, owner, failed));
             }
         }
@@ -482,6 +481,11 @@
     fingerprint::digest(&digest_parts(service_call)).to_vec()
 }
 
+fn identity_of(service_call: &ServiceCall) -> Identity {
+    let fingerprint = fingerprint::of(&digest_parts(service_call));
+    Identity::new(fingerprint, Vec::new())
+}
+
 fn digest_parts(service_call: &ServiceCall) -> [&[u8]; 5] {
     [
         service_call.caller.team.as_bytes(),
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -15,7 +15,11 @@
     board::Cell,
     config::Config,
     control::client::Client,
-    decide::{quarantine::Quarantine, retry::Budget, route::Choice},
+    decide::{
+        quarantine::{Quarantine, Subject},
+        retry::Budget,
+        route::Choice,
+    },
     metrics::Metrics,
     settings,
     timer::Timer,
@@ -88,6 +92,8 @@
     pub admission: Admission,
     /// Requests that may have crashed endpoints.
     pub quarantine: Mutex<Quarantine>,
+    /// Parts of prompts that may have crashed endpoints.
+    pub part_quarantine: Mutex<Quarantine>,
     /// The retry budget.
     pub retries: Mutex<Budget>,
     /// Sends requests to endpoints.
@@ -112,9 +118,13 @@
         self.fleet.lock().unwrap_or_else(|held| held.into_inner())
     }
 
-    /// Locks the quarantine.
-    pub fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
-        self.quarantine.lock().unwrap_or_else(|held| held.into_inner())
+    /// Locks the quarantine of requests or of parts of prompts.
+    pub fn quarantine(&self, subject: Subject) -> MutexGuard<'_, Quarantine> {
+        let quarantine = match subject {
+            Subject::Request => &self.quarantine,
+            Subject::Part => &self.part_quarantine,
+        };
+        quarantine.lock().unwrap_or_else(|held| held.into_inner())
     }
 
     /// Locks the retry budget.
--- a/src/entry/suspects.rs
+++ b/src/entry/suspects.rs
@@ -1,8 +1,9 @@
-//! Quarantine of requests that may have crashed endpoints.
+//! Quarantine of requests, and of parts of prompts, that may have crashed
+//! endpoints.
 //!
 //! The rules are in [`quarantine`](crate::decide::quarantine). Entries do not
-//! exchange crash reports, so each entry lets a request crash three endpoints
-//! before it quarantines the request.
+//! exchange crash reports, so each entry lets a request or a part crash three
+//! endpoints before it quarantines it.
 
 use std::time::Duration;
 
@@ -14,7 +15,9 @@
     state::State,
 };
 use crate::{
-    decide::quarantine::{Crash, Reason, Source, Success},
+    decide::quarantine::{
+        Crash, Identity, PartReason, Reason, Source, Subject, Success,
+    },
     fingerprint,
     util::{mix, name_hash},
     verdict::Verdict,
@@ -31,7 +34,7 @@
     /// records the crash against the request if so.
     pub async fn investigate_failure(
         &self,
-        fingerprint: u64,
+        identity: &Identity,
         endpoint: &Endpoint,
         failed: &CallError,
     ) {
@@ -51,49 +54,75 @@
         }
         let now = self.now() as i64;
         let replica = mix(name_hash(&endpoint.id) ^ endpoint.incarnation);
-        let crash = Crash { fingerprint, replica, at: now };
-        let mut quarantine = self.quarantine();
-        let crashes = quarantine.record_crash(now, crash, Source::Other);
-        quarantine.expire(now);
-        warn!(
-            target: "entry",
-            fingerprint = fingerprint::shown(fingerprint),
-            endpoint = endpoint.id,
-            crashes,
-            "Endpoint crashed while it ran a request."
-        );
+        for (subject, fingerprint) in identity.subjects() {
+            let crash = Crash { fingerprint, replica, at: now };
+            let mut quarantine = self.quarantine(subject);
+            let crashes = quarantine.record_crash(now, crash, Source::Other);
+            quarantine.expire(now);
+            warn!(
+                target: "entry",
+                ?subject,
+                fingerprint = fingerprint::shown(fingerprint),
+                endpoint = endpoint.id,
+                crashes,
+                "Endpoint crashed while it ran a request."
+            );
+        }
     }
 
     /// Records that a request has succeeded.
-    pub fn record_success(&self, fingerprint: u64) {
+    pub fn record_success(&self, identity: &Identity) {
         let now = self.now() as i64;
-        let success = Success { fingerprint, at: now };
-        self.quarantine().record_success(now, success, Source::Other);
+        for (subject, fingerprint) in identity.subjects() {
+            let success = Success { fingerprint, at: now };
+            let mut quarantine = self.quarantine(subject);
+            quarantine.record_success(now, success, Source::Other);
+        }
     }
 
-    /// Refuses a quarantined request, unless a trial is due.
+    /// Refuses a request if it or a part of its prompt is quarantined, unless
+    /// a trial is due.
     pub fn check_quarantine(
         &self,
-        fingerprint: u64,
+        identity: &Identity,
         service: &str,
     ) -> Result<(), Refusal> {
-        let Some(reason) = self.quarantine_reason(fingerprint, service) else {
-            return Ok(());
-        };
         let now = self.now() as i64;
-        let mut quarantine = self.quarantine();
         // The rank is 0 because entries do not share trials.
-        if quarantine.grant_trial(now, fingerprint, reason, 0) {
-            return Ok(());
+        if let Some(reason) = self.part_reason(identity) {
+            let mut quarantine = self.quarantine(Subject::Part);
+            if !quarantine.grant_part_trial(now, reason, 0) {
+                return Err(Refusal::retryable(
+                    part_text(reason),
+                    reason.retry_after_ms(),
+                ));
+            }
+        }
+        let fingerprint = identity.fingerprint;
+        if let Some(reason) = self.request_reason(fingerprint, service) {
+            let mut quarantine = self.quarantine(Subject::Request);
+            if !quarantine.grant_trial(now, fingerprint, reason, 0) {
+                return Err(Refusal::retryable(
+                    request_text(reason),
+                    reason.retry_after_ms(),
+                ));
+            }
         }
-        Err(Refusal::retryable(
-            quarantine_text(reason),
-            reason.retry_after_ms(),
-        ))
+        Ok(())
     }
 
     /// Returns why a request may not be sent to endpoints now.
-    pub fn quarantine_reason(
+    pub fn quarantine_text(
+        &self,
+        identity: &Identity,
+        service: &str,
+    ) -> Option<String> {
+        let request = self.request_reason(identity.fingerprint, service);
+        let request = request.map(request_text);
+        request.or_else(|| self.part_reason(identity).map(part_text))
+    }
+
+    fn request_reason(
         &self,
         fingerprint: u64,
         service: &str,
@@ -103,11 +132,22 @@
             let mut fleet = self.fleet();
             fleet.pool(service).map_or(0, |pool| pool.len())
         };
-        self.quarantine().quarantine_reason(now, fingerprint, endpoints)
+        let quarantine = self.quarantine(Subject::Request);
+        quarantine.quarantine_reason(now, fingerprint, endpoints)
+    }
+
+    fn part_reason(&self, identity: &Identity) -> Option<PartReason> {
+        let now = self.now() as i64;
+        let quarantine = self.quarantine(Subject::Part);
+        quarantine.part_reason(now, &identity.parts)
     }
 }
 
 /// Formats the reason of a quarantine for callers.
-pub fn quarantine_text(reason: Reason) -> String {
+fn request_text(reason: Reason) -> String {
     format!("{} endpoints ended under it", reason.crashes)
 }
+
+fn part_text(reason: PartReason) -> String {
+    format!("{} endpoints ended under a part of its prompt", reason.crashes)
+}
--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -15,9 +15,8 @@
     forward::{AcceptedRequest, Attempts, StreamVersion},
     plan::{Limits, Plan, Route, Team},
     refusal::Refusal,
-    suspects::Identity,
 };
-use crate::fingerprint;
+use crate::{decide::quarantine::Identity, fingerprint};
 
 /// Maximum time that a caller may pause within a body.
 const BODY_FRAME_TIMEOUT: Duration = Duration::from_millis(3000);
@@ -113,7 +112,9 @@
         team.as_ref().map_or("", |team| &team.name).as_bytes(),
         &body,
     ]);
-    let identity = Identity::new(fingerprint, request_info.shared_parts());
+    let parts = request_info.shared_parts().iter();
+    let parts = parts.map(|(part, _)| *part).collect();
+    let identity = Identity::new(fingerprint, parts);
     let is_trial = gateway
         .check_quarantine(&identity, &service)
         .map_err(|refusal| Refusal { route: route.name.clone(), ..refusal })?;
--- a/src/gateway/ending.rs
+++ b/src/gateway/ending.rs
@@ -33,9 +33,9 @@
 use tokio::time::sleep;
 use tracing::info;
 
-use super::{Gateway, fleet::Target, suspects::Identity};
+use super::{Gateway, fleet::Target};
 use crate::{
-    decide::quarantine::{Crash, Subject},
+    decide::quarantine::{Crash, Identity, Subject},
     mesh::{lives::Fate, table::replica_hash},
 };
 
--- a/src/gateway/flight.rs
+++ b/src/gateway/flight.rs
@@ -10,9 +10,9 @@
     forward::AcceptedRequest,
     peer_call::PeerCall,
     survival::Proof,
-    suspects::Identity,
     upstream::Pool,
 };
+use crate::decide::quarantine::Identity;
 
 /// Silence on an abandoned attempt after which its replica may have crashed,
 /// in ms: longer than the pauses that an engine makes.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -38,11 +38,13 @@
     relay,
     server::{Body, full},
     survival::Proof,
-    suspects::Identity,
     upstream::{Connection, Error, Fault},
 };
 use crate::{
-    decide::route::{RouteRequest, VersionRule},
+    decide::{
+        quarantine::Identity,
+        route::{RouteRequest, VersionRule},
+    },
     fingerprint,
     metrics::{FailedAttempt, Labels, Running},
     util::name_hash,
--- a/src/gateway/survival.rs
+++ b/src/gateway/survival.rs
@@ -9,8 +9,8 @@
 
 use std::sync::{Mutex, MutexGuard};
 
-use super::{Gateway, ending, suspects::Identity};
-use crate::mesh::lives::Fate;
+use super::{Gateway, ending};
+use crate::{decide::quarantine::Identity, mesh::lives::Fate};
 
 /// Time after an answer within which its replica has to be heard, in ms: four
 /// heartbeat intervals.
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -6,10 +6,7 @@
 //! of a time, as the nodes' clocks differ and reports are forwarded from node
 //! to node.
 
-use std::{
-    iter,
-    sync::{Arc, MutexGuard},
-};
+use std::sync::MutexGuard;
 
 use tracing::{info, warn};
 
@@ -20,8 +17,8 @@
 };
 use crate::{
     decide::quarantine::{
-        self, PartReason, QUARANTINE_CRASHES, Quarantine, Reason, Report,
-        Source, Subject, Success,
+        self, Identity, PartReason, QUARANTINE_CRASHES, Quarantine, Reason,
+        Report, Source, Subject, Success,
     },
     fingerprint,
     wire::{self, Crash, CrashReport},
@@ -31,33 +28,6 @@
 /// once: the next crash may be the third, whichever node the request reaches.
 const MIN_URGENT_CRASHES: usize = 2;
 
-/// What a request is identified by when replicas crash under it.
-#[derive(Clone, Debug)]
-pub(super) struct Identity {
-    /// Fingerprint of what is requested.
-    pub fingerprint: u64,
-    /// Sorted ids of the parts of the prompt that other prompts may share.
-    pub parts: Arc<[u64]>,
-}
-
-impl Identity {
-    /// Creates the identity of a request from its fingerprint and the shared
-    /// parts of its prompt.
-    pub fn new(fingerprint: u64, shared_parts: &[(u64, u32)]) -> Identity {
-        let mut parts: Vec<u64> =
-            shared_parts.iter().map(|(part, _)| *part).collect();
-        parts.sort_unstable();
-        parts.dedup();
-        Identity { fingerprint, parts: parts.into() }
-    }
-
-    /// Returns what crashes and successes are recorded for.
-    pub fn subjects(&self) -> impl Iterator<Item = (Subject, u64)> {
-        let parts = self.parts.iter().map(|part| (Subject::Part, *part));
-        iter::once((Subject::Request, self.fingerprint)).chain(parts)
-    }
-}
-
 impl Gateway {
     fn quarantine(&self, subject: Subject) -> MutexGuard<'_, Quarantine> {
         let quarantine = match subject {
--- a/tests/all/parts.rs
+++ b/tests/all/parts.rs
@@ -2,13 +2,17 @@
 
 use std::{sync::Arc, time::Duration};
 
+use http::Method;
+use serde_json::json;
 use tokio::{
     task::JoinSet,
     time::{Instant, sleep, timeout},
 };
 
 use crate::{
+    cluster::{Cluster, ClusterSpec, Role},
     endings::{AfterCrash, CRASHING_PART, PLAIN, SLOW, Service},
+    scenario::BASE,
     world::{post_prompt, status},
 };
 
@@ -135,3 +139,58 @@
 async fn a_part_is_refused_where_answers_have_no_length() {
     assert_part_is_refused(2, AfterCrash::Returns, PLAIN).await;
 }
+
+/// Endpoints that run a model in the test of an entry.
+const ENDPOINTS: u8 = 8;
+/// Piece of an answer at which each of them crashes.
+const FATAL_PIECE: u64 = 3;
+/// Chats with the same instructions that are sent to the entry.
+const CHATS: usize = 4;
+
+/// Guards against instructions that crash endpoint after endpoint under chats
+/// that are never the same twice.
+#[test]
+fn instructions_that_crash_endpoints_are_refused_by_an_entry() {
+    let mut cluster = Cluster::open(ClusterSpec {
+        controls: 1,
+        entries: 1,
+        models: ENDPOINTS,
+        plains: 0,
+        base: BASE.to_owned(),
+        sites: vec!["east".to_owned(), "west".to_owned()],
+        control_flags: Vec::new(),
+        model_flags: Vec::new(),
+        plain_flags: Vec::new(),
+        relay_endpoints: false,
+    });
+    cluster.apply_first();
+    cluster.wait("endpoints", |cluster| {
+        let status = cluster.status();
+        status.endpoints.len() == usize::from(ENDPOINTS)
+    });
+    let models = cluster.names(Role::Model);
+    for name in &models {
+        cluster.fault(name, "die_at", Some(FATAL_PIECE));
+    }
+    let chat = |instructions: &str, number: usize| {
+        let body = json!({
+            "model": "model",
+            "max_tokens": 20,
+            "messages": [
+                { "role": "system", "content": instructions },
+                { "role": "user", "content": format!("question {number}") },
+            ],
+        });
+        let path = "/v1/chat/completions";
+        let headers = [("azuremount-team", "red")];
+        cluster.http("e1", Method::POST, path, &headers, &body.to_string())
+    };
+    for number in 0..CHATS {
+        let answer = chat("crash", number).expect("the entry answers");
+        assert!(!answer.status.is_success(), "{:?}", answer.status);
+    }
+    let running =
+        models.iter().filter(|name| cluster.is_running(name)).count();
+    let crashed = models.len() - running;
+    assert!(crashed <= MAX_CRASHES, "{crashed} endpoints have crashed");
+}
