Let the next node try a part if the first one has no request with it

A trial was due at each node from the moment at which it asked, so only the node that comes first granted any: a part was never tried where that node received no request with it, or was cut off. The time is that of the last crash now, and each node waits five seconds for the one before it.

Test: the_next_node_grants_a_trial_if_the_first_one_does_not.

--- a/src/decide/quarantine/part.rs
+++ b/src/decide/quarantine/part.rs
@@ -66,8 +66,9 @@
         pub crashes: usize,
         /// Time since the last crash, in ms.
         pub age_ms: u64,
-        /// Time until a request with the part may be sent again, in ms; 0 from
-        /// then on.
+        /// Time at which a trial is due, in ms by this node's clock.
+        pub trial_at: i64,
+        /// Time until then, in ms; 0 from then on.
         pub wait_ms: u64,
         /// Whether a trial is not due soon.
         pub is_certain: bool,
@@ -199,11 +200,13 @@
             }
             false => nth(&EARLY_TRIAL_MS, early),
         };
+        let trial_at = last_at + trial_ms;
         Some(PartReason {
             part: worst.suspect.part,
             crashes: worst.crashes,
             age_ms: (now - last_at).max(0) as u64,
-            wait_ms: (last_at + trial_ms - now).max(0) as u64,
+            trial_at,
+            wait_ms: (trial_at - now).max(0) as u64,
             is_certain,
             alternatives,
         })
@@ -219,8 +222,7 @@
         rank: usize,
     ) -> bool {
         let Ok(at) = self.find(&reason.part) else { return false };
-        let due = now + reason.wait_ms as i64;
-        self.records[at].start_trial(now, due, rank)
+        self.records[at].start_trial(now, reason.trial_at, rank)
     }
 
     /// Returns the parts that are quarantined, the strongest evidence first.
--- a/tests/all/part_quarantine.rs
+++ b/tests/all/part_quarantine.rs
@@ -226,6 +226,26 @@
     assert!(late_arrivals <= MAX_TRIALS, "{late_arrivals}");
 }
 
+/// Guards against a part that is never tried again, as the node that comes
+/// first receives no request with it.
+#[test]
+fn the_next_node_grants_a_trial_if_the_first_one_does_not() {
+    let mut quarantine = open();
+    for replica in 0..3 {
+        let at = START_MS + 500 * replica as i64;
+        crash(&mut quarantine, replica, at, &[CAUSE]);
+    }
+    let due = reason(&quarantine, START_MS + 1000, &[CAUSE]).unwrap().trial_at;
+    let mut grants = |now, rank| {
+        let found = reason(&quarantine, now, &[CAUSE]).unwrap();
+        quarantine.grant_part_trial(now, found, rank)
+    };
+    assert!(!grants(due - 1, 0));
+    assert!(!grants(due, 2));
+    assert!(!grants(due + 9000, 2));
+    assert!(grants(due + 10_000, 2));
+}
+
 /// Guards against suspected crashes of replicas that live on: they are
 /// withdrawn, and otherwise count for as long as a confirmation takes.
 #[test]
