Report crashes of parts that have not succeeded before those in use

A datagram takes 64 new crashes, the newest ones. When a replica crashes with many requests of one node, the parts in use there are more than that, and the crash of the part that caused it might be told to nobody.

Test: parts_that_have_not_succeeded_are_reported_first.

--- a/src/decide/quarantine/word.rs
+++ b/src/decide/quarantine/word.rs
@@ -50,11 +50,8 @@
         self.crash_reports.retain(|(at, _)| now < at + NEW_REPORT_MS);
         self.success_reports.retain(|(at, _)| now < at + NEW_REPORT_MS);
         self.suspicion_reports.retain(|(at, _)| now < at + NEW_REPORT_MS);
-        let newest = self.suspicion_reports.iter().rev().take(MAX_NEW_REPORTS);
-        let suspected = newest.map(|(_, crash)| *crash).collect();
-        let newest = self.crash_reports.iter().rev().take(MAX_NEW_REPORTS);
-        let mut crashes: Vec<Crash> =
-            newest.map(|(_, crash)| *crash).collect();
+        let suspected = self.new_reports(&self.suspicion_reports);
+        let mut crashes = self.new_reports(&self.crash_reports);
         let mut due: Vec<&mut Record> = self
             .records
             .iter_mut()
@@ -77,6 +74,18 @@
         Report { crashes, suspected, successes }
     }
 
+    /// Returns the newest crashes. Those of parts that are in use come last:
+    /// when a replica crashes, many of them are in flight there.
+    fn new_reports(&self, reports: &[(i64, Crash)]) -> Vec<Crash> {
+        let newest = reports.iter().rev().map(|(_, crash)| *crash);
+        let mut crashes: Vec<Crash> = newest.collect();
+        if self.subject == Subject::Part {
+            crashes.sort_by_key(|crash| self.has_succeeded(crash.fingerprint));
+        }
+        crashes.truncate(MAX_NEW_REPORTS);
+        crashes
+    }
+
     /// Returns what a node that starts needs to know, and what is stored on
     /// disk.
     pub fn snapshot(&self) -> Report {
--- a/tests/all/part_quarantine.rs
+++ b/tests/all/part_quarantine.rs
@@ -299,6 +299,21 @@
     assert!(reason(&starting, now, &[7, CAUSE]).is_some());
 }
 
+/// Guards against a crash of the cause that no other node is told of, as
+/// hundreds of parts in use were in flight at the same replica.
+#[test]
+fn parts_that_have_not_succeeded_are_reported_first() {
+    let mut quarantine = open();
+    let in_use: Vec<u64> = (1000..1300).collect();
+    succeed(&mut quarantine, START_MS - 100, &in_use);
+    crash(&mut quarantine, 1, START_MS, &[CAUSE]);
+    crash(&mut quarantine, 1, START_MS, &in_use);
+    let report = quarantine.take_reports(START_MS + 10);
+    let is_reported =
+        report.crashes.iter().any(|crash| crash.fingerprint == CAUSE);
+    assert!(is_reported);
+}
+
 /// Guards against memory and datagrams that grow with the number of parts at
 /// crashes.
 #[test]
