Log no more than once that a part in use is in flight at crashes

Parts that are in use are in flight at nearly all crashes and succeed right after, so each node logged a line for each of them and each crash: 292 lines in a play of 40 s with twelve nodes. The crashes were not logged for that reason already; the successes that clear them are not either now.

--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -168,6 +168,7 @@
     fn clear(&self, subject: Subject, success: Success, source: Source) {
         let now = self.signed_now();
         let mut quarantine = self.quarantine(subject);
+        let is_in_use = quarantine.has_succeeded(success.fingerprint);
         let cleared = quarantine.record_success(now, success, source);
         // A request with a single crash is nearly always a bystander.
         let Some(crashes) = cleared.filter(|it| *it >= MIN_URGENT_CRASHES)
@@ -181,6 +182,7 @@
                 crashes, ?source,
                 "Request is no longer suspected: it succeeded."
             ),
+            Subject::Part if is_in_use => {}
             Subject::Part => info!(
                 target: "gateway",
                 part = format_args!("{:x}", success.fingerprint),
