Grant one trial of a part at a time while its outcome is open

From the fifth crash on a part may reach few replicas. A trial that waits at a busy replica has no outcome for seconds, and the next node granted another one after five seconds, and so on: up to one of each node. The interval between late trials is thirty seconds, at the same node and at the next one.

Test: a_trial_that_has_no_outcome_yet_is_the_only_one.

--- a/src/decide/quarantine/mod.rs
+++ b/src/decide/quarantine/mod.rs
@@ -435,7 +435,7 @@
         let record = &mut self.records[at];
         let Some(last) = record.crashes.last() else { return false };
         let due = last.at + quarantine_ms(reason.crashes);
-        record.start_trial(now, due, rank)
+        record.start_trial(now, due, rank, TRIAL_INTERVAL_MS)
     }
 
     /// Removes records whose retention time has passed.
--- a/src/decide/quarantine/part.rs
+++ b/src/decide/quarantine/part.rs
@@ -27,7 +27,8 @@
 
 use super::{
     CRASH_RETENTION_MS, Crash, QUARANTINE_CRASHES, Quarantine,
-    SUSPICION_TIMEOUT_MS, outage::DETECTION_SPREAD_MS, record::Record,
+    SUSPICION_TIMEOUT_MS, TRIAL_INTERVAL_MS, outage::DETECTION_SPREAD_MS,
+    record::Record,
 };
 use crate::util::{common, position};
 
@@ -43,6 +44,9 @@
 /// The last one is the time for which crashes are kept, so that a part costs
 /// two replicas in that time.
 const LATE_TRIAL_MS: [i64; 3] = [120_000, 1_200_000, CRASH_RETENTION_MS];
+/// Interval between two such trials, in ms, at the same node or at the next
+/// one: longer than a request waits at a busy replica before it begins.
+const LATE_TRIAL_INTERVAL_MS: i64 = 30_000;
 /// Time between a success and a crash within which the success counts as
 /// shortly before the crash, in ms.
 const RECENT_SUCCESS_MS: i64 = 30_000;
@@ -222,7 +226,12 @@
         rank: usize,
     ) -> bool {
         let Ok(at) = self.find(&reason.part) else { return false };
-        self.records[at].start_trial(now, reason.trial_at, rank)
+        let interval_ms = match reason.is_certain {
+            true => LATE_TRIAL_INTERVAL_MS,
+            false => TRIAL_INTERVAL_MS,
+        };
+        let due = reason.trial_at;
+        self.records[at].start_trial(now, due, rank, interval_ms)
     }
 
     /// Returns the parts that are quarantined, the strongest evidence first.
--- a/src/decide/quarantine/record.rs
+++ b/src/decide/quarantine/record.rs
@@ -1,6 +1,6 @@
 //! The record of one request.
 
-use super::{Crash, TRIAL_INTERVAL_MS, outage::SAME_REQUEST_WINDOW_MS};
+use super::{Crash, outage::SAME_REQUEST_WINDOW_MS};
 use crate::util::common;
 
 common! {
@@ -39,17 +39,18 @@
         times.len()
     }
 
-    /// Starts a trial at this node if it is due, each node after the `rank`
-    /// nodes before it. Returns whether it does.
+    /// Starts a trial at this node if it is due, each node `interval_ms` after
+    /// the one before it. Returns whether it does.
     pub(super) fn start_trial(
         &mut self,
         now: i64,
         due: i64,
         rank: usize,
+        interval_ms: i64,
     ) -> bool {
-        let due = due + TRIAL_INTERVAL_MS * rank as i64;
+        let due = due + interval_ms * rank as i64;
         let is_resting =
-            self.trial_at.is_some_and(|at| now < at + TRIAL_INTERVAL_MS);
+            self.trial_at.is_some_and(|at| now < at + interval_ms);
         let is_trial = now >= due && !is_resting;
         if is_trial {
             self.trial_at = Some(now);
--- a/tests/all/part_quarantine.rs
+++ b/tests/all/part_quarantine.rs
@@ -246,6 +246,28 @@
     assert!(grants(due + 10_000, 2));
 }
 
+/// Guards against several requests with a part that crashes replicas, from one
+/// node after the other, while the first of them waits at a busy replica.
+#[test]
+fn a_trial_that_has_no_outcome_yet_is_the_only_one() {
+    let mut quarantine = open();
+    for replica in 0..5 {
+        let at = START_MS + 500 * replica as i64;
+        crash(&mut quarantine, replica, at, &[CAUSE]);
+    }
+    succeed(&mut quarantine, START_MS + 2500, &[1]);
+    let found = reason(&quarantine, START_MS + 2500, &[CAUSE]).unwrap();
+    assert!(found.is_certain, "{found:?}");
+    let due = found.trial_at;
+    let trials = (0..20_000).step_by(250).filter(|wait| {
+        let now = due + wait;
+        let found = reason(&quarantine, now, &[CAUSE]).unwrap();
+        let rank = (wait / 250 % 12) as usize;
+        quarantine.grant_part_trial(now, found, rank)
+    });
+    assert_eq!(trials.count(), 1);
+}
+
 /// Guards against suspected crashes of replicas that live on: they are
 /// withdrawn, and otherwise count for as long as a confirmation takes.
 #[test]
