Log when nodes learn of newer plans and of departures, and from whom

A node that answers by an outdated plan may have heard of the newer one late, or may have fetched it late. The log had the limits of fetches that timed out only. It now has the first report of a version and its sender, the time from then until the plan is in force (also as a histogram), fetches by outcome, and in refusals with 404 and 401 the version that they follow from and the newest one known. A departure that a datagram reports is logged with its sender.

--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -14,7 +14,7 @@
     dialect::RequestInfo,
     forward::{AcceptedRequest, Attempts, StreamVersion},
     plan::{Limits, Plan, Route, Team},
-    refusal::Refusal,
+    refusal::{Cause, Refusal},
 };
 use crate::{decide::quarantine::Identity, fingerprint};
 
@@ -53,9 +53,11 @@
     let path = request.uri().path();
     let Some(route) = plan.route(&host, path) else {
         let status = StatusCode::NOT_FOUND;
-        return Err(Refusal::invalid(status, "no route leads there"));
+        let refusal = Refusal::invalid(status, "no route leads there");
+        return Err(gateway.refuse_by_plan(plan, refusal));
     };
-    let team = team_of(plan, route, &request_info)?;
+    let team = team_of(plan, route, &request_info)
+        .map_err(|refusal| gateway.refuse_by_plan(plan, refusal))?;
     let limit = Duration::from_millis(
         request_info.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms),
     );
@@ -80,6 +82,15 @@
     Ok(accepted)
 }
 
+impl Gateway {
+    /// Adds to a refusal which plan it follows from.
+    fn refuse_by_plan(&self, plan: &Plan, refusal: Refusal) -> Refusal {
+        let newest = self.newest_plan_version();
+        let cause = Cause::Plan { version: plan.version(), newest };
+        Refusal { cause: Some(Box::new(cause)), ..refusal }
+    }
+}
+
 /// How a request is to be handled, by its head.
 pub(super) struct Resolved {
     pub route: Route,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | [`server`] | serves HTTP connections from callers |
 //! | [`plan`] | validates routes, services, teams and limits |
+//! | `newest_plan` | knows the newest plan that any node holds |
 //! | [`dialect`] | reads and writes the headers that the gateway interprets |
 //! | `bodies` | limits the memory that request bodies take together |
 //! | `accept` | checks a request before it is sent to a replica |
@@ -39,6 +40,7 @@
 mod flight;
 pub mod forward;
 mod memory;
+mod newest_plan;
 mod notices;
 mod origins;
 mod overload;
@@ -73,6 +75,7 @@
     dialect::Dialect,
     ending::CrashDetector,
     fleet::Fleet,
+    newest_plan::NewestPlan,
     origins::Origins,
     peer_call::PeerCalls,
     plan::{Limits, Plan, Route, Team},
@@ -139,6 +142,7 @@
     pub(crate) timer: Timer,
     /// Written by the node. Versions only increase.
     pub(crate) plan: Arc<Cell<Option<Plan>>>,
+    newest_plan: NewestPlan,
     pub(crate) connections: Pool,
     /// Connections to other nodes.
     peer_connections: Pool,
@@ -207,6 +211,7 @@
             dialect,
             timer,
             plan: Arc::new(Cell::new(None)),
+            newest_plan: NewestPlan::default(),
             connections: Pool::default(),
             peer_connections: Pool::default(),
             peer_calls: PeerCalls::default(),
@@ -255,11 +260,17 @@
         if version <= self.plan_version() {
             return;
         }
+        let delay_ms = self.plan_delay_ms(version);
+        if let Some(delay_ms) = delay_ms {
+            let delay_s = delay_ms as f64 / 1000.0;
+            self.metrics.plan_delay.observe(delay_s);
+        }
         info!(
             target: "gateway",
             plan = version,
             before = self.plan_version(),
             routes = plan.routes().len(),
+            delay_ms,
             "Applied a new plan."
         );
         self.metrics.revision.set(version as i64);
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -63,6 +63,13 @@
         },
         /// A part of the prompt is quarantined.
         Part(PartReason),
+        /// The plan has no such route or key.
+        Plan {
+            /// Version of the plan.
+            version: u64,
+            /// The newest version that this node knows of.
+            newest: u64,
+        },
     }
 }
 
@@ -236,6 +243,12 @@
                 age_ms = reason.age_ms,
                 "Refused: {text}."
             ),
+            Some(Cause::Plan { version, newest }) => info!(
+                target: "gateway",
+                request, route, status, verdict, after_ms, retry_after_ms,
+                plan = version, newest_plan = newest,
+                "Refused: {text}."
+            ),
             Some(Cause::Part(reason)) => info!(
                 target: "gateway",
                 request, route, status, verdict, after_ms, retry_after_ms,
--- a/src/mesh/datagram.rs
+++ b/src/mesh/datagram.rs
@@ -112,9 +112,13 @@
         }
         for sighting in gossip.replicas {
             let leaves = State::from_u32(sighting.state) != State::Ready;
+            let id = leaves.then(|| sighting.id.clone());
             let changed = self.apply_sighting(now, sighting, relays);
             changes.replicas |= changed;
-            changes.departures |= changed && leaves;
+            if changed && leaves {
+                changes.departures = true;
+                self.reported_departures.extend(id);
+            }
         }
         for beat in gossip.beats {
             self.apply_beat(now, &beat, relays);
@@ -123,7 +127,12 @@
         for hash in gossip.left {
             let changed = self.apply_departure(now, hash);
             changes.replicas |= changed;
-            changes.departures |= changed;
+            if changed {
+                changes.departures = true;
+                let replica = self.replicas.iter().find(|r| r.hash == hash);
+                let id = replica.map(|replica| replica.sighting.id.clone());
+                self.reported_departures.extend(id);
+            }
         }
         for relayed in gossip.relayed {
             self.counts.merge(relayed);
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -325,7 +325,18 @@
             host.on_rate_limits(&gossip.limits);
         }
         let now = shared.timer.now();
-        let changes = shared.table().receive(now, wall_ms() as i64, gossip);
+        let (changes, departures) = {
+            let mut table = shared.table();
+            let changes = table.receive(now, wall_ms() as i64, gossip);
+            (changes, table.take_reported_departures())
+        };
+        for replica in departures {
+            info!(
+                target: "mesh",
+                replica,
+                "Departure of a replica reported by {}.", from.ip()
+            );
+        }
         if changes != Changes::default() {
             host.clone().on_changes(changes);
         }
--- a/src/mesh/table.rs
+++ b/src/mesh/table.rs
@@ -93,6 +93,8 @@
     pub(super) departures: Vec<(u64, u64)>,
     /// This node's work, as last reported to the others.
     pub(super) own_work: Vec<Work>,
+    /// Ids of replicas of which datagrams have reported that they leave.
+    pub(super) reported_departures: Vec<String>,
     pub(super) next_peer: usize,
     pub(super) next_replica: usize,
     pub(super) next_departure: usize,
@@ -155,6 +157,7 @@
             counts: Counts::default(),
             departures: Vec::new(),
             own_work: Vec::new(),
+            reported_departures: Vec::new(),
             next_peer: 0,
             next_replica: 0,
             next_departure: 0,
@@ -278,6 +281,12 @@
         &self.replicas
     }
 
+    /// Returns the ids of the replicas of which datagrams have reported, since
+    /// the last call, that they leave.
+    pub fn take_reported_departures(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.reported_departures)
+    }
+
     // ---- Sums -------------------------------------------------------------
 
     /// Returns the requests in flight of other live nodes at each replica.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -40,6 +40,13 @@
     pub outcome: &'static str,
 }
 
+/// Label of a fetch of the plan from another node.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct PlanFetch {
+    /// `fetched`, `failed` or `timed out`.
+    pub outcome: &'static str,
+}
+
 /// Label of an attempt that failed.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct FailedAttempt {
@@ -82,6 +89,10 @@
     pub revision: Gauge,
     /// Reads of the plan through the quorum, by outcome.
     pub plan_reads: Family<PlanRead, Counter>,
+    /// Fetches of the plan from other nodes, by outcome.
+    pub plan_fetches: Family<PlanFetch, Counter>,
+    /// Time from the first report of a newer plan to its application, in s.
+    pub plan_delay: Histogram,
     /// Term of this node's member of the replicated log.
     pub term: Gauge,
     /// 1 while that member is the leader, otherwise 0.
@@ -151,6 +162,8 @@
             adopted: Counter::default(),
             revision: Gauge::default(),
             plan_reads: Family::default(),
+            plan_fetches: Family::default(),
+            plan_delay: Histogram::new(exponential_buckets(0.001, 2.0, 17)),
             term: Gauge::default(),
             leads: Gauge::default(),
             unreadable: Counter::default(),
@@ -191,6 +204,16 @@
             "Reads of the plan through the quorum, by outcome",
             metrics.plan_reads.clone(),
         );
+        registry.register(
+            "plan_fetches",
+            "Fetches of the plan from other nodes, by outcome",
+            metrics.plan_fetches.clone(),
+        );
+        registry.register(
+            "plan_delay_seconds",
+            "From the first report of a newer plan to its application",
+            metrics.plan_delay.clone(),
+        );
         registry.register(
             "unreadable_statements",
             "Statements of replicas that can't be used",
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -509,7 +509,7 @@
         let Some(mesh) = self.mesh.get() else { return };
         let now = self.gateway.timer.now();
         let mut members = Vec::new();
-        let mut newer = false;
+        let mut newest = (0, Ipv4Addr::UNSPECIFIED);
         let leader = {
             let mut table = mesh.table();
             let mut leadership =
@@ -523,7 +523,7 @@
                     leadership =
                         leadership.max((says.leader_term, says.leader));
                 }
-                newer |= says.plan_version > self.gateway.plan_version();
+                newest = newest.max((says.plan_version, node.ip()));
             }
             if table.own_peer().has_disk {
                 let ip = Ipv4Addr::from(table.own_peer().ip);
@@ -537,7 +537,17 @@
         if leader != 0 {
             self.control.prefer_once(seat::member_address(leader).into());
         }
-        if newer && !self.is_fetching_plan.swap(true, Ordering::Relaxed) {
+        let (version, from) = newest;
+        if self.gateway.report_plan(version) {
+            let held = self.gateway.plan_version();
+            info!(
+                target: "node",
+                plan = version, held,
+                "Newer plan reported by {from}."
+            );
+        }
+        let is_newer = version > self.gateway.plan_version();
+        if is_newer && !self.is_fetching_plan.swap(true, Ordering::Relaxed) {
             tokio::spawn(plan::fetch_newer(self.clone()));
         }
     }
--- a/src/node/plan.rs
+++ b/src/node/plan.rs
@@ -21,7 +21,7 @@
     },
     gateway::plan::{Invalid, Plan},
     mesh::table,
-    metrics::PlanRead,
+    metrics::{PlanFetch, PlanRead},
     packing,
     verdict::Verdict,
     wire::{
@@ -185,6 +185,11 @@
         }
     }
 
+    fn count_plan_fetch(&self, outcome: &'static str) {
+        let fetches = &self.gateway.metrics.plan_fetches;
+        fetches.get_or_create(&PlanFetch { outcome }).inc();
+    }
+
     /// Puts a committed plan in force if it is newer than the plan in force.
     pub(super) fn adopt(&self, record: Arc<PutPlan>) {
         if record.version <= self.gateway.plan_version() {
@@ -278,6 +283,7 @@
     match timeout(limit, client.fetch(Empty {})).await {
         Ok(Ok(reply)) => {
             node.fetch_timeouts.store(0, Ordering::Relaxed);
+            node.count_plan_fetch("fetched");
             let plan = reply.into_inner();
             info!(
                 target: "node",
@@ -290,10 +296,12 @@
         }
         Ok(Err(status)) => {
             let text = status.message();
+            node.count_plan_fetch("failed");
             warn!(target: "node", "Plan not fetched from {from}: {text}.");
         }
         Err(_) => {
             node.fetch_timeouts.fetch_add(1, Ordering::Relaxed);
+            node.count_plan_fetch("timed out");
             let limit_ms = limit.as_millis() as u64;
             warn!(
                 target: "node", limit_ms,
