Test that plans come into force and are read beside silent nodes, which fails

Twelve nodes report a newer plan and never answer, and the leader holds it. The node does not have the plan in force within two seconds. A node that knows of a newer plan refuses an unknown route with 404 and an unknown key with 401. A read of the plan fails because the member that is asked first is silent, as it is waited for longer (1.2 s) than the read may take (0.8 s).

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -24,6 +24,7 @@
 mod part_quarantine;
 mod partition;
 mod parts;
+mod plan_fetch;
 mod product;
 mod quarantine;
 mod quota;
