--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod config;
 mod crashes;
 mod decide;
+mod departures;
 mod disk;
 mod endings;
 mod explain;
--- a/tests/all/mesh_scale.rs
+++ b/tests/all/mesh_scale.rs
@@ -31,6 +31,10 @@
 const REQUESTS_PER_S: u64 = 1300;
 /// Time at which callers start. The users' VMs run for at least that long.
 const TRAFFIC_AT_MS: u64 = 14_000;
+/// Time after a departure at which nodes that were cut off return.
+const RETURN_AFTER_MS: u64 = 5000;
+/// Time after their return from which they have to know what the others know.
+const CONTACT_MS: u64 = 3000;
 /// Time by which roles and averages have settled.
 const SETTLED_AT_MS: u64 = 24_000;
 
@@ -53,6 +57,8 @@
     now: u64,
     vms: Vec<Vm>,
     replicas: u64,
+    /// Replicas that send no more heartbeats.
+    stopped: Vec<u64>,
     in_transit: BTreeMap<(u64, u64), (usize, u32, Gossip)>,
     sent_datagrams: u64,
     rng: StdRng,
@@ -92,6 +98,7 @@
             now: 0,
             vms: vms.collect(),
             replicas,
+            stopped: Vec::new(),
             in_transit: BTreeMap::new(),
             sent_datagrams: 0,
             rng: StdRng::seed_from_u64(300),
@@ -138,6 +145,9 @@
     /// Delivers the heartbeats that are due, each to a random node.
     fn deliver_heartbeats(&mut self) {
         for replica in 0..self.replicas {
+            if self.stopped.contains(&replica) {
+                continue;
+            }
             if (self.now + replica * 11).is_multiple_of(HEARTBEAT_INTERVAL_MS)
             {
                 let at = self.rng.random_range(0..self.vms.len());
@@ -440,6 +450,44 @@
     }
 }
 
+/// Guards against requests to replicas that left while a node was cut off: the
+/// other nodes report a departure for some seconds only.
+#[test]
+fn nodes_that_return_know_in_time_which_replicas_have_left() {
+    for nodes in [70, 300] {
+        let mut fleet = Fleet::open(nodes, replicas_for(nodes));
+        fleet.run(SETTLED_AT_MS);
+        let cut: Vec<usize> = (0..nodes).filter(|at| at % 10 == 7).collect();
+        for &at in &cut {
+            fleet.vms[at].is_down = true;
+        }
+        let leaving: Vec<u64> =
+            (0..fleet.replicas).filter(|replica| replica % 6 == 0).collect();
+        for &replica in &leaving {
+            let sighting = fleet.sighting(replica, 1);
+            fleet.vms[0].table.apply_sighting(fleet.now, sighting, true);
+        }
+        fleet.run_round(0, true);
+        fleet.stopped.clone_from(&leaving);
+        fleet.run(SETTLED_AT_MS + RETURN_AFTER_MS);
+        for &at in &cut {
+            fleet.vms[at].is_down = false;
+        }
+        fleet.run(SETTLED_AT_MS + RETURN_AFTER_MS + CONTACT_MS);
+        let mut late = 0;
+        for &at in &cut {
+            let replicas = fleet.vms[at].table.replicas().iter();
+            late += replicas
+                .filter(|replica| replica.state == State::Ready)
+                .filter(|replica| replica.sighting.ip % 6 == 0x0a80_0000 % 6)
+                .count();
+        }
+        let pairs = leaving.len() * cut.len();
+        println!("{nodes} nodes: {late} of {pairs} are not known to leave");
+        assert!(late * 100 <= pairs, "{nodes}: {late} of {pairs}");
+    }
+}
+
 /// Guards against sending callers to nodes that have long been down. A tenth
 /// of three hundred nodes lose power at the same moment.
 #[test]
--- a/tests/all/partition.rs
+++ b/tests/all/partition.rs
@@ -71,13 +71,14 @@
 }
 
 /// The path from one node to one replica.
-struct Link {
-    address: SocketAddr,
-    mode: watch::Sender<Mode>,
+pub struct Link {
+    /// The address that leads to the replica.
+    pub address: SocketAddr,
+    pub mode: watch::Sender<Mode>,
 }
 
 impl Link {
-    async fn spawn(replica: SocketAddr) -> Link {
+    pub async fn spawn(replica: SocketAddr) -> Link {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let mode = watch::Sender::new(Mode::Pass);
