Ask further nodes for a plan while one does not begin to answer

Callers got 404 for a route 3.2 to 3.6 s after the plan that has it was acknowledged, at nodes that run and reach most others. Such a node had asked one node for the plan, which had reported it and then stopped, waited for 1 s, drawn the same one again and waited for 2 s: a timeout was taken for a plan that is long, whoever was silent, and nothing was known of that node afterwards.

A node now asks another one each 150 ms, without giving up the earlier ones, and takes the plan from the first that begins to answer. Fetch is a stream for this, whose headers come before the plan; on the wire it is what it was, so that nodes of the version before can ask and answer. The timeout that grows is that of the transfer only.

Ruled out: a shorter fixed timeout (large plans over narrow links), asking two nodes at once each time (twice the bytes at the leader).

The test of twelve silent nodes failed before: no plan within two seconds. By reading, silent nodes other than the leader were always preferred to it. It passes now, for four plans in a row. Those of large plans over slow links pass unchanged.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -24,6 +24,7 @@
 mod member;
 mod peers;
 mod plan;
+mod plan_fetch;
 mod recall;
 
 use std::{
@@ -32,7 +33,7 @@
     path::PathBuf,
     sync::{
         Arc, Mutex, OnceLock,
-        atomic::{AtomicBool, AtomicU32, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
     time::Duration,
 };
@@ -145,9 +146,7 @@
     /// The plan in force as it was committed, packed. It is replaced together
     /// with the gateway's plan.
     plan_record: Mutex<Option<Arc<PutPlan>>>,
-    is_fetching_plan: AtomicBool,
-    /// Number of consecutive plan fetches that timed out.
-    fetch_timeouts: AtomicU32,
+    plan_fetch: plan_fetch::State,
     /// Whether this node can tell other nodes what replicas have cached.
     knows_caches: AtomicBool,
     /// Time of the last log line about an unreadable heartbeat.
@@ -210,8 +209,7 @@
         control: Arc::new(control),
         read_plan: options.read_plan,
         plan_record: Mutex::new(None),
-        is_fetching_plan: AtomicBool::new(false),
-        fetch_timeouts: AtomicU32::new(0),
+        plan_fetch: plan_fetch::State::default(),
         knows_caches: AtomicBool::new(false),
         unreadable_logged_at: Mutex::new(None),
         stopping: AtomicBool::new(false),
@@ -547,8 +545,8 @@
             );
         }
         let is_newer = version > self.gateway.plan_version();
-        if is_newer && !self.is_fetching_plan.swap(true, Ordering::Relaxed) {
-            tokio::spawn(plan::fetch_newer(self.clone()));
+        if is_newer && self.plan_fetch.begin() {
+            tokio::spawn(plan_fetch::fetch_newer(self.clone()));
         }
     }
 }
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -6,6 +6,11 @@
     time::Duration,
 };
 
+use futures_util::{
+    StreamExt,
+    future::ready,
+    stream::{self, BoxStream},
+};
 use tokio::net::TcpListener;
 use tonic::{Request, Response, Status, transport::server::TcpIncoming};
 use tracing::warn;
@@ -56,13 +61,18 @@
 
 #[tonic::async_trait]
 impl Nodes for PeerService {
+    type FetchStream = BoxStream<'static, Result<PutPlan, Status>>;
+
     async fn fetch(
         &self,
         _: Request<Empty>,
-    ) -> Result<Response<PutPlan>, Status> {
+    ) -> Result<Response<Self::FetchStream>, Status> {
         let record = lock(&self.node.plan_record).clone();
         match record {
-            Some(plan) => Ok(Response::new(PutPlan::clone(&plan))),
+            Some(plan) => {
+                let plan = Ok(PutPlan::clone(&plan));
+                Ok(Response::new(stream::once(ready(plan)).boxed()))
+            }
             None => Err(Status::not_found("no plan here yet")),
         }
     }
--- a/src/node/plan.rs
+++ b/src/node/plan.rs
@@ -1,32 +1,22 @@
 //! Plans at a node: submitting them to the log, reading them back, and
-//! fetching them from other nodes.
+//! applying them.
 
-use std::{
-    fmt,
-    net::{Ipv4Addr, SocketAddr},
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{fmt, net::Ipv4Addr, sync::Arc, time::Duration};
 
-use rand::seq::IndexedRandom;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::Instant;
 use tracing::{info, warn};
 
 use super::{Node, lock};
 use crate::{
-    control::{
-        client::Error,
-        seat,
-        server::{MAX_MESSAGE_BYTES, connect},
-    },
+    control::{client::Error, seat},
     gateway::plan::{Invalid, Plan},
     mesh::table,
-    metrics::{PlanFetch, PlanRead},
+    metrics::PlanRead,
     packing,
     verdict::Verdict,
     wire::{
-        Change, Empty, PlanOutcome, PlanQuery, PutPlan, Query, change,
-        nodes_client::NodesClient, outcome, query, query_reply,
+        Change, PlanOutcome, PlanQuery, PutPlan, Query, change, outcome,
+        query, query_reply,
     },
 };
 
@@ -42,23 +32,6 @@
 /// Minimum ratio of another VM's bandwidth to this VM's for operators to be
 /// redirected there.
 const MIN_BANDWIDTH_RATIO: u32 = 2;
-/// Initial timeout of a plan fetch from a peer. A packed plan of 0.8 MB takes
-/// 60 ms over ten megabits.
-const INITIAL_FETCH_TIMEOUT: Duration = Duration::from_millis(1000);
-/// Maximum number of times that the fetch timeout is doubled, because a plan
-/// may take longer than the initial timeout. The timeout is eight seconds at
-/// most, so that a node does not wait forever for a silent peer.
-const MAX_FETCH_TIMEOUT_DOUBLINGS: u32 = 3;
-/// Time over which the fetches of a new plan are spread, for each other node.
-/// A node with 100 Mbit/s sends a packed plan of 0.8 MB in 6 ms, and several
-/// nodes send it at the same time.
-const FETCH_SPREAD_PER_NODE: Duration = Duration::from_millis(2);
-/// Maximum number of checks for a peer other than the leader to fetch from.
-/// The other members learn of a commit with the leader's next heartbeat.
-const MAX_HOLDER_CHECKS: u32 = 4;
-/// Interval between these checks.
-const HOLDER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
 /// The reason why a plan is not known to be in force.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PutError {
@@ -185,11 +158,6 @@
         }
     }
 
-    fn count_plan_fetch(&self, outcome: &'static str) {
-        let fetches = &self.gateway.metrics.plan_fetches;
-        fetches.get_or_create(&PlanFetch { outcome }).inc();
-    }
-
     /// Puts a committed plan in force if it is newer than the plan in force.
     pub(super) fn adopt(&self, record: Arc<PutPlan>) {
         if record.version <= self.gateway.plan_version() {
@@ -216,98 +184,3 @@
         }
     }
 }
-
-/// Fetches a newer plan from a peer that reports it, after a random delay.
-///
-/// The leader is the first to report a new plan. Without the delay, seventy
-/// nodes fetched it from the leader within milliseconds. The leader's
-/// heartbeats waited behind the plans that it sent, the other members elected
-/// another leader, and that leader was overloaded in the same way.
-pub(super) async fn fetch_newer(node: Arc<Node>) {
-    sleep(random_fetch_delay(&node)).await;
-    for check in 1..=MAX_HOLDER_CHECKS {
-        let (others, leader) = find_plan_holders(&node);
-        // A random peer, because the one with the newest plan may be stopping.
-        let from = others.choose(&mut rand::rng()).copied();
-        let use_leader =
-            check == MAX_HOLDER_CHECKS || !has_several_members(&node);
-        match from.or(leader.filter(|_| use_leader)) {
-            Some(from) => return fetch(node, from).await,
-            // This node's own member has committed the plan meanwhile.
-            None if leader.is_none() => break,
-            None => sleep(HOLDER_CHECK_INTERVAL).await,
-        }
-    }
-    node.is_fetching_plan.store(false, Ordering::Relaxed);
-}
-
-fn random_fetch_delay(node: &Node) -> Duration {
-    let Some(mesh) = node.mesh.get() else { return Duration::ZERO };
-    let now = node.gateway.timer.now();
-    let others = mesh.table().live(now).count();
-    (FETCH_SPREAD_PER_NODE * others as u32).mul_f64(rand::random())
-}
-
-/// Returns the live peers that report a newer plan: first all but the leader,
-/// then the leader if it is among them.
-fn find_plan_holders(node: &Node) -> (Vec<Ipv4Addr>, Option<Ipv4Addr>) {
-    let Some(mesh) = node.mesh.get() else { return (Vec::new(), None) };
-    let table = mesh.table();
-    let held = node.gateway.plan_version();
-    let leader = *seat::member_address(table.own_peer().leader).ip();
-    let now = node.gateway.timer.now();
-    let newer = table.live(now).filter(|other| other.peer.plan_version > held);
-    let (leader, others): (Vec<_>, Vec<_>) =
-        newer.map(table::Node::ip).partition(|ip| *ip == leader);
-    (others, leader.first().copied())
-}
-
-fn has_several_members(node: &Node) -> bool {
-    let Some(mesh) = node.mesh.get() else { return false };
-    let table = mesh.table();
-    let now = node.gateway.timer.now();
-    table.live(now).filter(|other| other.peer.has_disk).count() > 1
-}
-
-/// Fetches a plan from a peer and puts it in force if it is newer.
-pub(super) async fn fetch(node: Arc<Node>, from: Ipv4Addr) {
-    let address = SocketAddr::from((from, node.peer_port));
-    let mut client = NodesClient::new(connect(address))
-        .max_decoding_message_size(MAX_MESSAGE_BYTES);
-    let started_at = Instant::now();
-    // A transfer that exceeds a fixed timeout exceeds it each time, so a node
-    // with a slow link would never get a large plan.
-    let timeouts = node.fetch_timeouts.load(Ordering::Relaxed);
-    let limit = INITIAL_FETCH_TIMEOUT
-        * (1 << timeouts.min(MAX_FETCH_TIMEOUT_DOUBLINGS));
-    match timeout(limit, client.fetch(Empty {})).await {
-        Ok(Ok(reply)) => {
-            node.fetch_timeouts.store(0, Ordering::Relaxed);
-            node.count_plan_fetch("fetched");
-            let plan = reply.into_inner();
-            info!(
-                target: "node",
-                plan = plan.version,
-                bytes = plan.source.len(),
-                after_ms = started_at.elapsed().as_millis() as u64,
-                "Plan fetched from {from}."
-            );
-            node.adopt(Arc::new(plan));
-        }
-        Ok(Err(status)) => {
-            let text = status.message();
-            node.count_plan_fetch("failed");
-            warn!(target: "node", "Plan not fetched from {from}: {text}.");
-        }
-        Err(_) => {
-            node.fetch_timeouts.fetch_add(1, Ordering::Relaxed);
-            node.count_plan_fetch("timed out");
-            let limit_ms = limit.as_millis() as u64;
-            warn!(
-                target: "node", limit_ms,
-                "Plan not fetched from {from}: timed out."
-            );
-        }
-    }
-    node.is_fetching_plan.store(false, Ordering::Relaxed);
-}
--- a/src/node/recall.rs
+++ b/src/node/recall.rs
@@ -25,7 +25,7 @@
 use tokio::time::{error::Elapsed, sleep, timeout};
 use tracing::{info, warn};
 
-use super::{Node, plan};
+use super::{Node, plan_fetch};
 use crate::{
     control::server::{MAX_MESSAGE_BYTES, connect},
     util::wall_ms,
@@ -45,6 +45,8 @@
 /// Maximum number of attempts to fetch them. Gossip and heartbeats deliver
 /// plan and replicas as well.
 const MAX_INITIAL_FETCHES: usize = 20;
+/// Maximum number of nodes that are asked for the plan in one attempt.
+const MAX_INITIAL_PLAN_SOURCES: usize = 3;
 /// Timeout of one of these calls: enough for some kB over ten megabits.
 const INITIAL_FETCH_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum age of saved memory that is restored, in ms. Replicas run for
@@ -161,10 +163,9 @@
         }
         sleep(INITIAL_FETCH_INTERVAL).await;
         let Some(from) = pick_peer(node, attempt % 2 == 0) else { continue };
-        if node.gateway.plan_version() == 0
-            && !node.is_fetching_plan.swap(true, Ordering::Relaxed)
-        {
-            tokio::spawn(plan::fetch(node.clone(), from));
+        if node.gateway.plan_version() == 0 && node.plan_fetch.begin() {
+            let nodes = initial_plan_sources(node, from);
+            tokio::spawn(plan_fetch::fetch_first(node.clone(), nodes));
         }
         if !knows_replicas {
             knows_replicas = learn_replicas(node, from).await;
@@ -259,6 +260,20 @@
     eligible.map(|other| other.ip()).choose(&mut rand::rng())
 }
 
+/// Returns the nodes that a starting node asks for the plan.
+fn initial_plan_sources(node: &Node, first: Ipv4Addr) -> Vec<Ipv4Addr> {
+    let mut sources = vec![first];
+    if let Some(mesh) = node.mesh.get() {
+        let table = mesh.table();
+        let members = table.members(node.gateway.timer.now());
+        let others = members.map(|other| other.ip());
+        let others = others.filter(|ip| *ip != first);
+        let count = MAX_INITIAL_PLAN_SOURCES - 1;
+        sources.extend(others.sample(&mut rand::rng(), count));
+    }
+    sources
+}
+
 async fn fetch_caches(
     node: &Node,
     from: Ipv4Addr,
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -2555,11 +2555,15 @@
                 .insert(GrpcMethod::new("azuremount.v1.Nodes", "Quotas"));
             self.inner.unary(req, path, codec).await
         }
-        /// The newest plan that the receiver holds.
+        /// The newest plan that the receiver holds, in one message. As a stream, so
+        /// that the answer begins before the whole plan has arrived.
         pub async fn fetch(
             &mut self,
             request: impl tonic::IntoRequest<super::Empty>,
-        ) -> std::result::Result<tonic::Response<super::PutPlan>, tonic::Status> {
+        ) -> std::result::Result<
+            tonic::Response<tonic::codec::Streaming<super::PutPlan>>,
+            tonic::Status,
+        > {
             self.inner
                 .ready()
                 .await
@@ -2574,7 +2578,7 @@
             );
             let mut req = request.into_request();
             req.extensions_mut().insert(GrpcMethod::new("azuremount.v1.Nodes", "Fetch"));
-            self.inner.unary(req, path, codec).await
+            self.inner.server_streaming(req, path, codec).await
         }
         /// What the receiver knows of the replicas' caches.
         pub async fn recall(
@@ -2662,11 +2666,18 @@
             &self,
             request: tonic::Request<super::Empty>,
         ) -> std::result::Result<tonic::Response<super::Levels>, tonic::Status>;
-        /// The newest plan that the receiver holds.
+        /// Server streaming response type for the Fetch method.
+        type FetchStream: tonic::codegen::tokio_stream::Stream<
+                Item = std::result::Result<super::PutPlan, tonic::Status>,
+            >
+            + std::marker::Send
+            + 'static;
+        /// The newest plan that the receiver holds, in one message. As a stream, so
+        /// that the answer begins before the whole plan has arrived.
         async fn fetch(
             &self,
             request: tonic::Request<super::Empty>,
-        ) -> std::result::Result<tonic::Response<super::PutPlan>, tonic::Status>;
+        ) -> std::result::Result<tonic::Response<Self::FetchStream>, tonic::Status>;
         /// What the receiver knows of the replicas' caches.
         async fn recall(
             &self,
@@ -2805,11 +2816,12 @@
                 "/azuremount.v1.Nodes/Fetch" => {
                     #[allow(non_camel_case_types)]
                     struct FetchSvc<T: Nodes>(pub Arc<T>);
-                    impl<T: Nodes> tonic::server::UnaryService<super::Empty>
+                    impl<T: Nodes> tonic::server::ServerStreamingService<super::Empty>
                     for FetchSvc<T> {
                         type Response = super::PutPlan;
+                        type ResponseStream = T::FetchStream;
                         type Future = BoxFuture<
-                            tonic::Response<Self::Response>,
+                            tonic::Response<Self::ResponseStream>,
                             tonic::Status,
                         >;
                         fn call(
@@ -2840,7 +2852,7 @@
                                 max_decoding_message_size,
                                 max_encoding_message_size,
                             );
-                        let res = grpc.unary(method, req).await;
+                        let res = grpc.server_streaming(method, req).await;
                         Ok(res)
                     };
                     Box::pin(fut)
