Refuse unknown routes and keys with 503 while a newer plan is known

A node that had heard of a newer plan and did not have it yet answered 404 or 401 by the older one, which callers take as final. It knows that it can't tell, so it now refuses with 503, `not run` and a Retry-After of 0.3 s, about the time in which it has the plan. Known routes are served by the plan in force as before. A node that can't read a committed plan keeps the one that it has, and answers in the same way from then on: it can't tell either.

Waiting for the plan within the request was weighed: callers of routes that never existed would wait too.

--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -25,6 +25,9 @@
 const BODY_MEMORY_RETRY_AFTER_MS: u64 = 500;
 /// Retry delay sent to callers while the entry has no plan, in ms.
 const NO_PLAN_RETRY_AFTER_MS: u64 = 300;
+/// Retry delay sent to callers while the entry knows of a newer plan than its
+/// own, in ms: the time in which it usually has it.
+const OUTDATED_PLAN_RETRY_AFTER_MS: u64 = 300;
 
 /// Checks a request, reads its body and charges its team's quota.
 ///
@@ -83,9 +86,17 @@
 }
 
 impl Gateway {
-    /// Adds to a refusal which plan it follows from.
+    /// Returns a refusal for good that follows from a plan. If a newer plan is
+    /// known, that one may allow the request, so the caller is told to retry.
     fn refuse_by_plan(&self, plan: &Plan, refusal: Refusal) -> Refusal {
         let newest = self.newest_plan_version();
+        let refusal = match newest > plan.version() {
+            true => Refusal::retryable(
+                "a newer plan is on its way",
+                OUTDATED_PLAN_RETRY_AFTER_MS,
+            ),
+            false => refusal,
+        };
         let cause = Cause::Plan { version: plan.version(), newest };
         Refusal { cause: Some(Box::new(cause)), ..refusal }
     }
