Read through another member while one does not answer

A read of the plan waited 1.2 s for the member that was asked first, and gave up after 0.8 s, so that a node whose client was connected to a silent member could not read at all until the next call. Reads change nothing, so another member is now asked after 0.2 s without an answer, the earlier one is not given up, and the member that answers is used from then on. Changes go to one member at a time as before: they are bounded by 1.2 s for each silent member.

--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -13,8 +13,9 @@
     time::{Duration, Instant},
 };
 
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use prost::Message;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, timeout_at};
 use tonic::{Code, Response, Status, transport::Channel};
 
 use super::server::{
@@ -33,6 +34,9 @@
 ///
 /// Longer than the leader holds a sync.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Time without an answer after which another member is asked to read as well.
+/// A read takes a few ms, or some tenths of a second at a busy leader.
+const READ_HEDGE_DELAY: Duration = Duration::from_millis(200);
 /// Delay before the next call when no leader is known.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -167,16 +171,94 @@
     }
 
     /// Sends a linearizable read and retries until `limit` has passed.
+    ///
+    /// Reads change nothing, so another member is asked while one does not
+    /// answer.
     pub async fn read(
         &self,
         query: Query,
         limit: Duration,
     ) -> Result<QueryReply, Error> {
-        self.call(limit, 0, true, |mut client| {
-            let query = query.clone();
-            async move { client.read(query).await }
-        })
-        .await
+        let deadline = Instant::now() + limit;
+        let mut asked = Vec::new();
+        let mut calls = FuturesUnordered::new();
+        let mut next = Some(self.current());
+        let mut last = "no member was asked".to_owned();
+        let mut all_refused = true;
+        loop {
+            if let Some((address, client)) = next.take() {
+                asked.push(address);
+                let query = query.clone();
+                calls.push(async move {
+                    let reply = client.clone().read(query).await;
+                    (address, client, reply)
+                });
+            }
+            let until = deadline.min(Instant::now() + READ_HEDGE_DELAY);
+            match timeout_at(until.into(), calls.next()).await {
+                Ok(Some((address, client, Ok(reply)))) => {
+                    self.keep(address, client);
+                    return Ok(reply.into_inner());
+                }
+                Ok(Some((_, _, Err(status)))) => {
+                    let (effect, text, hint) = classify_status(&status);
+                    last = text;
+                    all_refused &= matches!(effect, Effect::NotAppended);
+                    let hint = hint.filter(|hint| {
+                        self.members().contains(hint) && !asked.contains(hint)
+                    });
+                    if hint.is_none() {
+                        sleep(RETRY_INTERVAL).await;
+                    }
+                    next = hint
+                        .map(|hint| (hint, open_client(hint)))
+                        .or_else(|| self.other_member(&asked));
+                }
+                // All members have refused. There may be a leader soon.
+                Ok(None) => {
+                    asked.clear();
+                    next = self.other_member(&[]);
+                }
+                Err(_) => {
+                    let silent = calls.len();
+                    all_refused = false;
+                    last = format!("{silent} members were silent");
+                    next = self.other_member(&asked);
+                }
+            }
+            if Instant::now() >= deadline {
+                return Err(match all_refused {
+                    true => Error::Refused(last),
+                    false => Error::Unknown(last),
+                });
+            }
+        }
+    }
+
+    /// Returns the first member after the current one that was not asked.
+    fn other_member(
+        &self,
+        asked: &[SocketAddr],
+    ) -> Option<(SocketAddr, ControlClient<Channel>)> {
+        let (current, _) = self.current();
+        let members = self.members();
+        let at = members.iter().position(|member| *member == current);
+        let from = at.map_or(0, |at| at + 1);
+        let mut others = members.iter().cycle().skip(from);
+        let address = others
+            .by_ref()
+            .take(members.len())
+            .find(|member| !asked.contains(member))?;
+        Some((*address, open_client(*address)))
+    }
+
+    /// Sends later calls to the member that has answered.
+    fn keep(&self, address: SocketAddr, client: ControlClient<Channel>) {
+        let mut current = self
+            .current
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner());
+        *current = Current { address, client };
     }
 
     /// Sends one sync to the current member, without retries.
