Record departures in answers that came through another node

A node without paths to the replicas passes on answers that another node got. That one recorded that the replica leaves, and the node that passed it on did not: it depended on the other one's datagrams. Where these were lost, it sent the replica a request once its paths had returned, later than 2 s after its caller had read the announcement.

The other node now names the replica's incarnation in a header of its answer, and the node that passes it on records the departure as if it had asked the replica itself. Headers of this kind are removed from replicas' answers, which could take other replicas out of use by them, and callers no longer get them.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -31,7 +31,8 @@
     origins::Recording,
     parts::{block_ends, prompt_blocks},
     peer_call::{
-        self, ForwardedGuard, accept_forwarded, mark_outcome, mark_version,
+        self, ForwardedGuard, accept_forwarded, mark_departure, mark_outcome,
+        mark_version, remove_internal_headers,
     },
     plan::{RetryPolicy, Route, Team},
     refusal::{Refusal, id_text},
@@ -593,7 +594,7 @@
                 Err(Error::may_have_run("all paths to the replicas are lost"))
             }
         };
-        let response = sent.inspect_err(|failed| {
+        let mut response = sent.inspect_err(|failed| {
             if !failed.sent {
                 self.gateway
                     .record_connection_failure(&self.service, &target.replica);
@@ -619,6 +620,10 @@
         );
         let retry_after = response.headers().get(header::RETRY_AFTER);
         self.record_notices(&target.replica, &answer_info, retry_after);
+        remove_internal_headers(response.headers_mut());
+        if answer_info.is_leaving && self.forwarded.is_some() {
+            mark_departure(response.headers_mut(), &target.replica);
+        }
         if answer_info.not_run {
             let mut fleet = self.gateway.fleet();
             fleet.record_rejected(self.now(), &self.service, target.ticket);
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -105,7 +105,7 @@
     }
 
     /// Records that a replica leaves, here and for the other nodes.
-    fn record_departure(&self, replica: &str, request: &str) {
+    pub(super) fn record_departure(&self, replica: &str, request: &str) {
         // Heartbeats may be lost, and the replica's next one may still say
         // that it is ready. This node keeps to the announcement by itself.
         if !self.record_backoff(replica, NEVER) {
--- a/src/gateway/peer_call.rs
+++ b/src/gateway/peer_call.rs
@@ -15,7 +15,10 @@
 //!
 //! The answer to a stream that may be resumed also has the header
 //! `azuremount-version`: the software version that began it, empty if that is
-//! not certain.
+//! not certain. If the replica announces in its answer that it leaves, the
+//! header `azuremount-leaving` has the id of its incarnation: the sender
+//! passes the announcement on, so it has to keep to it as well. Callers get
+//! none of these headers.
 //!
 //! The receiving node does everything that concerns replicas: it chooses one,
 //! keeps to what replicas announce, retries, and counts the usage. It does not
@@ -28,13 +31,13 @@
     time::Duration,
 };
 
-use http::{HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use prost::Message;
 use rand::seq::IndexedRandom;
 use tokio::time::Instant;
-use tracing::info;
+use tracing::{info, warn};
 
 use super::{
     Gateway,
@@ -57,6 +60,7 @@
 const FORWARDED: &str = "azuremount-forwarded";
 const OUTCOME: &str = "azuremount-outcome";
 const VERSION: &str = "azuremount-version";
+const LEAVING: &str = "azuremount-leaving";
 const OUTCOME_ANSWER: &str = "answer";
 const OUTCOME_REFUSED: &str = "refused";
 const OUTCOME_ELSEWHERE: &str = "elsewhere";
@@ -389,6 +393,27 @@
         Ok(request)
     }
 
+    /// Records that a replica leaves, as announced in an answer that came
+    /// through another node.
+    fn record_forwarded_departure(&self, replica: &HeaderValue, ip: Ipv4Addr) {
+        let request = id_text(self.request_info.id.as_ref());
+        let Ok(replica) = replica.to_str() else {
+            warn!(
+                target: "gateway",
+                request, %ip, ?replica,
+                "Can't read which replica leaves."
+            );
+            return;
+        };
+        info!(
+            target: "gateway",
+            request, %ip, replica,
+            "Forwarded answer announces that its replica leaves."
+        );
+        self.gateway.metrics.leaving_answers.inc();
+        self.record_departure(replica, request);
+    }
+
     async fn read_peer_answer(
         &self,
         response: Response<Incoming>,
@@ -414,6 +439,9 @@
         let version = head.headers.remove(VERSION);
         let version = version.as_ref().and_then(|value| value.to_str().ok());
         let version = StreamVersion::of(version.unwrap_or_default());
+        if let Some(replica) = head.headers.remove(LEAVING) {
+            self.record_forwarded_departure(&replica, call.ip());
+        }
         let carrier = Carrier::Peer(call);
         if self.route.retry_policy.is_stream() && head.status.is_success() {
             let source = relay::Source {
@@ -462,6 +490,23 @@
     }
 }
 
+/// Names the replica that announces in this answer that it leaves, for the
+/// node that has forwarded the request.
+pub(super) fn mark_departure(headers: &mut HeaderMap, replica: &str) {
+    // A replica id that is no header value can't have been sent to the replica
+    // either.
+    if let Ok(value) = HeaderValue::from_str(replica) {
+        headers.insert(LEAVING, value);
+    }
+}
+
+/// Removes the headers that nodes send each other from a replica's answer.
+pub(super) fn remove_internal_headers(headers: &mut HeaderMap) {
+    for name in [OUTCOME, VERSION, LEAVING] {
+        headers.remove(name);
+    }
+}
+
 /// Names the software version that began a stream, for the node that has
 /// forwarded its request.
 pub(super) fn mark_version(
