Report all recent departures to nodes that ask

Datagrams name a replica that leaves for 2.5 s. A node that was cut off or stood still in that time learnt of it from the replicas that datagrams repeat in turn: on standby three every 0.6 s of some 140, which takes half a minute. Until then it took the replica for ready, and sent it the requests of callers that kept its address.

Answers to nodes that greet others or that ask from standby now name the departures of the last minute, 8 bytes each and 64 at most, in turn. Other datagrams are as before. Weighed: reporting departures for longer in all datagrams, which costs the bytes forty times each round for the few nodes that missed them.

--- a/src/mesh/datagram.rs
+++ b/src/mesh/datagram.rs
@@ -227,7 +227,8 @@
     ///
     /// A standby node receives the active nodes of its data centre, the nodes
     /// that can lead, and new information on replicas. Any other node receives
-    /// what members receive, with more nodes.
+    /// what members receive, with more nodes. Both receive all departures: the
+    /// asker may have been cut off while datagrams reported them.
     pub fn answer(
         &mut self,
         now: u64,
@@ -242,6 +243,7 @@
         let due = due.take(BEATS_PER_DATAGRAM);
         gossip.beats = due.map(|replica| replica.last_beat(now)).collect();
         gossip.peers = self.peers_for(now, asker);
+        gossip.left = self.missed_departures();
         match asker.has_disk || Role::of(asker) != Role::Standby {
             true => self.with_load(now, gossip, own),
             false => Gossip {
--- a/src/mesh/lives.rs
+++ b/src/mesh/lives.rs
@@ -413,13 +413,24 @@
         true
     }
 
-    /// Returns replicas that have left recently, for a datagram. If they don't
-    /// fit, they take turns.
+    /// Returns replicas that have left recently, for a datagram.
     pub(super) fn next_departures(&mut self, now: u64) -> Vec<u64> {
+        self.departures_since(now.saturating_sub(DEPARTURE_REPORT_MS))
+    }
+
+    /// Returns replicas that have left, for the answer to a node that may have
+    /// missed the earlier datagrams.
+    pub(super) fn missed_departures(&mut self) -> Vec<u64> {
+        self.departures_since(0)
+    }
+
+    /// Returns replicas that have left since `start`. If they don't fit in a
+    /// datagram, they take turns.
+    fn departures_since(&mut self, start: u64) -> Vec<u64> {
         let recent: Vec<u64> = self
             .departures
             .iter()
-            .filter(|(_, at)| now < at + DEPARTURE_REPORT_MS)
+            .filter(|(_, at)| *at >= start)
             .map(|(hash, _)| *hash)
             .collect();
         let count = recent.len().min(DEPARTURES_PER_DATAGRAM);
