--- a/tests/all/mesh_scale.rs
+++ b/tests/all/mesh_scale.rs
@@ -35,6 +35,10 @@
 const RETURN_AFTER_MS: u64 = 5000;
 /// Time after their return from which they have to know what the others know.
 const CONTACT_MS: u64 = 3000;
+/// Time after its acknowledgement by which a plan is in force.
+const PLAN_IN_FORCE_MS: u64 = 2000;
+/// Time that a node takes to fetch a plan, with two silent nodes asked before.
+const PLAN_FETCH_MS: u64 = 500;
 /// Time by which roles and averages have settled.
 const SETTLED_AT_MS: u64 = 24_000;
 
@@ -488,6 +492,45 @@
     }
 }
 
+/// Guards against plans that are in force late because nodes hear late of
+/// them. A tenth of the nodes stop at the moment of the change.
+#[test]
+fn all_nodes_hear_of_a_new_plan_in_time() {
+    for nodes in [10, 70, 300] {
+        let mut fleet = Fleet::open(nodes, replicas_for(nodes));
+        fleet.run(SETTLED_AT_MS);
+        for at in (0..nodes).filter(|at| at % 10 == 7) {
+            fleet.vms[at].is_down = true;
+        }
+        let mut in_force_at = vec![None; nodes];
+        in_force_at[0] = Some(SETTLED_AT_MS);
+        while fleet.now < SETTLED_AT_MS + PLAN_IN_FORCE_MS {
+            for at in 0..nodes {
+                if in_force_at[at] == Some(fleet.now) {
+                    fleet.vms[at].table.own_peer_mut().plan_version = 1;
+                    fleet.run_round(at, true);
+                }
+            }
+            fleet.run(fleet.now + 1);
+            let now = fleet.now;
+            for (at, vm) in fleet.vms.iter().enumerate() {
+                let mut live = vm.table.live(now);
+                if live.any(|other| other.peer.plan_version > 0) {
+                    in_force_at[at].get_or_insert(now + PLAN_FETCH_MS);
+                }
+            }
+        }
+        let up = (0..nodes).filter(|at| !fleet.vms[*at].is_down);
+        let late = up
+            .clone()
+            .filter(|&at| in_force_at[at].is_none_or(|time| time > fleet.now));
+        let last = up.clone().filter_map(|at| in_force_at[at]).max();
+        let last_ms = last.unwrap_or(fleet.now) - SETTLED_AT_MS;
+        println!("{nodes} nodes: the last has the plan after {last_ms} ms");
+        assert_eq!(late.count(), 0, "{nodes} nodes");
+    }
+}
+
 /// Guards against sending callers to nodes that have long been down. A tenth
 /// of three hundred nodes lose power at the same moment.
 #[test]
