--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -244,11 +244,8 @@
         let members = self.members();
         let at = members.iter().position(|member| *member == current);
         let from = at.map_or(0, |at| at + 1);
-        let mut others = members.iter().cycle().skip(from);
-        let address = others
-            .by_ref()
-            .take(members.len())
-            .find(|member| !asked.contains(member))?;
+        let mut others = members.iter().cycle().skip(from).take(members.len());
+        let address = others.find(|member| !asked.contains(member))?;
         Some((*address, open_client(*address)))
     }
 
--- a/tests/all/mesh_scale.rs
+++ b/tests/all/mesh_scale.rs
@@ -505,8 +505,8 @@
         let mut in_force_at = vec![None; nodes];
         in_force_at[0] = Some(SETTLED_AT_MS);
         while fleet.now < SETTLED_AT_MS + PLAN_IN_FORCE_MS {
-            for at in 0..nodes {
-                if in_force_at[at] == Some(fleet.now) {
+            for (at, time) in in_force_at.iter().enumerate() {
+                if *time == Some(fleet.now) {
                     fleet.vms[at].table.own_peer_mut().plan_version = 1;
                     fleet.run_round(at, true);
                 }
