Ask nodes that report a plan while a fetch waits for silent ones

The nodes to ask were listed once, at the start of a fetch. If all that had reported the plan by then were silent, those that reported it afterwards were asked only after the last of the silent ones had been waited for, a second after it was asked. The next node is now chosen each time from those that report the plan at that moment.

--- a/src/node/plan_fetch.rs
+++ b/src/node/plan_fetch.rs
@@ -16,7 +16,7 @@
 };
 
 use futures_util::{StreamExt, stream::FuturesUnordered};
-use rand::seq::SliceRandom;
+use rand::seq::IndexedRandom;
 use tokio::time::{Instant, sleep, timeout};
 use tonic::{Status, Streaming};
 use tracing::{info, warn};
@@ -37,7 +37,7 @@
 /// as well. Busy VMs with an eighth of a core pause for up to a tenth of a
 /// second.
 const HEDGE_DELAY: Duration = Duration::from_millis(150);
-/// Timeout of the beginning of an answer when there is no other node to ask.
+/// Timeout of the beginning of an answer, if there is no other node to ask.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Maximum number of nodes asked in one fetch.
 const MAX_NODES_ASKED: usize = 16;
@@ -128,9 +128,8 @@
             // This node's own member has committed the plan meanwhile.
             None if others.is_empty() => break,
             Some(_) if !use_leader => sleep(HOLDER_CHECK_INTERVAL).await,
-            leader => {
-                let nodes = order(&node, others, leader);
-                fetch_from(&node, nodes).await;
+            _ => {
+                fetch_from(&node, next_holder).await;
                 break;
             }
         }
@@ -140,7 +139,10 @@
 
 /// Fetches a plan from one of these nodes, at the start of this node.
 pub(super) async fn fetch_first(node: Arc<Node>, nodes: Vec<Ipv4Addr>) {
-    fetch_from(&node, nodes).await;
+    let next = |_: &Node, asked: &[Ipv4Addr]| {
+        nodes.iter().find(|ip| !asked.contains(ip)).copied()
+    };
+    fetch_from(&node, next).await;
     node.plan_fetch.end();
 }
 
@@ -172,66 +174,72 @@
     table.live(now).filter(|other| other.peer.has_disk).count() > 1
 }
 
-/// Returns the nodes in the order in which they are asked.
+/// Returns the next node to ask for a newer plan.
 ///
-/// The order is random, so that the nodes that need the plan ask different
+/// It is drawn at random, so that the nodes that need the plan ask different
 /// ones. Nodes that did not answer lately come last.
-fn order(
-    node: &Node,
-    mut others: Vec<Ipv4Addr>,
-    leader: Option<Ipv4Addr>,
-) -> Vec<Ipv4Addr> {
-    others.shuffle(&mut rand::rng());
+fn next_holder(node: &Node, asked: &[Ipv4Addr]) -> Option<Ipv4Addr> {
+    let (mut others, leader) = find_plan_holders(node);
+    others.retain(|ip| !asked.contains(ip));
+    let leader = leader.filter(|ip| !asked.contains(ip));
     let state = &node.plan_fetch;
-    let (mut nodes, unresponsive): (Vec<_>, Vec<_>) =
-        others.into_iter().partition(|ip| !state.is_unresponsive(*ip));
-    if let Some(leader) = leader {
-        nodes.insert(nodes.len().min(NODES_BEFORE_LEADER), leader);
+    let (unresponsive, others): (Vec<_>, Vec<_>) =
+        others.into_iter().partition(|ip| state.is_unresponsive(*ip));
+    if asked.len() >= NODES_BEFORE_LEADER || others.is_empty() {
+        return leader
+            .or_else(|| draw(&others))
+            .or_else(|| draw(&unresponsive));
     }
-    nodes.extend(unresponsive);
-    nodes.truncate(MAX_NODES_ASKED);
-    nodes
+    draw(&others)
+}
+
+fn draw(nodes: &[Ipv4Addr]) -> Option<Ipv4Addr> {
+    nodes.choose(&mut rand::rng()).copied()
 }
 
-/// Asks the nodes in turn until one of them has sent a newer plan.
-async fn fetch_from(node: &Node, nodes: Vec<Ipv4Addr>) {
+/// Asks the nodes that `next` returns, given those already asked, until one of
+/// them has sent a newer plan. Nodes that report the plan meanwhile are asked
+/// as well.
+async fn fetch_from(
+    node: &Node,
+    next: impl Fn(&Node, &[Ipv4Addr]) -> Option<Ipv4Addr>,
+) {
     let state = &node.plan_fetch;
-    let mut remaining = nodes.into_iter();
-    let mut asked: Vec<(Ipv4Addr, Instant)> = Vec::new();
+    let mut asked = Vec::new();
+    let mut silent: Vec<(Ipv4Addr, Instant)> = Vec::new();
     let mut calls = FuturesUnordered::new();
+    let mut give_up_at = Instant::now() + ANSWER_TIMEOUT;
     loop {
-        match remaining.next() {
+        let may_ask = asked.len() < MAX_NODES_ASKED;
+        match may_ask.then(|| next(node, &asked)).flatten() {
             Some(ip) => {
-                asked.push((ip, Instant::now()));
+                asked.push(ip);
+                silent.push((ip, Instant::now()));
                 calls.push(ask(node.peer_port, ip));
+                give_up_at = Instant::now() + ANSWER_TIMEOUT;
             }
-            None if calls.is_empty() => return,
+            None if calls.is_empty() => break,
             None => {}
         }
-        let limit = match remaining.len() {
-            0 => ANSWER_TIMEOUT,
-            _ => HEDGE_DELAY,
-        };
-        match timeout(limit, calls.next()).await {
+        match timeout(HEDGE_DELAY, calls.next()).await {
             Ok(Some((ip, Ok(answer)))) => {
                 state.mark_responsive(ip);
-                asked.retain(|(asked, _)| *asked != ip);
+                silent.retain(|(asked, _)| *asked != ip);
                 if node.receive_plan(ip, answer).await {
                     break;
                 }
             }
             Ok(Some((ip, Err(status)))) => {
-                asked.retain(|(asked, _)| *asked != ip);
+                silent.retain(|(asked, _)| *asked != ip);
                 let text = status.message();
                 node.count_plan_fetch("failed");
                 warn!(target: "node", "Plan not fetched from {ip}: {text}.");
             }
-            Ok(None) => {}
-            Err(_) if remaining.len() == 0 => break,
-            Err(_) => {}
+            Err(_) if Instant::now() >= give_up_at => break,
+            Ok(None) | Err(_) => {}
         }
     }
-    for (ip, since) in asked {
+    for (ip, since) in silent {
         let after = since.elapsed();
         if after < HEDGE_DELAY {
             continue;
--- a/tests/all/plan_fetch.rs
+++ b/tests/all/plan_fetch.rs
@@ -136,6 +136,17 @@
     }
 }
 
+/// Guards against a plan that is in force late because all nodes that had
+/// reported it first are silent, and those that report it later are not asked.
+#[tokio::test]
+async fn a_node_that_reports_a_plan_later_is_asked_as_well() {
+    let site = Site::open(4).await;
+    site.silent.report(2);
+    sleep(2 * REPORT_INTERVAL).await;
+    apply_plan(&site.leader, 2).await;
+    wait_for_plan(&site.node, 2, IN_FORCE_TIME).await;
+}
+
 /// Guards against refusals for good by an outdated plan: a newer one may have
 /// the route or the key, and the node knows that there is one.
 #[tokio::test]
