--- a/tests/all/departures.rs
+++ b/tests/all/departures.rs
@@ -2,18 +2,14 @@
 //! node.
 
 use std::{
-    net::{Ipv4Addr, SocketAddr},
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
     time::Duration,
 };
 
-use azuremount::{
-    node,
-    wire::{Gossip, Peer, Sighting},
-};
-use prost::Message;
+use azuremount::{node, wire::Sighting};
 use tokio::{
     io::copy_bidirectional,
-    net::{TcpListener, TcpStream, UdpSocket},
+    net::{TcpListener, TcpStream},
     task::JoinSet,
     time::{sleep, timeout},
 };
@@ -22,7 +18,7 @@
     partition::{Link, Mode},
     world::{
         Replica, TEST_TIMEOUT, TempFolder, apply_plan, ended, events, ok,
-        options, post, sighting, status,
+        options, post, report_node, sighting, status,
     },
 };
 
@@ -33,8 +29,8 @@
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 /// Number of requests that are sent after it.
 const LATE_REQUESTS: usize = 50;
-/// Interval between two heartbeats of a replica, and two reports of a node.
-const REPORT_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval between two heartbeats of a replica.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 
 /// A node whose links to the replicas can be cut, and one that it forwards
 /// requests through. It hears of the latter, and never from it: all reports of
@@ -66,7 +62,8 @@
             let listener = TcpListener::bind((link_ip, port)).await.unwrap();
             tasks.spawn(forward(listener, (peer_ip, port).into()));
         }
-        tasks.spawn(report(link_ip, node_ip));
+        let link = SocketAddrV4::new(link_ip, PORT);
+        tasks.spawn(report_node(link, node_ip, || 1));
         let node = node::spawn(options(node_ip, PORT, &[link_ip]));
         let node = node.await.unwrap();
         let mut replicas = Vec::new();
@@ -86,7 +83,7 @@
             }
         };
         timeout(TEST_TIMEOUT, serves).await.expect("node does not serve");
-        sleep(2 * REPORT_INTERVAL).await;
+        sleep(2 * HEARTBEAT_INTERVAL).await;
         Site { node, links, replicas, _folder: folder, _tasks: tasks }
     }
 
@@ -149,26 +146,6 @@
     }
 }
 
-/// Reports a node that serves at `at`, and nothing else.
-async fn report(at: Ipv4Addr, to: Ipv4Addr) {
-    let socket = UdpSocket::bind((at, PORT)).await.unwrap();
-    let mut peer = Peer {
-        ip: at.into(),
-        incarnation: 1,
-        data_centre: "one".to_owned(),
-        serving: true,
-        plan_version: 1,
-        keeps_origins: true,
-        ..Peer::default()
-    };
-    loop {
-        peer.beat += 1;
-        let gossip = Gossip { from: Some(peer.clone()), ..Gossip::default() };
-        let _ = socket.send_to(&gossip.encode_to_vec(), (to, PORT)).await;
-        sleep(REPORT_INTERVAL).await;
-    }
-}
-
 /// Sends heartbeats that say `ready` for replicas at these addresses.
 async fn send_heartbeats(node: node::Handle, replicas: Vec<SocketAddr>) {
     for sequence in 1.. {
@@ -177,7 +154,7 @@
             let says = sighting(&id, *address, 0);
             node.apply_heartbeat(Sighting { sequence, ..says });
         }
-        sleep(REPORT_INTERVAL).await;
+        sleep(HEARTBEAT_INTERVAL).await;
     }
 }
 
--- a/tests/all/plan_fetch.rs
+++ b/tests/all/plan_fetch.rs
@@ -12,25 +12,23 @@
 use azuremount::{
     control::client::Client,
     node,
-    wire::{Gossip, Peer, PlanQuery, Query, query, query_reply},
+    wire::{PlanQuery, Query, query, query_reply},
 };
-use prost::Message;
 use tokio::{
-    net::{TcpListener, UdpSocket},
+    net::TcpListener,
     task::JoinSet,
     time::{sleep, timeout},
 };
 
 use crate::world::{
-    TEST_TIMEOUT, TempFolder, TestNode, apply_plan, options, post, status,
+    REPORT_INTERVAL, TEST_TIMEOUT, TempFolder, TestNode, apply_plan, options,
+    post, report_node, status,
 };
 
 /// The port for traffic between nodes.
 const PORT: u16 = 7703;
 /// Time after a plan is acknowledged in which it has to be in force.
 const IN_FORCE_TIME: Duration = Duration::from_millis(2000);
-/// Interval between two reports of a silent node.
-const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// Number of silent nodes.
 const SILENT: u32 = 12;
 
@@ -50,7 +48,10 @@
         for ip in ips {
             // Connections are established by the kernel, and never read.
             listeners.push(TcpListener::bind((*ip, PORT)).await.unwrap());
-            reports.spawn(report(*ip, to, plan_version.clone()));
+            let version = plan_version.clone();
+            let version = move || version.load(Ordering::Relaxed);
+            let at = SocketAddrV4::new(*ip, PORT);
+            reports.spawn(report_node(at, to, version));
         }
         SilentNodes { plan_version, _listeners: listeners, _reports: reports }
     }
@@ -60,24 +61,6 @@
     }
 }
 
-async fn report(at: Ipv4Addr, to: Ipv4Addr, version: Arc<AtomicU64>) {
-    let socket = UdpSocket::bind((at, PORT)).await.unwrap();
-    let mut peer = Peer {
-        ip: at.into(),
-        incarnation: 1,
-        data_centre: "one".to_owned(),
-        serving: true,
-        ..Peer::default()
-    };
-    loop {
-        peer.beat += 1;
-        peer.plan_version = version.load(Ordering::Relaxed);
-        let gossip = Gossip { from: Some(peer.clone()), ..Gossip::default() };
-        let _ = socket.send_to(&gossip.encode_to_vec(), (to, PORT)).await;
-        sleep(REPORT_INTERVAL).await;
-    }
-}
-
 /// A leader, a node without a disk, and silent nodes that report to the latter.
 struct Site {
     leader: node::Handle,
--- a/tests/all/world.rs
+++ b/tests/all/world.rs
@@ -22,12 +22,13 @@
         },
     },
     node,
-    wire::{RecordUsage, Sighting},
+    wire::{Gossip, Peer, RecordUsage, Sighting},
 };
 use http::{HeaderMap, HeaderValue, StatusCode};
+use prost::Message;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpStream, UdpSocket},
     sync::mpsc,
     time::{sleep, timeout},
 };
@@ -35,6 +36,9 @@
 /// Timeout of waits in tests, far longer than any wait of a passing test.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Interval between two reports of a stand-in for a node.
+pub const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Path at which replicas answer probes.
 pub const PROBE_PATH: &str = "/health";
 
@@ -285,6 +289,33 @@
     }
 }
 
+/// Sends reports of a node that serves at `at` to another node, and nothing
+/// else, until the task is aborted. `plan_version` returns the version of its
+/// plan.
+pub async fn report_node(
+    at: SocketAddrV4,
+    to: Ipv4Addr,
+    plan_version: impl Fn() -> u64,
+) {
+    let socket = UdpSocket::bind(at).await.unwrap();
+    let mut peer = Peer {
+        ip: (*at.ip()).into(),
+        incarnation: 1,
+        data_centre: "one".to_owned(),
+        serving: true,
+        keeps_origins: true,
+        ..Peer::default()
+    };
+    loop {
+        peer.beat += 1;
+        peer.plan_version = plan_version();
+        let gossip = Gossip { from: Some(peer.clone()), ..Gossip::default() };
+        let to = (to, at.port());
+        let _ = socket.send_to(&gossip.encode_to_vec(), to).await;
+        sleep(REPORT_INTERVAL).await;
+    }
+}
+
 /// Sends a request with the given id to a node, on a new connection.
 pub async fn post(
     front: SocketAddr,
