Name recent departures before older ones in answers to nodes that ask

Two data centres had been reclaimed in the minute before, so that the 64 places of an answer went to some 114 departures in turn, new and old alike, and the new one was left out of several answers in a row.

Departures of the last 2.5 s are named first again, in turns of their own, and older ones in the places that remain. The test has 150 older departures: the recent one is left out of answers without the change, and is in each with it.

--- a/src/mesh/datagram.rs
+++ b/src/mesh/datagram.rs
@@ -243,7 +243,7 @@
         let due = due.take(BEATS_PER_DATAGRAM);
         gossip.beats = due.map(|replica| replica.last_beat(now)).collect();
         gossip.peers = self.peers_for(now, asker);
-        gossip.left = self.missed_departures();
+        gossip.left = self.missed_departures(now);
         match asker.has_disk || Role::of(asker) != Role::Standby {
             true => self.with_load(now, gossip, own),
             false => Gossip {
--- a/src/mesh/lives.rs
+++ b/src/mesh/lives.rs
@@ -413,32 +413,34 @@
         true
     }
 
-    /// Returns replicas that have left recently, for a datagram.
+    /// Returns replicas that have left recently, for a datagram. If they don't
+    /// fit, they take turns.
     pub(super) fn next_departures(&mut self, now: u64) -> Vec<u64> {
-        self.departures_since(now.saturating_sub(DEPARTURE_REPORT_MS))
-    }
-
-    /// Returns replicas that have left, for the answer to a node that may have
-    /// missed the earlier datagrams.
-    pub(super) fn missed_departures(&mut self) -> Vec<u64> {
-        self.departures_since(0)
-    }
-
-    /// Returns replicas that have left since `start`. If they don't fit in a
-    /// datagram, they take turns.
-    fn departures_since(&mut self, start: u64) -> Vec<u64> {
-        let recent: Vec<u64> = self
-            .departures
-            .iter()
-            .filter(|(_, at)| *at >= start)
-            .map(|(hash, _)| *hash)
-            .collect();
+        let recent = self.departures.iter();
+        let recent = recent.filter(|(_, at)| now < at + DEPARTURE_REPORT_MS);
+        let recent: Vec<u64> = recent.map(|(hash, _)| *hash).collect();
         let count = recent.len().min(DEPARTURES_PER_DATAGRAM);
         let from = self.next_departure;
         self.next_departure = self.next_departure.wrapping_add(count);
         (0..count).map(|step| recent[(from + step) % recent.len()]).collect()
     }
 
+    /// Returns replicas that have left, for the answer to a node that may have
+    /// missed the earlier datagrams. Those that have left recently come first,
+    /// and the others take turns in the remaining places.
+    pub(super) fn missed_departures(&mut self, now: u64) -> Vec<u64> {
+        let mut left = self.next_departures(now);
+        let older = self.departures.iter();
+        let older = older.filter(|(_, at)| now >= at + DEPARTURE_REPORT_MS);
+        let older: Vec<u64> = older.map(|(hash, _)| *hash).collect();
+        let count = older.len().min(DEPARTURES_PER_DATAGRAM - left.len());
+        let from = self.next_old_departure;
+        self.next_old_departure = from.wrapping_add(count);
+        let turn = (0..count).map(|step| older[(from + step) % older.len()]);
+        left.extend(turn);
+        left
+    }
+
     fn add_replica(
         &mut self,
         now: u64,
--- a/tests/all/mesh_scale.rs
+++ b/tests/all/mesh_scale.rs
@@ -14,7 +14,7 @@
 use azuremount::{
     mesh::{
         round::{Datagram, Round},
-        table::{LocalReport, State, Table},
+        table::{LocalReport, State, Table, replica_hash},
     },
     wire::{Cached, Gossip, Peer, Sighting, Spent, Under, Work},
 };
@@ -494,6 +494,31 @@
     }
 }
 
+/// Guards against answers that leave out a departure of the last second because
+/// many replicas have left in the minute before.
+#[test]
+fn answers_name_recent_departures_before_older_ones() {
+    let mut fleet = Fleet::open(3, 200);
+    fleet.run(2000);
+    for replica in 0..150 {
+        let sighting = fleet.sighting(replica, 1);
+        fleet.vms[0].table.apply_sighting(fleet.now, sighting, true);
+    }
+    fleet.stopped = (0..200).collect();
+    fleet.run(8000);
+    let last = fleet.sighting(199, 1);
+    let hash = replica_hash(&last.id);
+    fleet.vms[0].table.apply_sighting(fleet.now, last, true);
+    let asker = fleet.vms[1].table.own_peer().clone();
+    for _ in 0..20 {
+        let own = LocalReport::default();
+        let table = &mut fleet.vms[0].table;
+        let answer = table.answer(8000, 8000, own, &asker);
+        assert!(answer.left.contains(&hash), "a recent departure is left out");
+        assert!(answer.left.len() > 1, "older departures are left out");
+    }
+}
+
 /// Returns when the last node has a new plan, after it came into force at the
 /// first one, or `None` if some node does not have it in time.
 fn spread_plan(fleet: &mut Fleet) -> Option<u64> {
