Log and count what has been used of the retry budgets

No log line or metric said how many retries a node had used, of how many, by which count of nodes and since when, so the hypotheses of the incident could not be told apart. The lines of denied and (once a second) of granted retries say it now, and five metrics do. No decision changes.

--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -78,6 +78,28 @@
     pub window_ms: u64,
 }
 
+/// What an entry has used of its retry budget for one service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Usage {
+    /// Retries in the window.
+    pub retries: u32,
+    /// Retries that are allowed in the window.
+    pub allowed: f32,
+    /// First attempts in the window.
+    pub first_attempts: u32,
+    /// Number of entries that share the slack.
+    pub entries: usize,
+}
+
+/// Reply to a request for one retry.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Claim {
+    /// Whether the retry is allowed. It is counted then.
+    pub is_granted: bool,
+    /// The budget after that.
+    pub usage: Usage,
+}
+
 /// Retries of one service at one entry, counted over a sliding window.
 ///
 /// Each entry allows itself the ratio of its own first attempts and an equal
@@ -104,21 +126,28 @@
         self.slices[(self.newest % SLICE_COUNT as u64) as usize].0 += 1;
     }
 
-    /// Counts a retry and returns true if the bound allows one. `entries` is
-    /// the number of serving entries.
-    pub fn try_retry(&mut self, now: u64, entries: usize) -> bool {
+    /// Counts a retry if the bound allows one. `entries` is the number of
+    /// serving entries.
+    pub fn try_retry(&mut self, now: u64, entries: usize) -> Claim {
+        let mut usage = self.usage(now, entries);
+        let is_granted = usage.retries as f32 + 1.0 <= usage.allowed;
+        if is_granted {
+            usage.retries += 1;
+            self.slices[(self.newest % SLICE_COUNT as u64) as usize].1 += 1;
+        }
+        Claim { is_granted, usage }
+    }
+
+    /// Returns what has been used of the budget.
+    pub fn usage(&mut self, now: u64, entries: usize) -> Usage {
         self.slide(now);
         let first_attempts: u32 =
             self.slices.iter().map(|slice| slice.0).sum();
-        let retries: u32 = self.slices.iter().map(|slice| slice.1).sum();
         let slack = self.bound.slack / entries.max(1) as f32;
         let allowed = (self.bound.ratio * first_attempts as f32 + slack)
             * USED_BOUND_SHARE;
-        if retries as f32 + 1.0 > allowed {
-            return false;
-        }
-        self.slices[(self.newest % SLICE_COUNT as u64) as usize].1 += 1;
-        true
+        let retries = self.slices.iter().map(|slice| slice.1).sum();
+        Usage { retries, allowed, first_attempts, entries }
     }
 
     fn slide(&mut self, now: u64) {
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -19,7 +19,7 @@
     decide::{
         rate_limit::Allocation,
         reach::{Change, Probe, Reach},
-        retry::{Bound, Window},
+        retry::{Bound, Claim, Usage, Window},
         route::{
             Availability, Choice, Identity, Policy, Pool, RouteRequest,
             Shortage, Status, Ticket, UNKNOWN_VERSION, Weights,
@@ -126,7 +126,7 @@
     pool: Pool,
     /// Sorted by replica.
     places: Vec<Place>,
-    repeats: Window,
+    retries: Window,
     reach: Reach,
     /// Whether the weights are those of a service in the plan.
     planned: bool,
@@ -254,7 +254,7 @@
                     name: name.to_owned(),
                     pool: open(),
                     places: Vec::new(),
-                    repeats: Window::open(self.bound),
+                    retries: Window::open(self.bound),
                     reach: Reach::default(),
                     planned: planned.is_some(),
                 };
@@ -360,20 +360,32 @@
     /// Counts a first attempt at a service.
     pub fn record_first_attempt(&mut self, now: u64, service: &str) {
         if let Some(routed) = self.find(service) {
-            routed.repeats.record_first_attempt(now);
+            routed.retries.record_first_attempt(now);
         }
     }
 
-    /// Counts a retry at a service and returns true if the retry budget allows
-    /// one.
+    /// Counts a retry at a service if the retry budget allows one. Returns
+    /// `None` for an unknown service.
     pub fn try_retry(
         &mut self,
         now: u64,
         service: &str,
         entries: usize,
-    ) -> bool {
-        self.find(service)
-            .is_some_and(|routed| routed.repeats.try_retry(now, entries))
+    ) -> Option<Claim> {
+        let routed = self.find(service)?;
+        Some(routed.retries.try_retry(now, entries))
+    }
+
+    /// Returns what has been used of the retry budget of each service.
+    pub fn retry_usage(
+        &mut self,
+        now: u64,
+        entries: usize,
+    ) -> impl Iterator<Item = (&str, Usage)> {
+        self.services.iter_mut().map(move |routed| {
+            let usage = routed.retries.usage(now, entries);
+            (routed.name.as_str(), usage)
+        })
     }
 
     /// Records that a replica began to answer, with the load that it
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -473,19 +473,8 @@
         if self.gateway.is_quarantined(&self.identity, &self.service) {
             return false;
         }
-        let entries = self.gateway.entries();
-        let now = self.now();
-        let allowed =
-            self.gateway.fleet().try_retry(now, &self.service, entries);
-        if !allowed {
-            info!(
-                target: "gateway",
-                request = id_text(self.request_info.id.as_ref()),
-                service = self.service, entries,
-                "Retry denied: the retry budget is used up."
-            );
-        }
-        allowed
+        let request = id_text(self.request_info.id.as_ref());
+        self.gateway.try_retry(&self.service, request)
     }
 
     /// Returns the router's choice among the replicas that have not been
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 //! | `probes` | finds out whether the replicas can be reached |
 //! | `origins` | keeps records of where streams began, at other nodes as well |
 //! | `resume` | decides where a stream goes on that a caller resumes |
+//! | `retries` | claims retries from the retry budgets |
 //! | `overload` | refuses requests that replicas can't start in time |
 //! | `suspects` | tracks requests that may have crashed replicas |
 //! | `survival` | tells whether replicas survived what they answered |
@@ -53,6 +54,7 @@
 pub mod refusal;
 mod relay;
 mod resume;
+mod retries;
 pub mod server;
 mod survival;
 mod suspects;
@@ -183,6 +185,8 @@
     quotas_refreshed_at: AtomicU64,
     /// When the fleet was last refreshed from the mesh, in ms.
     fleet_refreshed_at: AtomicU64,
+    /// When the use of retry budgets was last logged, in ms.
+    retry_use_logged_at: AtomicU64,
     /// True while a delayed refresh is scheduled.
     is_refresh_scheduled: AtomicBool,
     /// Notified when the plan or the replicas may have changed.
@@ -240,6 +244,7 @@
             tolerance: options.tolerance,
             quotas_refreshed_at: AtomicU64::new(0),
             fleet_refreshed_at: AtomicU64::new(0),
+            retry_use_logged_at: AtomicU64::new(0),
             is_refresh_scheduled: AtomicBool::new(false),
             changed: watch::Sender::new(()),
             opened: Instant::now(),
@@ -304,6 +309,7 @@
         fleet.refresh(now, &table, plan.as_ref().as_ref());
         let backing_off = fleet.backing_off(now) as i64;
         self.metrics.backing_off_replicas.set(backing_off);
+        self.observe_retry_usage(now, &table, &mut fleet);
         self.update_rate_limit_shares_in(&table, &mut fleet);
         self.connections.retain(|replica| fleet.has_replica(replica));
         self.refresh_quotas(now, &table, plan.as_ref().as_ref());
@@ -396,13 +402,6 @@
         self.fleet.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
-    /// Returns the number of serving entries, including this one.
-    fn entries(&self) -> usize {
-        let now = self.timer.now();
-        let Some(mesh) = self.mesh.get() else { return 1 };
-        mesh.table().entry_counts(now).0
-    }
-
     /// Picks one of the route's services at random, by weight.
     fn draw_service(&self, route: &Route) -> String {
         let total: u64 = route.split.iter().map(|(_, weight)| weight).sum();
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -4,6 +4,8 @@
 //! configuration in force, never from a request, so that a caller can't create
 //! additional series.
 
+use std::sync::atomic::AtomicU64;
+
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
     metrics::{
@@ -61,6 +63,22 @@
     pub outcome: &'static str,
 }
 
+/// Label of a gauge for each service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Service {
+    /// The service.
+    pub service: String,
+}
+
+/// Labels of a claim on a retry budget.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Retry {
+    /// The service.
+    pub service: String,
+    /// `granted` or `denied`.
+    pub outcome: &'static str,
+}
+
 type Histograms = Family<Labels, Histogram, fn() -> Histogram>;
 
 /// The metrics of one entry.
@@ -119,6 +137,16 @@
     pub failed_attempts: Family<FailedAttempt, Counter>,
     /// Streams that callers resume, by outcome.
     pub resumptions: Family<Resumption, Counter>,
+    /// Claims on the retry budgets, by service and outcome.
+    pub retries: Family<Retry, Counter>,
+    /// Retries in the window of the retry budget, by service.
+    pub retry_budget_used: Family<Service, Gauge>,
+    /// Retries that the budget allows in the window, by service.
+    pub retry_budget_allowed: Family<Service, Gauge<f64, AtomicU64>>,
+    /// Number of entries that share the slack of the retry budgets.
+    pub retry_budget_entries: Gauge,
+    /// Time since this process began to count retries, in s.
+    pub retry_budget_age: Gauge<f64, AtomicU64>,
     /// Services whose replicas this node can't reach.
     pub unreachable_services: Gauge,
     /// Requests forwarded to other nodes.
@@ -177,6 +205,11 @@
             leaving_answers: Counter::default(),
             failed_attempts: Family::default(),
             resumptions: Family::default(),
+            retries: Family::default(),
+            retry_budget_used: Family::default(),
+            retry_budget_allowed: Family::default(),
+            retry_budget_entries: Gauge::default(),
+            retry_budget_age: Gauge::default(),
             unreachable_services: Gauge::default(),
             forwarded: Counter::default(),
             taken_for_others: Counter::default(),
@@ -269,6 +302,31 @@
             "Streams that callers resume, by outcome",
             metrics.resumptions.clone(),
         );
+        registry.register(
+            "retries",
+            "Claims on the retry budgets, by service and outcome",
+            metrics.retries.clone(),
+        );
+        registry.register(
+            "retry_budget_used",
+            "Retries in the window of the retry budget, by service",
+            metrics.retry_budget_used.clone(),
+        );
+        registry.register(
+            "retry_budget_allowed",
+            "Retries that the budget allows in the window, by service",
+            metrics.retry_budget_allowed.clone(),
+        );
+        registry.register(
+            "retry_budget_entries",
+            "Entries that share the slack of the retry budgets",
+            metrics.retry_budget_entries.clone(),
+        );
+        registry.register(
+            "retry_budget_age_seconds",
+            "Since this process began to count retries",
+            metrics.retry_budget_age.clone(),
+        );
         registry.register(
             "unreachable_services",
             "Services whose replicas this node can't reach",
--- a/tests/all/limits.rs
+++ b/tests/all/limits.rs
@@ -288,7 +288,8 @@
                 windows[at].record_first_attempt(now);
                 first_attempts.push(now);
             }
-            if rng.random_bool(0.5) && windows[at].try_retry(now, 6) {
+            if rng.random_bool(0.5) && windows[at].try_retry(now, 6).is_granted
+            {
                 retries.push(now);
             }
         }
