Test the bound on retries through restarts, in bursts and through other nodes, which fails

Callers get no error from this; the replicas get more retries than the bound for all nodes together allows.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -36,6 +36,7 @@
 #[allow(dead_code)]
 mod relay;
 mod requests;
+mod retry_budget;
 mod roles;
 mod scenario;
 mod steps;
