Bound the retries of all nodes through restarts and at any moment

Callers got no error; the replicas got more retries than the bound for all nodes together. Cause: a budget over a window of time was kept in a process and began anew with each one, with a share of the slack and without the retries that still count. Besides, the window dropped a tenth before it had passed, and a node that knew few others took a large share.

The slack is divided by the highest number of entries of the last minute that a node or those that it hears know of; nodes on standby have no share. Only the very first start of a cluster has no former process.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -137,6 +137,9 @@
 pub struct Fleet {
     data_centre: String,
     bound: Bound,
+    /// When the retry budgets began to count, if another process may have
+    /// counted before.
+    counts_retries_since: Option<u64>,
     /// Sorted by name.
     services: Vec<Routed>,
     /// Parts that this node has sent to replicas lately, with the time, to be
@@ -162,6 +165,7 @@
         Fleet {
             data_centre,
             bound,
+            counts_retries_since: None,
             services: Vec::new(),
             cached: Vec::new(),
             memory: Memory::default(),
@@ -254,7 +258,10 @@
                     name: name.to_owned(),
                     pool: open(),
                     places: Vec::new(),
-                    retries: Window::open(self.bound),
+                    retries: Window::open(
+                        self.bound,
+                        self.counts_retries_since,
+                    ),
                     reach: Reach::default(),
                     planned: planned.is_some(),
                 };
@@ -364,13 +371,22 @@
         }
     }
 
+    /// Forgets all attempts: from now on, the retry budgets count as those of
+    /// a process that has just started.
+    pub fn restart_retries(&mut self, now: u64) {
+        self.counts_retries_since = Some(now);
+        for routed in &mut self.services {
+            routed.retries = Window::open(self.bound, Some(now));
+        }
+    }
+
     /// Counts a retry at a service if the retry budget allows one. Returns
     /// `None` for an unknown service.
     pub fn try_retry(
         &mut self,
         now: u64,
         service: &str,
-        entries: usize,
+        entries: Option<usize>,
     ) -> Option<Claim> {
         let routed = self.find(service)?;
         Some(routed.retries.try_retry(now, entries))
@@ -380,7 +396,7 @@
     pub fn retry_usage(
         &mut self,
         now: u64,
-        entries: usize,
+        entries: Option<usize>,
     ) -> impl Iterator<Item = (&str, Usage)> {
         self.services.iter_mut().map(move |routed| {
             let usage = routed.retries.usage(now, entries);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -92,7 +92,7 @@
         quarantine::{Quarantine, Subject},
         quota::Tolerance,
         rate_limit::RateLimits,
-        retry::Bound,
+        retry::{Bound, Peak},
     },
     mesh::{self, table::LocalReport},
     metrics::Metrics,
@@ -185,6 +185,8 @@
     quotas_refreshed_at: AtomicU64,
     /// When the fleet was last refreshed from the mesh, in ms.
     fleet_refreshed_at: AtomicU64,
+    /// Number of entries that share the slack of the retry budgets.
+    entry_peak: Mutex<Peak>,
     /// When the use of retry budgets was last logged, in ms.
     retry_use_logged_at: AtomicU64,
     /// True while a delayed refresh is scheduled.
@@ -244,6 +246,7 @@
             tolerance: options.tolerance,
             quotas_refreshed_at: AtomicU64::new(0),
             fleet_refreshed_at: AtomicU64::new(0),
+            entry_peak: Mutex::default(),
             retry_use_logged_at: AtomicU64::new(0),
             is_refresh_scheduled: AtomicBool::new(false),
             changed: watch::Sender::new(()),
@@ -305,7 +308,8 @@
         self.expire_quarantine();
         self.origins.expire(now);
         let mut fleet = self.fleet();
-        let table = mesh.table();
+        let mut table = mesh.table();
+        self.record_entries(now, &mut table);
         fleet.refresh(now, &table, plan.as_ref().as_ref());
         let backing_off = fleet.backing_off(now) as i64;
         self.metrics.backing_off_replicas.set(backing_off);
@@ -398,6 +402,10 @@
         self.fleet().cached()
     }
 
+    fn entry_peak(&self) -> MutexGuard<'_, Peak> {
+        self.entry_peak.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
     pub(crate) fn fleet(&self) -> MutexGuard<'_, Fleet> {
         self.fleet.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
--- a/src/gateway/quotas.rs
+++ b/src/gateway/quotas.rs
@@ -158,7 +158,7 @@
 
     /// Marks this node as joining: other nodes may serve already, and what
     /// they have used is not known yet.
-    pub fn start_joining_quotas(&self) {
+    pub fn start_joining(&self) {
         self.joins.store(true, Ordering::Relaxed);
     }
 
--- a/src/gateway/retries.rs
+++ b/src/gateway/retries.rs
@@ -1,6 +1,8 @@
 //! Claims retries from the retry budgets, with logs and metrics of their use.
 //!
-//! The decisions are in [`retry`](crate::decide::retry).
+//! The decisions are in [`retry`](crate::decide::retry). Nodes tell each other
+//! how many entries they know of, so that a node that has just started does
+//! not take a share of the slack that is too large.
 
 use std::sync::atomic::Ordering;
 
@@ -9,22 +11,28 @@
 use super::{Gateway, fleet::Fleet};
 use crate::{
     decide::retry::{Claim, Usage},
-    mesh::table::Table,
+    mesh::{
+        role::Role,
+        table::{NODE_RETENTION_MS, Table},
+    },
     metrics::{Retry, Service},
 };
 
 /// Minimum interval between two log lines about retries that were granted, in
 /// ms.
 const USE_LOG_INTERVAL_MS: u64 = 1000;
+/// Time after its start in which a node may not have heard of all others, in
+/// ms: three rounds of the mesh.
+const DISCOVERY_MS: u64 = 1000;
 
 impl Gateway {
     /// Counts a retry and returns true if the retry budget allows one.
     pub(super) fn try_retry(&self, service: &str, request: &str) -> bool {
         let now = self.timer.now();
-        let entries = self.mesh.get().map_or(1, |mesh| {
-            let (entries, _) = mesh.table().entry_counts(now);
-            entries
-        });
+        let entries = match self.mesh.get() {
+            Some(mesh) => self.retry_entries(now, &mesh.table()),
+            None => Some(1),
+        };
         let claim = self.fleet().try_retry(now, service, entries);
         let Some(Claim { is_granted, usage }) = claim else { return false };
         let outcome = if is_granted { "granted" } else { "denied" };
@@ -43,6 +51,7 @@
             retries = usage.retries,
             allowed = usage.allowed,
             first_attempts = usage.first_attempts,
+            span_ms = usage.span_ms,
             entries = usage.entries,
             counted_ms = now,
             "{message}"
@@ -50,6 +59,12 @@
         is_granted
     }
 
+    /// Makes the retry budgets count as those of a process that has just
+    /// started: another process may have used them until now.
+    pub fn restart_retries(&self) {
+        self.fleet().restart_retries(self.timer.now());
+    }
+
     fn is_use_log_due(&self, now: u64) -> bool {
         let last = self.retry_use_logged_at.load(Ordering::Relaxed);
         let is_due = now >= last + USE_LOG_INTERVAL_MS;
@@ -59,6 +74,32 @@
         is_due
     }
 
+    /// Returns the number of entries that share the slack of the retry
+    /// budgets, or `None` if this node has no share or can't know the number.
+    fn retry_entries(&self, now: u64, table: &Table) -> Option<usize> {
+        if Role::of(table.own_peer()) == Role::Standby {
+            return None;
+        }
+        let joins = self.joins.load(Ordering::Relaxed);
+        let is_alone = table.nodes().is_empty();
+        let is_unknown =
+            now < DISCOVERY_MS || is_alone && now < NODE_RETENTION_MS;
+        if joins && is_unknown {
+            return None;
+        }
+        let (entries, _) = table.entry_counts(now);
+        let highest = self.entry_peak().highest(now);
+        Some(entries.max(highest).max(table.most_entries_reported()))
+    }
+
+    /// Records the present number of entries, to be reported to other nodes.
+    pub(super) fn record_entries(&self, now: u64, table: &mut Table) {
+        let (entries, _) = table.entry_counts(now);
+        let mut peak = self.entry_peak();
+        peak.record(now, entries);
+        table.own_peer_mut().entries = peak.highest(now) as u32;
+    }
+
     /// Updates the metrics of what has been used of the retry budgets.
     pub(super) fn observe_retry_usage(
         &self,
@@ -66,17 +107,17 @@
         table: &Table,
         fleet: &mut Fleet,
     ) {
-        let (entries, _) = table.entry_counts(now);
+        let entries = self.retry_entries(now, table);
         let metrics = &self.metrics;
         for (service, usage) in fleet.retry_usage(now, entries) {
-            let Usage { retries, allowed, entries, .. } = usage;
+            let Usage { retries, allowed, .. } = usage;
             let label = Service { service: service.to_owned() };
             let used = metrics.retry_budget_used.get_or_create(&label);
             used.set(i64::from(retries));
             let total = metrics.retry_budget_allowed.get_or_create(&label);
             total.set(f64::from(allowed));
-            metrics.retry_budget_entries.set(entries as i64);
         }
+        metrics.retry_budget_entries.set(entries.unwrap_or(0) as i64);
         metrics.retry_budget_age.set(now as f64 / 1000.0);
     }
 }
--- a/src/mesh/table.rs
+++ b/src/mesh/table.rs
@@ -419,6 +419,12 @@
         (entries.count() + 1, self.unheard(now).count())
     }
 
+    /// Returns the highest number of entries that another node reports.
+    pub fn most_entries_reported(&self) -> usize {
+        let reported = self.nodes.iter().map(|node| node.peer.entries);
+        reported.max().unwrap_or(0) as usize
+    }
+
     /// Returns the correction for this node's wall clock, in ms.
     ///
     /// It is the median over all nodes that were heard recently, so it does
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -113,6 +113,9 @@
     pub folder: Option<PathBuf>,
     /// Whether this node creates the cluster if its folder is empty.
     pub founds: bool,
+    /// Whether the whole cluster starts for the first time, so that no process
+    /// has served here before.
+    pub is_first_start: bool,
     /// Number of members that may lose their disks at the same time.
     pub survivable_disk_losses: usize,
     /// Bandwidth of this VM's link in Mbit/s, or 0 if unknown.
@@ -192,9 +195,12 @@
         };
         seat::spawn(options, timer.clone())
     });
-    // The node that creates the cluster is the first: no quota is used yet.
+    // The node that creates the cluster is the first: nothing is used yet.
     if !options.founds {
-        gateway.start_joining_quotas();
+        gateway.start_joining();
+    }
+    if !options.is_first_start {
+        gateway.restart_retries();
     }
     let port = options.peer_address.port();
     let seeds: Vec<SocketAddr> =
@@ -598,6 +604,8 @@
         if changes.became_active {
             // A node on standby receives few reports.
             self.gateway.settle_quota_use();
+            // The other nodes may have used this node's share until now.
+            self.gateway.restart_retries();
             tokio::spawn(recall::learn(self, None));
         }
     }
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -883,6 +883,10 @@
     /// at the version that the sender names.
     #[prost(bool, tag = "15")]
     pub keeps_origins: bool,
+    /// The most nodes that took callers' requests in the last minute, as far as
+    /// the node has heard of them itself; 0 when not known.
+    #[prost(uint32, tag = "16")]
+    pub entries: u32,
 }
 /// What is known of one incarnation of a replica.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/tests/all/limits.rs
+++ b/tests/all/limits.rs
@@ -279,7 +279,7 @@
     let bound = Bound { ratio: 0.2, slack: 60.0, window_ms: 10_000 };
     for seed in 0..20 {
         let mut rng = StdRng::seed_from_u64(seed);
-        let mut windows = vec![Window::open(bound); 6];
+        let mut windows = vec![Window::open(bound, None); 6];
         let (mut first_attempts, mut retries) = (Vec::new(), Vec::new());
         for now in (0..60_000u64).step_by(10) {
             let at = rng.random_range(0..6);
@@ -288,7 +288,8 @@
                 windows[at].record_first_attempt(now);
                 first_attempts.push(now);
             }
-            if rng.random_bool(0.5) && windows[at].try_retry(now, 6).is_granted
+            if rng.random_bool(0.5)
+                && windows[at].try_retry(now, Some(6)).is_granted
             {
                 retries.push(now);
             }
--- a/tests/all/nodes.rs
+++ b/tests/all/nodes.rs
@@ -70,6 +70,7 @@
         let options = node::Options {
             folder: folder.map(|folder| folder.0.clone()),
             founds: first && at == 0,
+            is_first_start: first,
             survivable_disk_losses: self.survivable_disk_losses,
             ..options(self.ips[at], PORT, &self.ips[..3])
         };
--- a/tests/all/retry_budget.rs
+++ b/tests/all/retry_budget.rs
@@ -52,7 +52,7 @@
     fn open(seed: u64, entries: usize) -> Play {
         Play {
             rng: StdRng::seed_from_u64(seed),
-            windows: vec![Window::open(BOUND); entries],
+            windows: vec![Window::open(BOUND, None); entries],
             entries,
             first_attempts: Vec::new(),
             retries: Vec::new(),
@@ -60,8 +60,8 @@
     }
 
     /// Begins a new life of an entry.
-    fn restart(&mut self, _now: u64, at: usize) {
-        self.windows[at] = Window::open(BOUND);
+    fn restart(&mut self, now: u64, at: usize) {
+        self.windows[at] = Window::open(BOUND, Some(now));
     }
 
     /// Sends first attempts at an average rate to random entries.
@@ -77,7 +77,9 @@
     fn retry(&mut self, now: u64, most: usize) {
         for window in &mut self.windows {
             let granted = (0..most)
-                .take_while(|_| window.try_retry(now, self.entries).is_granted)
+                .take_while(|_| {
+                    window.try_retry(now, Some(self.entries)).is_granted
+                })
                 .count();
             self.retries.extend(std::iter::repeat_n(now, granted));
         }
--- a/tests/all/world.rs
+++ b/tests/all/world.rs
@@ -201,6 +201,7 @@
         data_centre: "one".to_owned(),
         folder: None,
         founds: false,
+        is_first_start: false,
         survivable_disk_losses: 0,
         link_mbps: 0,
         gateway: gateway::Options {
@@ -261,6 +262,7 @@
         let options = node::Options {
             folder: Some(folder.0.clone()),
             founds: true,
+            is_first_start: true,
             ..options(ip, 7700, &[ip])
         };
         let node = node::spawn(options).await.unwrap();
