--- a/tests/all/retry_budget.rs
+++ b/tests/all/retry_budget.rs
@@ -11,18 +11,19 @@
 };
 
 use azuremount::{
-    decide::retry::{Bound, Window},
+    decide::retry::{Bound, Peak, Window},
     wire::Sighting,
 };
 use futures_util::future::join_all;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::{
     nodes::Site,
     partition::{Mode, Network},
     world::{
-        Replica, TestNode, WAIT, apply_plan, full, ok, post, sighting, status,
+        Replica, TEST_TIMEOUT, TestNode, WAIT, apply_plan, full, ok, post,
+        sighting, status,
     },
 };
 
@@ -184,6 +185,104 @@
     }
 }
 
+/// Guards against a process that drains and its successor that both use the
+/// budget of their entry.
+#[test]
+fn retries_stay_within_their_bound_beside_draining_processes() {
+    const DRAIN_MS: u64 = 8000;
+    for seed in 0..10 {
+        let mut play = Play::open(seed, ENTRIES);
+        let mut draining: Vec<(u64, Window)> = Vec::new();
+        for now in 0..PLAY_MS {
+            if now % 1500 == 1499 {
+                let at = (now / 1500) as usize % ENTRIES;
+                let successor = Window::open(BOUND, Some(now));
+                let former =
+                    std::mem::replace(&mut play.windows[at], successor);
+                draining.push((now + DRAIN_MS, former));
+            }
+            play.send(now, 0..ENTRIES, REQUESTS_PER_S);
+            play.retry(now, 1);
+            draining.retain(|(until, _)| now < *until);
+            for (_, window) in &mut draining {
+                // A node that drains has no share of the slack.
+                if window.try_retry(now, None).is_granted {
+                    play.retries.push(now);
+                }
+            }
+        }
+        play.check(&format!("seed {seed}"));
+    }
+}
+
+/// Guards against shares of the slack that add up to more than the whole
+/// while entries join, leave, or hear only a part of the others.
+#[test]
+fn retries_stay_within_their_bound_as_the_number_of_entries_changes() {
+    /// Time after which entries know of a change, in ms.
+    const DELAY_MS: u64 = 1000;
+    for seed in 0..10 {
+        let mut play = Play::open(seed, 0);
+        let mut peaks: Vec<Peak> = Vec::new();
+        let count_at = |now: u64| match now {
+            0..12_000 => 5,
+            12_000..25_000 => 20,
+            25_000..38_000 => 4,
+            _ => 10,
+        };
+        for now in 0..PLAY_MS {
+            let count = count_at(now);
+            let first = play.windows.len().min(count);
+            for _ in first..count {
+                let began = (now > 0).then_some(now);
+                play.windows.push(Window::open(BOUND, began));
+                // Others report the number that they know of.
+                let mut peak = Peak::default();
+                peak.record(now, count_at(now.saturating_sub(DELAY_MS)));
+                peaks.push(peak);
+            }
+            play.windows.truncate(count);
+            peaks.truncate(count);
+            // From 45 s on, each side hears one half.
+            let known = match now < 45_000 {
+                true => count_at(now.saturating_sub(DELAY_MS)),
+                false => count / 2,
+            };
+            play.send(now, 0..count, REQUESTS_PER_S);
+            for (window, peak) in play.windows.iter_mut().zip(&mut peaks) {
+                if now % 300 == 0 {
+                    peak.record(now, known);
+                }
+                let entries = Some(peak.highest(now));
+                if window.try_retry(now, entries).is_granted {
+                    play.retries.push(now);
+                }
+            }
+        }
+        play.check(&format!("seed {seed}"));
+    }
+}
+
+/// Guards against a bound that is kept by denying retries that it allows.
+#[test]
+fn most_of_the_allowed_retries_are_granted() {
+    for (entries, per_s) in [(1, 60.0), (10, 60.0), (32, 300.0), (64, 900.0)] {
+        let mut play = Play::open(1, entries);
+        for now in 0..PLAY_MS {
+            play.send(now, 0..entries, per_s);
+            play.retry(now, 1);
+        }
+        let requests = play.first_attempts.len() as f64;
+        let windows = PLAY_MS as f64 / BOUND.window_ms as f64;
+        let allowed = f64::from(BOUND.ratio) * requests
+            + f64::from(BOUND.slack) * windows;
+        let share = play.retries.len() as f64 / allowed;
+        println!("{entries} entries, {per_s} a second: {share:.2} granted");
+        assert!(share >= 0.8, "{entries} entries: {share:.2} granted");
+        play.check(&format!("{entries} entries"));
+    }
+}
+
 // ---- Real nodes ------------------------------------------------------------
 
 /// Number of nodes.
@@ -395,3 +494,41 @@
     assert!(repeats > 0, "no request was retried");
     assert_eq!(charged, repeats, "retries that were charged, and all");
 }
+
+/// Returns the number of entries by which a node divides the slack.
+fn entries_known(metrics: &str) -> usize {
+    let name = "azuremount_retry_budget_entries ";
+    let line = metrics.lines().find_map(|line| line.strip_prefix(name));
+    line.unwrap().parse().unwrap()
+}
+
+/// Guards against a node that starts while it hears few others, and takes too
+/// large a share of the slack.
+#[tokio::test]
+async fn a_node_that_starts_learns_of_entries_that_it_does_not_hear() {
+    let mut site = Site::open(3, 3).await;
+    apply_plan(site.node(0), 1).await;
+    site.wait_until_all_serve().await;
+    let knows_all = |site: &Site| {
+        site.nodes().all(|node| entries_known(&node.metrics()) == 6)
+    };
+    let known = timeout(TEST_TIMEOUT, async {
+        while !knows_all(&site) {
+            sleep(Duration::from_millis(50)).await;
+        }
+    });
+    known.await.expect("the nodes do not know of each other");
+    for silent in 3..6 {
+        site.stop(silent).await;
+    }
+    site.stop(0).await;
+    site.start(0, false).await;
+    let node = site.node(0).clone();
+    let known = timeout(TEST_TIMEOUT, async {
+        while entries_known(&node.metrics()) == 0 {
+            sleep(Duration::from_millis(50)).await;
+        }
+    });
+    known.await.expect("the node takes no share");
+    assert_eq!(entries_known(&node.metrics()), 6);
+}
