Count retries by hundredths of the window, and save less of the ratio for bursts

A retry and the requests that earn it count by slices of the window, rounded to the safe side. A process that has just started earns four fifths of the ratio instead of three quarters; a fifth of the window before may be used at once.

--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -102,12 +102,15 @@
 /// Weight of the first attempts of the window before. A larger weight covers
 /// more requests that fail together; a smaller one leaves more to a process
 /// that has just started.
-const BURST_SHARE: f32 = 0.25;
+const BURST_SHARE: f32 = 0.2;
 /// Number of slices in a window. Attempts are counted by slice.
-const SLICES_PER_WINDOW: i64 = 40;
-/// Number of slices that are kept: two windows, the slice that has just begun,
-/// and one for retries that take a moment to arrive at a replica.
-const KEPT_SLICES: usize = 2 * SLICES_PER_WINDOW as usize + 2;
+const SLICES_PER_WINDOW: i64 = 100;
+/// Number of slices for which retries count beyond their window, as they take
+/// a moment to arrive at a replica.
+const LATE_SLICES: i64 = 2;
+/// Number of slices that are kept: those that count, those of the window
+/// before, and the one that has just begun.
+const KEPT_SLICES: usize = (2 * SLICES_PER_WINDOW + LATE_SLICES + 1) as usize;
 /// Time for which the highest number of entries counts, in ms: as long as
 /// silent entries are assumed to serve behind a network partition.
 const PEAK_RETENTION_MS: u64 = 60_000;
@@ -220,7 +223,7 @@
         self.slide(now);
         let share = entries
             .map_or(0.0, |entries| self.bound.slack / entries.max(1) as f32);
-        let oldest = self.newest - SLICES_PER_WINDOW - 1;
+        let oldest = self.newest - SLICES_PER_WINDOW - LATE_SLICES;
         let began = self.began.map(|began| self.slice_of(began));
         let oldest = oldest.max(began.unwrap_or(oldest));
         let mut retries = 0;
@@ -239,7 +242,9 @@
                 true => self.earned(during + slice.first_attempts),
                 false => share + self.saved(before) + self.earned(during),
             };
-            during += slice.first_attempts;
+            if first > self.newest - SLICES_PER_WINDOW {
+                during += slice.first_attempts;
+            }
             let usage = Usage {
                 retries,
                 allowed,
