Let many entries with a part of a retry each use what they have together

The shares, and what is earned in a first window, are now rounded at random, one draw for each process, so that their sums hold on average over the entries and over restarts.

--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -32,6 +32,11 @@
 //! keeps within the last one. So the two processes together use no more than
 //! one would have, however often an entry restarts.
 //!
+//! Where there are many entries, each has a part of one retry. The shares of
+//! the slack, and what a process earns in its first window, are rounded to
+//! whole retries at random, so that their sums hold on average; everything
+//! else is rounded down.
+//!
 //! The slack is divided by the number of entries. An entry with an outdated,
 //! smaller number would take too large a share, so the highest number of the
 //! last minute counts ([`Peak`]).
@@ -170,8 +175,11 @@
 #[derive(Clone, Debug)]
 pub struct Window {
     bound: Bound,
-    /// When this process began to count, if there may have been one before.
+    /// When this process began to count, if another one may have counted
+    /// before.
     began: Option<u64>,
+    /// Part of a retry that is added before an allowance is rounded down.
+    rounding: f32,
     /// By slice number.
     slices: [Slice; KEPT_SLICES],
     /// Number of the newest slice, counted from time 0.
@@ -182,10 +190,12 @@
     /// Creates a window without attempts.
     ///
     /// `began` is set to the present time if another process may have counted
-    /// at this entry until now.
-    pub fn open(bound: Bound, began: Option<u64>) -> Window {
+    /// at this entry until now. `rounding`, from 0 to 1, should be drawn at
+    /// random: many entries with a part of a retry each then use what they
+    /// have together.
+    pub fn open(bound: Bound, began: Option<u64>, rounding: f32) -> Window {
         let slices = [Slice::default(); KEPT_SLICES];
-        let mut window = Window { bound, began, slices, newest: 0 };
+        let mut window = Window { bound, began, rounding, slices, newest: 0 };
         window.slide(began.unwrap_or(0));
         window
     }
@@ -223,6 +233,7 @@
         self.slide(now);
         let share = entries
             .map_or(0.0, |entries| self.bound.slack / entries.max(1) as f32);
+        let share = (share + self.rounding).floor();
         let oldest = self.newest - SLICES_PER_WINDOW - LATE_SLICES;
         let began = self.began.map(|began| self.slice_of(began));
         let oldest = oldest.max(began.unwrap_or(oldest));
@@ -239,7 +250,9 @@
             // A span may begin at any moment of its first slice. All retries
             // of that slice count, and no first attempts.
             let allowed = match began == Some(first) {
-                true => self.earned(during + slice.first_attempts),
+                true => {
+                    self.earned(during + slice.first_attempts) + self.rounding
+                }
                 false => share + self.saved(before) + self.earned(during),
             };
             if first > self.newest - SLICES_PER_WINDOW {
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -140,6 +140,8 @@
     /// When the retry budgets began to count, if another process may have
     /// counted before.
     counts_retries_since: Option<u64>,
+    /// Part of a retry that is added before allowances are rounded down.
+    retry_rounding: f32,
     /// Sorted by name.
     services: Vec<Routed>,
     /// Parts that this node has sent to replicas lately, with the time, to be
@@ -166,6 +168,7 @@
             data_centre,
             bound,
             counts_retries_since: None,
+            retry_rounding: rand::random_range(0.0..1.0),
             services: Vec::new(),
             cached: Vec::new(),
             memory: Memory::default(),
@@ -261,6 +264,7 @@
                     retries: Window::open(
                         self.bound,
                         self.counts_retries_since,
+                        self.retry_rounding,
                     ),
                     reach: Reach::default(),
                     planned: planned.is_some(),
@@ -376,7 +380,8 @@
     pub fn restart_retries(&mut self, now: u64) {
         self.counts_retries_since = Some(now);
         for routed in &mut self.services {
-            routed.retries = Window::open(self.bound, Some(now));
+            routed.retries =
+                Window::open(self.bound, Some(now), self.retry_rounding);
         }
     }
 
--- a/tests/all/limits.rs
+++ b/tests/all/limits.rs
@@ -279,7 +279,7 @@
     let bound = Bound { ratio: 0.2, slack: 60.0, window_ms: 10_000 };
     for seed in 0..20 {
         let mut rng = StdRng::seed_from_u64(seed);
-        let mut windows = vec![Window::open(bound, None); 6];
+        let mut windows = vec![Window::open(bound, None, 0.0); 6];
         let (mut first_attempts, mut retries) = (Vec::new(), Vec::new());
         for now in (0..60_000u64).step_by(10) {
             let at = rng.random_range(0..6);
--- a/tests/all/retry_budget.rs
+++ b/tests/all/retry_budget.rs
@@ -51,18 +51,24 @@
 
 impl Play {
     fn open(seed: u64, entries: usize) -> Play {
-        Play {
+        let mut play = Play {
             rng: StdRng::seed_from_u64(seed),
-            windows: vec![Window::open(BOUND, None); entries],
+            windows: Vec::new(),
             entries,
             first_attempts: Vec::new(),
             retries: Vec::new(),
-        }
+        };
+        play.windows = (0..entries).map(|_| play.open_window(None)).collect();
+        play
+    }
+
+    fn open_window(&mut self, began: Option<u64>) -> Window {
+        Window::open(BOUND, began, self.rng.random_range(0.0..1.0))
     }
 
     /// Begins a new life of an entry.
     fn restart(&mut self, now: u64, at: usize) {
-        self.windows[at] = Window::open(BOUND, Some(now));
+        self.windows[at] = self.open_window(Some(now));
     }
 
     /// Sends first attempts at an average rate to random entries.
@@ -196,7 +202,7 @@
         for now in 0..PLAY_MS {
             if now % 1500 == 1499 {
                 let at = (now / 1500) as usize % ENTRIES;
-                let successor = Window::open(BOUND, Some(now));
+                let successor = play.open_window(Some(now));
                 let former =
                     std::mem::replace(&mut play.windows[at], successor);
                 draining.push((now + DRAIN_MS, former));
@@ -234,8 +240,8 @@
             let count = count_at(now);
             let first = play.windows.len().min(count);
             for _ in first..count {
-                let began = (now > 0).then_some(now);
-                play.windows.push(Window::open(BOUND, began));
+                let window = play.open_window((now > 0).then_some(now));
+                play.windows.push(window);
                 // Others report the number that they know of.
                 let mut peak = Peak::default();
                 peak.record(now, count_at(now.saturating_sub(DELAY_MS)));
@@ -283,6 +289,27 @@
     }
 }
 
+/// Guards against many entries that never earn a whole retry, as they have
+/// few requests each and start again all the time.
+#[test]
+fn many_entries_that_restart_still_retry() {
+    const MANY: usize = 70;
+    for seed in 0..10 {
+        let mut play = Play::open(seed, MANY);
+        for now in 0..PLAY_MS {
+            if now % 5000 == 4999 {
+                (0..MANY).for_each(|at| play.restart(now, at));
+            }
+            play.send(now, 0..MANY, REQUESTS_PER_S);
+            play.retry(now, 1);
+        }
+        let since = play.retries.iter().filter(|at| **at > 5000).count();
+        let earned = f64::from(BOUND.ratio) * play.first_attempts.len() as f64;
+        assert!(since as f64 > earned / 2.0, "{since} of {earned} retries");
+        play.check(&format!("seed {seed}"));
+    }
+}
+
 // ---- Real nodes ------------------------------------------------------------
 
 /// Number of nodes.
