--- a/review/standin/src/bin/versions.rs
+++ b/review/standin/src/bin/versions.rs
@@ -21,7 +21,7 @@
 
 const NODES: usize = 5;
 /// Replicas of the former version besides the one that starts again.
-const OTHERS: usize = 2;
+const OTHERS: usize = 3;
 /// Time between the end of the replica and its next start.
 const RESTART_DURATION: Duration = Duration::from_millis(300);
 /// Time until the first heartbeat of the replica's new incarnation arrives. Its
