--- a/review/standin/src/bin/streams.rs
+++ b/review/standin/src/bin/streams.rs
@@ -50,9 +50,9 @@
     run(test);
 }
 
-fn config() -> String {
+fn config(version: u64) -> String {
     format!(
-        r#"{{"Version":7,"Routes":[{{"Name":"r-m82thhk","Host":"{HOST}",
+        r#"{{"Version":{version},"Routes":[{{"Name":"r-m82thhk","Host":"{HOST}",
 "PathPrefix":"/pufi791/","Kind":"stream","TimeoutMs":15000,
 "TargetLatencyMs":600,"Priority":0,"Service":"huvo11a","MaxAttempts":2,
 "Public":false,"Sticky":true,"Resumable":true,"TargetGapMs":300}}],
@@ -95,7 +95,7 @@
                 .expect("a replica starts")
         })
         .collect();
-    site.put_config(&config()).expect("the configuration is taken");
+    site.put_config(&config(7)).expect("the configuration is taken");
     site.wait_until_ready().expect("all nodes are ready");
     thread::sleep(Duration::from_secs(4));
     let fronts: Vec<_> = (0..NODES).map(|at| site.front(at)).collect();
@@ -169,6 +169,8 @@
         })
         .collect();
     thread::sleep(TIME_TO_KILL);
+    // The final fault comes right after an acknowledgement.
+    site.put_config(&config(8)).expect("a change is taken");
     if has_trouble {
         for at in 0..NODES {
             site.kill(at);
