Show statuses of replicas that promise too much

Cause: statuses 408, 421, 429 and 503 tell a caller that its request did not run. A replica's own answer with one of them is passed on also where the replica does not say that it did not run the request. The caller of a request that may run once then sends it again.

The tests cover each place that sends one of these statuses, with a fake replica, and through another node.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -20,6 +20,7 @@
 mod mesh;
 mod mesh_scale;
 mod nodes;
+mod not_run;
 mod origin;
 mod packing;
 mod part_quarantine;
--- a/tests/all/partition.rs
+++ b/tests/all/partition.rs
@@ -231,7 +231,7 @@
     }
 
     /// Opens a network without callers, whose replicas answer by `respond`.
-    async fn open_with(
+    pub async fn open_with(
         nodes: usize,
         respond: impl Fn(&str) -> Vec<String> + Clone + Send + Sync + 'static,
     ) -> Network {
