Answer 502 where a replica's status proves nothing

Cause: a replica's answer with status 408, 421, 429 or 503 was passed on unchanged, also where it did not say that it had not run the request. These statuses tell the caller that it may repeat the request, so a request that may run once could run twice.

Change: such an answer is replaced by a 502 without the replica's seal, as the seal vouches for the status. Ruled out: keeping the seal beside another status.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -237,6 +237,25 @@
     Complete(Response<Bytes>),
 }
 
+impl Reply {
+    /// Returns true if callers take the status for a promise that the request
+    /// did not run and never will. An answer that proves it is never returned
+    /// as a reply, so this one may have run.
+    fn promises_not_run(&self) -> bool {
+        let status = match self {
+            Reply::Streaming(_, head) => head.status(),
+            Reply::Complete(answer) => answer.status(),
+        };
+        matches!(
+            status,
+            StatusCode::REQUEST_TIMEOUT
+                | StatusCode::MISDIRECTED_REQUEST
+                | StatusCode::TOO_MANY_REQUESTS
+                | StatusCode::SERVICE_UNAVAILABLE
+        )
+    }
+}
+
 /// What follows while this node does not reach the replicas.
 enum Next {
     /// An attempt at a replica, which may be only slow.
@@ -259,6 +278,9 @@
     let route = accepted.route.name.clone();
     let began = accepted.began;
     let result = match accepted.run().await {
+        Ok(reply) if reply.promises_not_run() => {
+            Err(Refusal::unproven())
+        }
         Ok(Reply::Streaming(source, head)) if accepted.forwarded.is_some() => {
             // The other node is told the version in the head.
             let settled = accepted.settle_version(&source.version).await;
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -177,6 +177,13 @@
         }
     }
 
+    /// Replaces a replica's answer whose status would promise that the request
+    /// did not run, although nothing proves it.
+    pub fn unproven() -> Refusal {
+        let text = "the replica's status does not prove that it did not run";
+        Refusal::may_have_run(text)
+    }
+
     /// Reports that a request timed out.
     pub fn timed_out(verdict: Verdict) -> Refusal {
         let text = "no answer in time";
