Count an answer only with the proof of its request

Cause: an answer without the request's id was taken for the answer to any request, connections of health and connection checks were added to the pool for requests, and no code read the seal. A late second answer to a health check reached the caller of a request on that connection.

Change: an answer needs the id of the request, and a success the seal where an earlier answer of the incarnation had one. An answer that lacks it says nothing: the attempt may have run, and the replica is charged a failure. Connections of checks carry no requests. The id is checked again in answers through another node. A request without an id gets 400 before any replica is asked.

--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -53,6 +53,10 @@
             NO_PLAN_RETRY_AFTER_MS,
         ));
     };
+    if request_info.id.is_none() && gateway.dialect.requires_id() {
+        let status = StatusCode::BAD_REQUEST;
+        return Err(Refusal::invalid(status, "the request has no id"));
+    }
     let path = request.uri().path();
     let Some(route) = plan.route(&host, path) else {
         let status = StatusCode::NOT_FOUND;
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -89,8 +89,11 @@
         pub not_run: bool,
         /// True when another replica has this address now.
         pub wrong_replica: bool,
-        /// False when the answer belongs to another request.
+        /// True when the answer is shown to be that to the request. Nothing
+        /// else that an answer says counts without it.
         pub matches: bool,
+        /// True when the answer bears the replica's seal.
+        pub is_sealed: bool,
         /// Requests running and queued at the replica.
         pub load: Option<u32>,
         /// How long the replica keeps an idle connection open, in ms.
@@ -124,6 +127,12 @@
     /// Parses a request's headers. Headers that can't be parsed are ignored.
     fn parse_request(&self, headers: &HeaderMap) -> RequestInfo;
 
+    /// Returns true if answers to requests without an id can't be told from
+    /// other answers, so that such requests are refused.
+    fn requires_id(&self) -> bool {
+        false
+    }
+
     /// Removes the headers that callers may not set, and sets those that the
     /// gateway sends to a replica.
     fn set_headers(
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -615,6 +615,15 @@
             response.status(),
             response.headers(),
         );
+        let proof = self.gateway.check_proof(
+            &target.replica,
+            response.status(),
+            &answer_info,
+        );
+        if let Err(text) = proof {
+            flight.end = Outcome::Failed;
+            return Err(Error::unproven(text));
+        }
         self.gateway.record_rate_limit(
             &target.replica,
             flight.began_at(),
@@ -672,13 +681,6 @@
             let text = text.to_owned();
             Err(Error { verdict, sent: true, fault: Fault::Other, text })
         };
-        if !answer_info.matches {
-            flight.end = Outcome::Failed;
-            return failed(
-                Verdict::MayHaveRun,
-                "the answer belongs to another request",
-            );
-        }
         if answer_info.wrong_replica {
             flight.end = Outcome::Failed;
             return failed(Verdict::NotRun, "another replica has the address");
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -49,6 +49,7 @@
 mod peer_call;
 pub mod plan;
 pub(crate) mod probes;
+mod proof;
 mod quotas;
 mod rate_limits;
 pub mod refusal;
@@ -82,6 +83,7 @@
     peer_call::PeerCalls,
     plan::{Limits, Plan, Route, Team},
     probes::PathCheck,
+    proof::Seals,
     quotas::Quotas,
     survival::UnprovenAnswers,
     upstream::Pool,
@@ -164,6 +166,7 @@
     pub(crate) metrics: Metrics,
     bodies: Budget,
     crash_detector: CrashDetector,
+    seals: Seals,
     unproven_answers: UnprovenAnswers,
     origins: Origins,
     /// Requests that may have crashed replicas.
@@ -229,6 +232,7 @@
             metrics: Metrics::open(),
             bodies: Budget::open(options.body_memory),
             crash_detector: CrashDetector::default(),
+            seals: Seals::default(),
             unproven_answers: UnprovenAnswers::default(),
             origins: Origins::default(),
             quarantine: Mutex::default(),
@@ -316,6 +320,7 @@
         self.observe_retry_usage(now, &table, &mut fleet);
         self.update_rate_limit_shares_in(&table, &mut fleet);
         self.connections.retain(|replica| fleet.has_replica(replica));
+        self.seals.retain(|replica| fleet.knows(replica));
         self.refresh_quotas(now, &table, plan.as_ref().as_ref());
         drop(table);
         self.changed.send_replace(());
--- a/src/gateway/peer_call.rs
+++ b/src/gateway/peer_call.rs
@@ -467,6 +467,17 @@
                 return Err(Error::may_have_run(text));
             }
         }
+        // The other node has checked the replica's answer. An answer to
+        // another request is told from this one's by its id here as well.
+        let answer_info = self.gateway.dialect.parse_answer(
+            self.request_info.id.as_ref(),
+            head.status,
+            &head.headers,
+        );
+        if !answer_info.matches {
+            let text = "the answer does not have the id of the request";
+            return Err(Error::unproven(text));
+        }
         let version = head.headers.remove(VERSION);
         let version = version.as_ref().and_then(|value| value.to_str().ok());
         let version = StreamVersion::of(version.unwrap_or_default());
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -49,8 +49,7 @@
 /// Time for the answer to a probe on an open connection. It covers a pause of
 /// some tenths of a second that engines make under load.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Maximum size of the answer to a probe after which its connection is kept,
-/// in bytes.
+/// Maximum size of the body of the answer to a probe that is read, in bytes.
 const MAX_PROBE_BODY_BYTES: usize = 4096;
 /// Maximum number of idle connections kept to one replica.
 const MAX_IDLE_PER_REPLICA: usize = 32;
@@ -80,6 +79,8 @@
         ConnectTimeout,
         /// The replica closed the connection before its answer was complete.
         Broken,
+        /// The answer is not shown to be that to the request.
+        Unproven,
         /// Any failure that says nothing about the state of the replica.
         Other,
     }
@@ -92,6 +93,7 @@
             Fault::Refused => "refused",
             Fault::ConnectTimeout => "connect timeout",
             Fault::Broken => "broken",
+            Fault::Unproven => "unproven",
             Fault::Other => "other",
         }
     }
@@ -112,6 +114,11 @@
         Error { verdict: Verdict::MayHaveRun, sent: true, fault, text }
     }
 
+    /// Returns an error of a request whose answer lacks its proof.
+    pub(super) fn unproven(text: &str) -> Error {
+        Error { fault: Fault::Unproven, ..Error::may_have_run(text) }
+    }
+
     fn connection_broken(text: impl ToString) -> Error {
         Error { fault: Fault::Broken, ..Error::may_have_run(text) }
     }
@@ -193,7 +200,7 @@
     }
 
     /// Returns true when a replica refuses a new connection, which shows that
-    /// it has crashed. A connection that opens is added to the pool.
+    /// it has crashed.
     ///
     /// Also returns false when the connection times out: a VM without power
     /// and a VM behind a network partition can't be told apart.
@@ -203,12 +210,8 @@
         address: SocketAddrV4,
     ) -> bool {
         match timeout(CONNECT_TIMEOUT, connect(replica, address)).await {
-            Ok(Ok(connection)) => {
-                self.put_back(connection, None);
-                false
-            }
             Ok(Err(error)) => error.fault == Fault::Refused,
-            Err(_) => false,
+            Ok(Ok(_)) | Err(_) => false,
         }
     }
 
@@ -225,8 +228,10 @@
     }
 
     /// Opens a connection to a replica and requests `path` on it, or only
-    /// opens it if there is no path. A connection that works is added to the
-    /// pool.
+    /// opens it if there is no path.
+    ///
+    /// The connection carries no requests: its answers have no id, so a late
+    /// second one could not be told from the answer to a request.
     pub async fn probe(
         &self,
         replica: &str,
@@ -235,10 +240,7 @@
     ) -> Probe {
         let opened = timeout(CONNECT_TIMEOUT, connect(replica, address)).await;
         let Ok(Ok(mut connection)) = opened else { return Probe::Failed };
-        let Some(path) = path else {
-            self.put_back(connection, None);
-            return Probe::Answered;
-        };
+        let Some(path) = path else { return Probe::Answered };
         let request = Request::get(path)
             .header(header::HOST, address.to_string())
             .body(Full::new(Bytes::new()));
@@ -246,11 +248,10 @@
         let sent = connection.send(request, 0, PROBE_TIMEOUT).await;
         match sent {
             Ok(response) => {
+                // The head shows that the replica answers. The body is read
+                // so that the replica does not see a reset connection.
                 let body = Limited::new(response, MAX_PROBE_BODY_BYTES);
-                let read = timeout(PROBE_TIMEOUT, body.collect()).await;
-                if matches!(read, Ok(Ok(_))) {
-                    self.put_back(connection, None);
-                }
+                let _ = timeout(PROBE_TIMEOUT, body.collect()).await;
                 Probe::Answered
             }
             Err(error) if error.fault == Fault::Broken || !error.sent => {
--- a/tests/all/departures.rs
+++ b/tests/all/departures.rs
@@ -147,7 +147,7 @@
 }
 
 /// Sends heartbeats that say `ready` for replicas at these addresses.
-async fn send_heartbeats(node: node::Handle, replicas: Vec<SocketAddr>) {
+pub async fn send_heartbeats(node: node::Handle, replicas: Vec<SocketAddr>) {
     for sequence in 1.. {
         for (at, address) in replicas.iter().enumerate() {
             let id = format!("r{at}");
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -27,6 +27,7 @@
 mod parts;
 mod plan_fetch;
 mod product;
+mod proof;
 mod quarantine;
 mod quota;
 mod raft;
--- a/tests/all/world.rs
+++ b/tests/all/world.rs
@@ -90,6 +90,7 @@
             not_run: headers.contains_key("not-run"),
             wrong_replica: status == StatusCode::MISDIRECTED_REQUEST,
             matches: echoed.is_none() || echoed == request_id,
+            is_sealed: headers.contains_key("seal"),
             load: None,
             keep_ms: None,
             limit: match headers.get("limit") {
