Show streams that go on at another version after a restart in place

A replica restarts with other software under its id and address, and its first heartbeat arrives late or never. Its former version counts as certain meanwhile, so streams that begin there are recorded under it.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -40,6 +40,7 @@
 mod roles;
 mod scenario;
 mod steps;
+mod version_changes;
 mod versions;
 mod world;
 
--- /dev/null
+++ b/tests/all/version_changes.rs
@@ -0,0 +1,217 @@
+//! Streams while a replica restarts in place with another software version.
+//!
+//! Each event names the version of the replica that made it. The heartbeats of
+//! the new incarnation arrive late, or never.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use azuremount::{mesh::table::incarnation_id, node, wire::Sighting};
+use tokio::time::sleep;
+
+use crate::{
+    nodes::Site,
+    versions::{BROKEN_AFTER, Break, EVENTS, End, Stream, respond},
+    world::{CLOSE, Replica, apply_plan, sighting},
+};
+
+/// Interval between two heartbeats of a replica.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
+/// Streams that each test starts.
+const STREAMS: usize = 48;
+/// Interval at which they begin.
+const STREAM_INTERVAL: Duration = Duration::from_millis(25);
+/// Smallest share of streams that go on where one version serves.
+const MIN_SHARE: f64 = 0.98;
+
+/// What a replica reports of itself, and what it runs.
+#[derive(Clone)]
+struct Incarnation {
+    born: u64,
+    version: &'static str,
+    /// Whether its heartbeats reach the nodes.
+    is_heard: bool,
+}
+
+/// Nodes before replicas, each of which may restart in place.
+struct Fleet {
+    site: Site,
+    nodes: Arc<Mutex<Vec<node::Handle>>>,
+    incarnations: Arc<Mutex<Vec<Incarnation>>>,
+    _replicas: Vec<Replica>,
+    sends_heartbeats: Arc<AtomicBool>,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.sends_heartbeats.store(false, Ordering::Relaxed);
+    }
+}
+
+impl Fleet {
+    async fn open(versions: &[&'static str], how: Break) -> Fleet {
+        let site = Site::open(3, 1).await;
+        apply_plan(site.node(0), 1).await;
+        site.wait_until_all_serve().await;
+        let incarnations = versions.iter().map(|version| Incarnation {
+            born: 1,
+            version,
+            is_heard: true,
+        });
+        let incarnations: Vec<Incarnation> = incarnations.collect();
+        let incarnations = Arc::new(Mutex::new(incarnations));
+        let mut replicas = Vec::new();
+        for number in 0..versions.len() {
+            let incarnations = incarnations.clone();
+            let replica = Replica::spawn(move |head| {
+                let version = incarnations.lock().unwrap()[number].version;
+                // No connection stays idle, so none breaks at a restart.
+                let mut pieces = respond(head, version, how);
+                pieces.push(CLOSE.to_owned());
+                pieces
+            })
+            .await;
+            replicas.push(replica);
+        }
+        let fleet = Fleet {
+            nodes: Arc::new(Mutex::new(site.nodes().cloned().collect())),
+            site,
+            incarnations,
+            sends_heartbeats: Arc::new(AtomicBool::new(true)),
+            _replicas: replicas,
+        };
+        let addresses = fleet._replicas.iter().map(|one| one.address);
+        tokio::spawn(send_heartbeats(
+            fleet.nodes.clone(),
+            fleet.incarnations.clone(),
+            addresses.collect(),
+            fleet.sends_heartbeats.clone(),
+        ));
+        sleep(Duration::from_millis(1500)).await;
+        fleet
+    }
+
+    /// Restarts a replica in place. Its heartbeats reach no node.
+    fn restart(&self, number: usize, version: &'static str) {
+        let mut incarnations = self.incarnations.lock().unwrap();
+        let born = incarnations[number].born + 1;
+        incarnations[number] = Incarnation { born, version, is_heard: false };
+    }
+
+    fn let_be_heard(&self, number: usize) {
+        self.incarnations.lock().unwrap()[number].is_heard = true;
+    }
+
+    fn front(&self, node: usize) -> SocketAddr {
+        self.site.node(node % 4).front().unwrap()
+    }
+}
+
+/// Sends each replica's heartbeats to one node after the other.
+async fn send_heartbeats(
+    nodes: Arc<Mutex<Vec<node::Handle>>>,
+    incarnations: Arc<Mutex<Vec<Incarnation>>>,
+    addresses: Vec<SocketAddr>,
+    goes_on: Arc<AtomicBool>,
+) {
+    for sequence in 1.. {
+        if !goes_on.load(Ordering::Relaxed) {
+            return;
+        }
+        let incarnations = incarnations.lock().unwrap().clone();
+        let nodes = nodes.lock().unwrap().clone();
+        let replicas = incarnations.iter().zip(&addresses).enumerate();
+        for (number, (incarnation, address)) in replicas {
+            let Incarnation { born, version, is_heard } = incarnation.clone();
+            let replica = format!("r{number}");
+            let id = incarnation_id(&replica, born);
+            let says = Sighting {
+                born,
+                version: version.to_owned(),
+                sequence,
+                ..sighting(&id, *address, 0)
+            };
+            if let (true, false) = (is_heard, nodes.is_empty()) {
+                nodes[(sequence as usize + number) % nodes.len()]
+                    .apply_heartbeat(says);
+            }
+        }
+        sleep(HEARTBEAT_INTERVAL).await;
+    }
+}
+
+/// Begins a stream each [`STREAM_INTERVAL`] whose caller leaves after some
+/// events and resumes it at another node.
+async fn resume_streams(fleet: &Fleet, count: usize) -> Vec<Stream> {
+    let mut callers = Vec::new();
+    for number in 0..count {
+        let (first, next) = (fleet.front(number), fleet.front(number + 1));
+        callers.push(tokio::spawn(async move {
+            let mut stream = Stream::default();
+            let left = stream.attempt(first, BROKEN_AFTER).await;
+            if left == End::Left {
+                stream.attempt(next, EVENTS).await;
+            }
+            stream
+        }));
+        sleep(STREAM_INTERVAL).await;
+    }
+    let mut streams = Vec::new();
+    for caller in callers {
+        streams.push(caller.await.unwrap());
+    }
+    streams
+}
+
+fn mixed(streams: &[Stream]) -> usize {
+    streams.iter().filter(|stream| stream.versions.len() > 1).count()
+}
+
+/// Returns the share of the streams that began and went on to their end.
+fn share(streams: &[Stream]) -> f64 {
+    let began = streams.iter().filter(|stream| stream.last > 0).count();
+    let whole = streams.iter().filter(|stream| stream.last == EVENTS).count();
+    assert!(began > 0, "no stream began");
+    whole as f64 / began as f64
+}
+
+/// Guards against a stream that goes on at another version because its
+/// replica had restarted in place and its first heartbeat arrived late.
+#[tokio::test]
+async fn callers_resume_at_one_version_after_a_late_first_heartbeat() {
+    let fleet = Fleet::open(&["v1"; 3], Break::Pause).await;
+    fleet.restart(0, "v2");
+    let first = resume_streams(&fleet, STREAMS / 2).await;
+    fleet.let_be_heard(0);
+    let second = resume_streams(&fleet, STREAMS / 2).await;
+    assert_eq!((mixed(&first), mixed(&second)), (0, 0));
+}
+
+/// Guards against a stream that its node resumes at another version because
+/// one of the replicas had restarted in place and is never heard again.
+#[tokio::test]
+async fn nodes_resume_at_one_version_without_a_first_heartbeat() {
+    let fleet = Fleet::open(&["v1"; 3], Break::Close).await;
+    fleet.restart(0, "v2");
+    let streams = resume_streams(&fleet, STREAMS).await;
+    assert_eq!(mixed(&streams), 0);
+}
+
+/// Guards against streams that are refused although all replicas have one
+/// version, after a restart in place with the same version.
+#[tokio::test]
+async fn streams_go_on_where_one_version_serves() {
+    for how in [Break::Pause, Break::Close] {
+        let fleet = Fleet::open(&["v1"; 3], how).await;
+        fleet.restart(0, "v1");
+        fleet.let_be_heard(0);
+        let streams = resume_streams(&fleet, STREAMS).await;
+        assert!(share(&streams) >= MIN_SHARE, "{streams:?}");
+    }
+}
--- a/tests/all/versions.rs
+++ b/tests/all/versions.rs
@@ -31,9 +31,9 @@
 /// Replicas of the service.
 const REPLICAS: usize = 2 * VERSIONS.len();
 /// Number of events in a whole stream.
-const EVENTS: u64 = 6;
+pub const EVENTS: u64 = 6;
 /// Events after which a caller or a replica breaks a stream off.
-const BROKEN_AFTER: u64 = 2;
+pub const BROKEN_AFTER: u64 = 2;
 /// Streams that each test starts.
 const STREAMS: usize = 18;
 /// Interval between two heartbeats of a replica.
@@ -42,7 +42,7 @@
 /// What a replica does once it has sent [`BROKEN_AFTER`] events of a new
 /// stream.
 #[derive(Clone, Copy, PartialEq)]
-enum Break {
+pub enum Break {
     /// Pauses, so that the caller can leave.
     Pause,
     /// Closes the connection.
@@ -56,7 +56,7 @@
 }
 
 /// Returns the pieces of a stream.
-fn respond(head: &str, version: &str, how: Break) -> Vec<String> {
+pub fn respond(head: &str, version: &str, how: Break) -> Vec<String> {
     let after = number_in(head, "last: ").unwrap_or(0);
     let mut pieces = vec![
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_owned(),
@@ -125,16 +125,16 @@
 
 /// A stream as its caller sees it, over all its attempts.
 #[derive(Debug, Default)]
-struct Stream {
+pub struct Stream {
     /// Id of the attempt that brought the first event.
-    first: Option<usize>,
-    last: u64,
-    versions: BTreeSet<String>,
+    pub first: Option<usize>,
+    pub last: u64,
+    pub versions: BTreeSet<String>,
 }
 
 /// How an attempt ended.
 #[derive(Debug, PartialEq)]
-enum End {
+pub enum End {
     Whole,
     Broken,
     Left,
@@ -148,7 +148,7 @@
 
 impl Stream {
     /// Sends one attempt to a node, and leaves after the event `until`.
-    async fn attempt(&mut self, front: SocketAddr, until: u64) -> End {
+    pub async fn attempt(&mut self, front: SocketAddr, until: u64) -> End {
         let resumes = match self.first {
             Some(id) => format!("Resumes: {id}\r\nLast: {}\r\n", self.last),
             None => String::new(),
