Resume a stream only where a heartbeat confirms who answered

A replica that had restarted in place with other software meanwhile answered under the former version's record.

Change: the record of a stream names the incarnation that is believed to answer (StreamOrigin 7). It counts once a heartbeat that was sent after the connection was opened shows that this incarnation was still running. Streams wait up to 1.9 s for it, both for the replica that began them and for the one that takes them up, whose events are held back until then. A heartbeat that arrives late counts from when it was due.

--- a/src/decide/origin.rs
+++ b/src/decide/origin.rs
@@ -6,6 +6,11 @@
 //! each stream that may be resumed, at other nodes as well, as it may be
 //! killed before the stream's caller returns.
 //!
+//! A replica may restart with other software before any node hears of it, so
+//! a record only names the incarnation that is believed to answer. The record
+//! counts once a heartbeat shows that this incarnation was still running after
+//! the connection was opened.
+//!
 //! A record belongs to one request, and only the node that answers that
 //! request writes it. If the version changes before the caller has seen an
 //! event, the record with the higher sequence number replaces the earlier one.
@@ -43,6 +48,9 @@
         pub stream: u64,
         /// Where it began.
         pub origin: Origin,
+        /// Identifies the incarnation of the replica that was believed to
+        /// answer; 0 if it is not known.
+        pub replica: u32,
         /// Increases with each record that the writer makes of the stream.
         pub sequence: u32,
         /// When it was made, by this node's clock in ms.
@@ -136,6 +144,10 @@
             && other.origin != self.origin
         {
             self.origin.version.clear();
+        } else if other.sequence == self.sequence
+            && other.replica != self.replica
+        {
+            self.replica = 0;
         }
     }
 }
--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -145,6 +145,7 @@
         route,
         service,
         version,
+        begun: None,
         recording: None,
         is_settled: false,
         team,
--- a/src/gateway/ending.rs
+++ b/src/gateway/ending.rs
@@ -36,7 +36,10 @@
 use super::{Gateway, fleet::Target};
 use crate::{
     decide::quarantine::{Crash, Identity, Subject},
-    mesh::{lives::Fate, table::replica_hash},
+    mesh::{
+        lives::Fate,
+        table::{MAX_HEARTBEAT_AGE_ERROR_MS, replica_hash},
+    },
 };
 
 /// Delay before a new connection is tried. By then a process that is stopping
@@ -48,10 +51,6 @@
 /// after which a replica counts as crashed, in ms: two heartbeat intervals, as
 /// one heartbeat may be late or lost between nodes.
 const HEARTBEAT_TIMEOUT_MS: u64 = 2600;
-/// Largest amount by which a heartbeat received through other nodes seems
-/// younger than it is, in ms. A heartbeat sent before the crash must not show
-/// that the replica is alive.
-pub(super) const MAX_HEARTBEAT_AGE_ERROR_MS: u64 = 150;
 /// Longest time by which a busy node notices a broken connection later than
 /// the first broken connection to the same replica, in ms.
 const MAX_DISCONNECT_DELAY_MS: u64 = 50;
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -9,7 +9,6 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use super::{
-    ending::MAX_HEARTBEAT_AGE_ERROR_MS,
     memory::Memory,
     parts::{BLOCK_TOKENS, block_count, cached_blocks, path_hashes},
     plan::{Plan, Service},
@@ -27,7 +26,7 @@
     },
     mesh::{
         load_propagation_delay_ms,
-        table::{self, State, Table},
+        table::{self, MAX_HEARTBEAT_AGE_ERROR_MS, State, Table},
     },
     util::{common, name_hash, position, random_id},
     wire::{Cached, Under, Work},
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -37,6 +37,7 @@
     plan::{RetryPolicy, Route, Team},
     refusal::{Refusal, Tried, id_text},
     relay,
+    resume::Begun,
     server::{Body, full},
     survival::Proof,
     upstream::{Connection, Error, Fault},
@@ -47,6 +48,7 @@
         route::{RouteRequest, VersionRule},
     },
     fingerprint,
+    mesh::table::record_key,
     metrics::{FailedAttempt, Labels, Running},
     util::name_hash,
     verdict::Verdict,
@@ -80,6 +82,9 @@
     pub service: String,
     /// The software version that the stream's events come from.
     pub version: StreamVersion,
+    /// The incarnation that sends the stream's events, as long as it is not
+    /// confirmed; `None` for the events of a resumed stream.
+    pub begun: Option<Begun>,
     /// The record of where the stream begins, until its first event is sent.
     pub recording: Option<Recording>,
     /// True from the stream's first event on.
@@ -261,7 +266,8 @@
     let result = match accepted.run().await {
         Ok(Reply::Streaming(source, head)) if accepted.forwarded.is_some() => {
             // The other node is told the version in the head.
-            let settled = accepted.settle_version(&source.version).await;
+            let (version, begun) = (&source.version, source.begun);
+            let settled = accepted.settle_version(version, begun).await;
             let settled = settled.map_err(Refusal::may_have_run);
             settled.map(|()| Reply::Streaming(source, head))
         }
@@ -278,7 +284,9 @@
             accepted.log(head.status(), "streams");
             accepted.observe_first_token();
             let head = match accepted.forwarded {
-                Some(_) => mark_version(head, &accepted.version),
+                Some(_) => {
+                    mark_version(head, &accepted.version, accepted.begun)
+                }
                 None => head,
             };
             Ok(relay::open(accepted, *source, head))
@@ -368,7 +376,11 @@
                 &self.request_info.parts,
             );
             self.chosen = Some(target.clone());
-            self.record_origin(&StreamVersion::of(target.certain_version()));
+            self.record_origin(
+                &StreamVersion::of(target.certain_version()),
+                record_key(&target.replica),
+                None,
+            );
             match self.attempt(&target, self.request_info.last_event).await {
                 Ok(Reply::Complete(failure)) if is_failure(&failure) => {
                     self.attempts.note(&target.replica, Verdict::Ran, true);
@@ -646,6 +658,11 @@
             let read = Bytes::new();
             let carrier = Carrier::Replica(flight);
             let version = StreamVersion::of(target.certain_version());
+            let age = connection.opened_at().elapsed().as_millis() as u64;
+            let begun = Some(Begun {
+                replica: record_key(&target.replica),
+                opened_at: self.now().saturating_sub(age),
+            });
             let source = relay::Source {
                 read,
                 body,
@@ -654,6 +671,7 @@
                 carrier,
                 keep_ms,
                 version,
+                begun,
             };
             let head = answer_head(head, &Method::GET);
             return Ok(Reply::Streaming(Box::new(source), head));
@@ -719,6 +737,7 @@
                     carrier,
                     keep_ms,
                     version,
+                    begun: None,
                 };
                 let head = answer_head(head, &self.method);
                 return Ok(Reply::Streaming(Box::new(source), head));
--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -21,7 +21,7 @@
 };
 use tracing::info;
 
-use super::Gateway;
+use super::{Gateway, upstream::CONNECT_TIMEOUT};
 use crate::{
     decide::origin::{Origin, Record, Store},
     fingerprint,
@@ -171,12 +171,27 @@
         Recording { waiter, record: None, keep_ms, holders, is_changed: false }
     }
 
-    /// Records where the stream begins, if the next attempt succeeds.
-    pub fn record(&mut self, origin: Origin) {
+    /// Records where the stream begins, if the next attempt succeeds:
+    /// `replica` is the incarnation that the request is sent to.
+    ///
+    /// `opened_at` is when the attempt's connection was open, once there is
+    /// one. A record from long before then may name an incarnation that was
+    /// gone, so it is replaced.
+    pub fn record(
+        &mut self,
+        origin: Origin,
+        replica: u32,
+        opened_at: Option<u64>,
+    ) {
         let former = self.record.take();
         let sequence = former.as_ref().map_or(0, |record| record.sequence);
         if let Some(former) = former {
-            if former.origin == origin {
+            let is_timely = opened_at
+                .is_none_or(|at| at <= latest_opening(former.recorded_at));
+            if former.origin == origin
+                && former.replica == replica
+                && is_timely
+            {
                 self.record = Some(former);
                 return;
             }
@@ -186,6 +201,7 @@
         let record = Record {
             stream: self.waiter.mailbox.stream,
             origin,
+            replica,
             sequence: sequence + 1,
             recorded_at: gateway.timer.now(),
             keep_ms: self.keep_ms,
@@ -398,6 +414,12 @@
     }
 }
 
+/// Returns the latest time at which the connection of a recorded attempt was
+/// opened.
+pub(super) fn latest_opening(recorded_at: u64) -> u64 {
+    recorded_at + CONNECT_TIMEOUT.as_millis() as u64
+}
+
 fn newest_found(replies: &[Reply]) -> Option<(Record, Ipv4Addr)> {
     let found = replies.iter().filter_map(|reply| match &reply.kind {
         ReplyKind::Found(record) => Some((record.clone(), reply.from)),
@@ -412,6 +434,7 @@
         stream: record.stream,
         service: record.origin.service.clone(),
         version: record.origin.version.clone(),
+        replica: record.replica,
         sequence: record.sequence,
         age_ms: age_ms.min(u32::MAX.into()) as u32,
         keep_ms: record.keep_ms.min(u32::MAX.into()) as u32,
@@ -422,6 +445,7 @@
     Record {
         stream: says.stream,
         origin: Origin { service: says.service, version: says.version },
+        replica: says.replica,
         sequence: says.sequence,
         recorded_at: now.saturating_sub(says.age_ms.into()),
         keep_ms: says.keep_ms.into(),
--- a/src/gateway/peer_call.rs
+++ b/src/gateway/peer_call.rs
@@ -15,7 +15,8 @@
 //!
 //! The answer to a stream that may be resumed also has the header
 //! `azuremount-version`: the software version that began it, empty if that is
-//! not certain. If the replica announces in its answer that it leaves, the
+//! not certain. The header `azuremount-replica` identifies the incarnation that
+//! began it, until that is confirmed. If the replica announces in its answer that it leaves, the
 //! header `azuremount-leaving` has the id of its incarnation: the sender
 //! passes the announcement on, so it has to keep to it as well. Callers get
 //! none of these headers.
@@ -53,6 +54,7 @@
     plan::{RetryPolicy, Route, Team},
     refusal::{Refusal, Tried, id_text},
     relay,
+    resume::Begun,
     server::Body,
     upstream::{Connection, Error},
 };
@@ -65,6 +67,7 @@
 const FORWARDED: &str = "azuremount-forwarded";
 const OUTCOME: &str = "azuremount-outcome";
 const VERSION: &str = "azuremount-version";
+const REPLICA: &str = "azuremount-replica";
 const LEAVING: &str = "azuremount-leaving";
 const TRIED: &str = "azuremount-tried";
 const OUTCOME_ANSWER: &str = "answer";
@@ -470,6 +473,12 @@
         let version = head.headers.remove(VERSION);
         let version = version.as_ref().and_then(|value| value.to_str().ok());
         let version = StreamVersion::of(version.unwrap_or_default());
+        let begun = head.headers.remove(REPLICA);
+        let begun = begun.as_ref().and_then(|value| value.to_str().ok());
+        // The other node opened its connection before it answered.
+        let opened_at = self.now();
+        let begun = begun.and_then(|text| text.parse().ok());
+        let begun = begun.map(|replica| Begun { replica, opened_at });
         if let Some(replica) = head.headers.remove(LEAVING) {
             self.record_forwarded_departure(&replica, call.ip());
         }
@@ -484,6 +493,7 @@
                 carrier,
                 keep_ms: None,
                 version,
+                begun,
             };
             let head = answer_head(head, &self.method);
             let reply = Reply::Streaming(Box::new(source), head);
@@ -542,7 +552,7 @@
 
 /// Removes the headers that nodes send each other from a replica's answer.
 pub(super) fn remove_internal_headers(headers: &mut HeaderMap) {
-    for name in [OUTCOME, VERSION, LEAVING, TRIED] {
+    for name in [OUTCOME, VERSION, REPLICA, LEAVING, TRIED] {
         headers.remove(name);
     }
 }
@@ -552,7 +562,11 @@
 pub(super) fn mark_version(
     mut head: Response<()>,
     version: &StreamVersion,
+    begun: Option<Begun>,
 ) -> Response<()> {
+    if let Some(begun) = begun {
+        head.headers_mut().insert(REPLICA, begun.replica.into());
+    }
     let text = match version {
         StreamVersion::Only(version) => version.as_str(),
         StreamVersion::Any | StreamVersion::Unknown => "",
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -22,10 +22,11 @@
     forward::{AcceptedRequest, Reply, StreamVersion},
     peer_call::Outcome,
     plan::RetryPolicy,
+    resume::Begun,
     server::{Body, BodyError},
     upstream::{Connection, Error},
 };
-use crate::{fingerprint, verdict::Verdict};
+use crate::{fingerprint, mesh::table::record_key, verdict::Verdict};
 
 /// Silence after which a resumable stream moves to another replica. Callers
 /// disconnect after two seconds or more, and replicas under load pause for
@@ -45,6 +46,9 @@
     pub keep_ms: Option<u64>,
     /// The software version that the events come from.
     pub version: StreamVersion,
+    /// The incarnation that they come from; `None` if another node has
+    /// confirmed it.
+    pub begun: Option<Begun>,
 }
 
 struct Relay {
@@ -116,7 +120,8 @@
     async fn settle_version(&mut self) -> Result<(), &'static str> {
         match &self.source {
             Some(source) => {
-                self.accepted.settle_version(&source.version).await
+                let (version, begun) = (&source.version, source.begun);
+                self.accepted.settle_version(version, begun).await
             }
             None => Ok(()),
         }
@@ -232,6 +237,15 @@
             );
             return false;
         }
+        if !self.accepted.is_origin_confirmed().await {
+            info!(
+                target: "gateway",
+                request = self.request_id(),
+                "Stream can't be resumed: its replica may have restarted \
+                 before it began."
+            );
+            return false;
+        }
         while Instant::now() < self.accepted.deadline
             && self.accepted.allows_retry()
         {
@@ -253,7 +267,8 @@
             }
             self.accepted.chosen = Some(target.clone());
             let version = StreamVersion::of(target.certain_version());
-            self.accepted.record_origin(&version);
+            let replica = record_key(&target.replica);
+            self.accepted.record_origin(&version, replica, None);
             info!(
                 target: "gateway",
                 request = self.request_id(),
@@ -265,6 +280,15 @@
             );
             match self.accepted.attempt(&target, last).await {
                 Ok(Reply::Streaming(source, _)) => {
+                    if self.accepted.is_settled
+                        && !self.accepted.is_confirmed(source.begun).await
+                    {
+                        let replica = &target.replica;
+                        self.accepted.log_unconfirmed(replica);
+                        let verdict = Verdict::Ran;
+                        self.accepted.attempts.note(replica, verdict, true);
+                        continue;
+                    }
                     self.splitter = Splitter::open(last);
                     self.source = Some(*source);
                     self.accepted.gateway.metrics.moved.inc();
--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -9,20 +9,22 @@
 //! The answer to each request of such a stream is recorded under its own id as
 //! well, as callers may name that one the next time.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
+use tokio::time::{Instant, sleep};
 use tracing::info;
 
 use super::{
     Gateway,
     dialect::RequestInfo,
     forward::{AcceptedRequest, StreamVersion},
-    origins::{Lookup, Recording, Source},
+    origins::{Lookup, Recording, Source, latest_opening},
     plan::{RetryPolicy, Route, Team},
     refusal::{Refusal, id_text},
 };
 use crate::{
     decide::origin::{Origin, retention_ms, stream_key},
+    mesh::table::Liveness,
     metrics::Resumption,
 };
 
@@ -36,6 +38,23 @@
 /// before, in ms.
 const MIN_HISTORY_MS: u64 = 30_000;
 
+/// Maximum time for which a stream waits for the heartbeat that confirms its
+/// replica: one heartbeat interval, the time in which nodes learn of a
+/// heartbeat, and its possible lateness. Callers disconnect after two seconds
+/// without an event.
+const MAX_CONFIRMATION_WAIT: Duration = Duration::from_millis(1900);
+/// Interval between two checks for such a heartbeat.
+const CONFIRMATION_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// The incarnation that is believed to send a stream's events.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Begun {
+    /// Its [`record_key`](crate::mesh::table::record_key).
+    pub replica: u32,
+    /// Latest time at which the connection to it was opened, in ms.
+    pub opened_at: u64,
+}
+
 /// Why a stream can't go on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Obstacle {
@@ -45,6 +64,8 @@
     Unknown,
     /// It began at a replica whose version was not certain.
     Uncertain,
+    /// Its replica may have restarted with another version before it began.
+    Unconfirmed,
     /// Its service is no longer on the route.
     ServiceGone,
 }
@@ -55,6 +76,7 @@
             Obstacle::Unanswered => "unanswered",
             Obstacle::Unknown => "unknown",
             Obstacle::Uncertain => "uncertain",
+            Obstacle::Unconfirmed => "unconfirmed",
             Obstacle::ServiceGone => "service_gone",
         }
     }
@@ -72,6 +94,10 @@
                 "it is not certain which software version began the stream",
                 LOST_RETRY_AFTER_MS,
             ),
+            Obstacle::Unconfirmed => (
+                "the stream's replica may have restarted before it began",
+                UNANSWERED_RETRY_AFTER_MS,
+            ),
             Obstacle::ServiceGone => (
                 "the stream's service is no longer on its route",
                 LOST_RETRY_AFTER_MS,
@@ -146,14 +172,27 @@
             id => self.find_origin(stream_key(team, id.as_bytes())).await,
         };
         let found = match lookup {
-            Lookup::Found(record, source) => Found {
-                age_ms: self.timer.now().saturating_sub(record.recorded_at),
-                source: match source {
-                    Source::Own => "own".to_owned(),
-                    Source::Node(ip) => ip.to_string(),
-                },
-                origin: record.origin,
-            },
+            Lookup::Found(record, source) => {
+                let begun = Begun {
+                    replica: record.replica,
+                    opened_at: latest_opening(record.recorded_at),
+                };
+                let version = &record.origin.version;
+                if !version.is_empty()
+                    && !self.confirm(begun, version, self.latest_wait()).await
+                {
+                    return Err(Obstacle::Unconfirmed);
+                }
+                let now = self.timer.now();
+                Found {
+                    age_ms: now.saturating_sub(record.recorded_at),
+                    source: match source {
+                        Source::Own => "own".to_owned(),
+                        Source::Node(ip) => ip.to_string(),
+                    },
+                    origin: record.origin,
+                }
+            }
             Lookup::Unanswered => return Err(Obstacle::Unanswered),
             Lookup::Unknown => {
                 let origin = self.only_origin(route);
@@ -189,6 +228,35 @@
         Some(Origin { service: service.clone(), version })
     }
 
+    fn latest_wait(&self) -> Instant {
+        Instant::now() + MAX_CONFIRMATION_WAIT
+    }
+
+    /// Waits until a heartbeat shows that the believed incarnation accepted a
+    /// connection. Returns false if another one may have accepted it, unless
+    /// that has the same version.
+    async fn confirm(
+        &self,
+        begun: Begun,
+        version: &str,
+        until: Instant,
+    ) -> bool {
+        let Some(mesh) = self.mesh.get() else { return false };
+        loop {
+            let Begun { replica, opened_at } = begun;
+            match mesh.table().liveness(replica, opened_at) {
+                Liveness::Confirmed => return true,
+                Liveness::Superseded(later) => return later == version,
+                // A node that has just started hears of replicas soon.
+                Liveness::Open | Liveness::Unknown => {}
+            }
+            if Instant::now() >= until {
+                return false;
+            }
+            sleep(CONFIRMATION_POLL_INTERVAL).await;
+        }
+    }
+
     fn count_resumption(&self, outcome: &'static str) {
         let label = Resumption { outcome };
         self.metrics.resumptions.get_or_create(&label).inc();
@@ -198,7 +266,12 @@
 impl AcceptedRequest {
     /// Records where the stream begins if the next attempt succeeds, unless an
     /// event has been sent. The node that the caller is connected to does so.
-    pub fn record_origin(&mut self, version: &StreamVersion) {
+    pub fn record_origin(
+        &mut self,
+        version: &StreamVersion,
+        replica: u32,
+        opened_at: Option<u64>,
+    ) {
         let is_resumable = self.route.retry_policy == RetryPolicy::Resumable;
         if self.is_settled || !is_resumable || self.forwarded.is_some() {
             return;
@@ -210,13 +283,60 @@
             let keep_ms = retention_ms(self.route.timeout_ms);
             Recording::open(&self.gateway, stream, keep_ms)
         });
-        recording.record(Origin {
+        let origin = Origin {
             service: self.service.clone(),
             version: match version {
                 StreamVersion::Only(version) => version.clone(),
                 StreamVersion::Any | StreamVersion::Unknown => String::new(),
             },
-        });
+        };
+        recording.record(origin, replica, opened_at);
+    }
+
+    /// Returns whether the replica that an attempt was sent to is the
+    /// incarnation that nodes knew, and waits for the heartbeat that shows it.
+    pub async fn is_confirmed(&self, begun: Option<Begun>) -> bool {
+        let Some(begun) = begun else { return true };
+        let StreamVersion::Only(version) = &self.version else {
+            return true;
+        };
+        let until = self.deadline.min(self.gateway.latest_wait());
+        self.gateway.confirm(begun, version, until).await
+    }
+
+    /// Returns whether the version on record sent the events of a stream that
+    /// has just broken off.
+    ///
+    /// A replica that crashes is never heard again. Where no other version is
+    /// known and its heartbeats were on time until now, it is taken for the
+    /// one that began the stream.
+    pub async fn is_origin_confirmed(&self) -> bool {
+        let (true, Some(begun)) = (self.is_settled, self.begun) else {
+            return true;
+        };
+        if let Some(mesh) = self.gateway.mesh.get() {
+            let now = self.now();
+            let table = mesh.table();
+            let only = table.only_version(now, &self.service);
+            let only = only.map(|version| StreamVersion::of(version));
+            if only.as_ref() == Some(&self.version)
+                && table.is_on_time(now, begun.replica)
+            {
+                return true;
+            }
+        }
+        self.is_confirmed(Some(begun)).await
+    }
+
+    /// Logs that events of a replica were not sent on.
+    pub fn log_unconfirmed(&self, replica: &str) {
+        self.gateway.metrics.unconfirmed_replicas.inc();
+        info!(
+            target: "gateway",
+            request = id_text(self.request_info.id.as_ref()),
+            replica,
+            "Events not sent on: no heartbeat shows which version made them."
+        );
     }
 
     /// Counts a stream that can't go on now, although it is known where it
@@ -238,6 +358,7 @@
     pub async fn settle_version(
         &mut self,
         version: &StreamVersion,
+        begun: Option<Begun>,
     ) -> Result<(), &'static str> {
         let is_resumable = self.route.retry_policy == RetryPolicy::Resumable;
         if self.is_settled || !is_resumable {
@@ -247,7 +368,14 @@
         if is_resumed && self.version != *version {
             return Err("the replica's software version is not certain");
         }
-        self.record_origin(version);
+        if is_resumed && !self.is_confirmed(begun).await {
+            let chosen = self.chosen.as_ref();
+            self.log_unconfirmed(chosen.map_or("", |one| &one.replica));
+            return Err("no heartbeat shows which version made the events");
+        }
+        let replica = begun.map_or(0, |begun| begun.replica);
+        let opened_at = begun.map(|begun| begun.opened_at);
+        self.record_origin(version, replica, opened_at);
         if let Some(mut recording) = self.recording.take()
             && !recording.wait_until_kept().await
         {
@@ -257,6 +385,7 @@
             self.gateway.count_resumption("resumed");
         }
         self.version = version.clone();
+        self.begun = begun.filter(|_| !is_resumed);
         self.is_settled = true;
         Ok(())
     }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -32,7 +32,7 @@
 /// Time after which opening a connection fails. Links within a deployment take
 /// a few milliseconds. After this time the replica is down or unreachable, and
 /// most targets leave enough time to try another replica.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for which an idle connection is kept when the replica does not
 /// announce its own.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_millis(3000);
@@ -133,6 +133,8 @@
     sender: Sender,
     // Closes the connection when dropped.
     _task: Task,
+    /// When it was open.
+    opened_at: Instant,
     /// True when the connection was opened for this request.
     pub fresh: bool,
     had_long_body: bool,
@@ -344,6 +346,11 @@
         &self.replica
     }
 
+    /// Returns when the connection was open.
+    pub fn opened_at(&self) -> Instant {
+        self.opened_at
+    }
+
     /// Returns the address of the replica.
     pub fn address(&self) -> SocketAddrV4 {
         self.address
@@ -357,6 +364,7 @@
     let stream = TcpStream::connect(address)
         .await
         .map_err(|error| Error::not_connected(&error))?;
+    let opened_at = Instant::now();
     let _ = stream.set_nodelay(true);
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
@@ -370,6 +378,7 @@
         address,
         sender,
         _task: Task(task),
+        opened_at,
         fresh: true,
         had_long_body: false,
     })
--- a/src/mesh/lives.rs
+++ b/src/mesh/lives.rs
@@ -35,6 +35,9 @@
 /// also applies to an incarnation that is heard for the first time, in ms.
 /// Heartbeats may be delayed by seconds.
 const DEPARTURE_NOTICE_MS: u64 = 3000;
+/// Silence of a replica up to which its next heartbeat is not overdue, in ms:
+/// one heartbeat interval and the time in which nodes learn of a heartbeat.
+const MAX_ON_TIME_SILENCE_MS: u64 = 1600;
 /// Separates a replica's id from the start time of an incarnation.
 const INCARNATION_SEPARATOR: char = '@';
 
@@ -80,7 +83,66 @@
     crate::util::name_hash(id)
 }
 
+/// What heartbeats show of the incarnation that answered at a given time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Liveness {
+    /// It was still running later, so no other one can have answered.
+    Confirmed,
+    /// It is not known whether it was still running.
+    Open,
+    /// It was not heard since, but a later incarnation of this version was.
+    Superseded(String),
+    /// It is not known, or can't be told from another one.
+    Unknown,
+}
+
+/// Returns the number that identifies an incarnation in the record of a
+/// stream, never 0. It has 21 bits, so that a record fits its datagram; where
+/// two replicas have the same number, neither is confirmed.
+pub fn record_key(id: &str) -> u32 {
+    (replica_hash(id) % 0x1f_ffff) as u32 + 1
+}
+
 impl Table {
+    /// Returns what is known of the incarnation with a [`record_key`] that may
+    /// have accepted a connection at `since`.
+    pub fn liveness(&self, key: u32, since: u64) -> Liveness {
+        let has_key = |known: &&Replica| record_key(&known.sighting.id) == key;
+        let mut found = self.replicas.iter().filter(has_key);
+        let (Some(own), None) = (found.next(), found.next()) else {
+            return Liveness::Unknown;
+        };
+        if own.alive_at() > since {
+            return Liveness::Confirmed;
+        }
+        let says = &own.sighting;
+        let mut later = self.replicas.iter().filter(|known| {
+            let is_at_address = (known.sighting.ip, known.sighting.port)
+                == (says.ip, says.port);
+            known.hash != own.hash
+                && (replica_of(&known.sighting.id) == replica_of(&says.id)
+                    || is_at_address)
+                && known.first_seen_at >= own.first_seen_at
+                && known.sighting.born >= says.born
+        });
+        let versions = |known: &Replica| known.sighting.version.clone();
+        match (later.next().map(versions), later.next()) {
+            (Some(version), None) => Liveness::Superseded(version),
+            (Some(_), Some(_)) => Liveness::Unknown,
+            (None, _) => Liveness::Open,
+        }
+    }
+
+    /// Returns whether an incarnation's heartbeats are on time at `now`.
+    pub fn is_on_time(&self, now: u64, key: u32) -> bool {
+        let mut known = self.replicas.iter();
+        known.any(|known| {
+            record_key(&known.sighting.id) == key
+                && known.remembered_until.is_none()
+                && now < known.heard_at + MAX_ON_TIME_SILENCE_MS
+        })
+    }
+
     /// Applies a heartbeat. Returns true if other nodes need to know of it.
     pub fn apply_sighting(
         &mut self,
@@ -362,6 +424,7 @@
             sighting,
             state: State::Ready,
             heard_at: now,
+            lateness_ms: 0,
             first_seen_at: now,
             leaving_since: now,
             remembered_until: Some(now + REMEMBERED_REPLICA_TIMEOUT_MS),
@@ -455,6 +518,7 @@
             sighting,
             state,
             heard_at,
+            lateness_ms: 0,
             first_seen_at: now,
             leaving_since: now,
             remembered_until: None,
--- a/src/mesh/replica.rs
+++ b/src/mesh/replica.rs
@@ -8,6 +8,12 @@
 /// Time for which other replicas may fetch from the cache of a leaving
 /// replica, in ms. Replicas on reclaimed VMs stop after two to three seconds.
 const LEAVING_CACHE_FETCH_MS: u64 = 2000;
+/// Largest amount by which a heartbeat received through other nodes seems
+/// younger than it is, in ms.
+pub const MAX_HEARTBEAT_AGE_ERROR_MS: u64 = 150;
+/// Longest time between two heartbeats that are on time, in ms: the interval
+/// of 1,200 ms and the time that a call takes.
+const ON_TIME_INTERVAL_MS: u64 = 1300;
 
 common! {
     copy
@@ -42,6 +48,8 @@
         /// When its last heartbeat was received at any node, by this node's
         /// clock.
         pub heard_at: u64,
+        /// Time by which its last heartbeat may have been late, in ms.
+        pub lateness_ms: u64,
         /// When this node first learnt of it.
         pub first_seen_at: u64,
         /// When this node first learnt that it was leaving.
@@ -91,7 +99,7 @@
     ) -> bool {
         let is_newer = sighting.sequence > self.sighting.sequence;
         if is_newer {
-            self.heard_at = self.heard_at.max(heard_at);
+            self.record_heard(sighting.sequence, heard_at);
             self.remembered_until = None;
         }
         let has_new_state = state > self.state;
@@ -145,7 +153,7 @@
             return;
         }
         let heard_at = now.saturating_sub(u64::from(beat.age_ms));
-        self.heard_at = self.heard_at.max(heard_at);
+        self.record_heard(beat.sequence, heard_at);
         self.remembered_until = None;
         self.sighting.sequence = beat.sequence;
         if is_direct {
@@ -153,6 +161,30 @@
         }
     }
 
+    /// Records when a heartbeat was received.
+    ///
+    /// A heartbeat that arrives late was sent when it was due, perhaps before
+    /// a crash. Those after it count as late too until they have caught up.
+    fn record_heard(&mut self, sequence: u64, heard_at: u64) {
+        let steps = sequence.saturating_sub(self.sighting.sequence);
+        let due_ms = ON_TIME_INTERVAL_MS.saturating_mul(steps);
+        let gap_ms = heard_at.saturating_sub(self.heard_at);
+        self.lateness_ms = match self.remembered_until {
+            Some(_) => 0,
+            None => (self.lateness_ms + gap_ms).saturating_sub(due_ms),
+        };
+        self.heard_at = self.heard_at.max(heard_at);
+    }
+
+    /// Returns a time at which this incarnation was still running.
+    pub fn alive_at(&self) -> u64 {
+        let error_ms = self.lateness_ms + MAX_HEARTBEAT_AGE_ERROR_MS;
+        match self.remembered_until {
+            Some(_) => 0,
+            None => self.heard_at.saturating_sub(error_ms),
+        }
+    }
+
     /// Returns its last heartbeat with the present age.
     pub(super) fn last_beat(&self, now: u64) -> Beat {
         Beat {
--- a/src/mesh/table.rs
+++ b/src/mesh/table.rs
@@ -19,8 +19,8 @@
     role::{DRAIN_DURATION_MS, Rate, Role, Selector, View},
 };
 pub use super::{
-    lives::{incarnation_id, replica_hash, replica_of},
-    replica::{Replica, State},
+    lives::{Liveness, incarnation_id, record_key, replica_hash, replica_of},
+    replica::{MAX_HEARTBEAT_AGE_ERROR_MS, Replica, State},
 };
 use crate::{
     decide::origin::holder_rank,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -137,6 +137,9 @@
     pub failed_attempts: Family<FailedAttempt, Counter>,
     /// Streams that callers resume, by outcome.
     pub resumptions: Family<Resumption, Counter>,
+    /// Attempts to resume a stream whose events were not sent on, as no
+    /// heartbeat showed the version.
+    pub unconfirmed_replicas: Counter,
     /// Claims on the retry budgets, by service and outcome.
     pub retries: Family<Retry, Counter>,
     /// Retries in the window of the retry budget, by service.
@@ -205,6 +208,7 @@
             leaving_answers: Counter::default(),
             failed_attempts: Family::default(),
             resumptions: Family::default(),
+            unconfirmed_replicas: Counter::default(),
             retries: Family::default(),
             retry_budget_used: Family::default(),
             retry_budget_allowed: Family::default(),
@@ -302,6 +306,11 @@
             "Streams that callers resume, by outcome",
             metrics.resumptions.clone(),
         );
+        registry.register(
+            "unconfirmed_replicas",
+            "Attempts to resume a stream without proof of the version",
+            metrics.unconfirmed_replicas.clone(),
+        );
         registry.register(
             "retries",
             "Claims on the retry budgets, by service and outcome",
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -1158,6 +1158,10 @@
     /// How long it is kept, from then on.
     #[prost(uint32, tag = "6")]
     pub keep_ms: u32,
+    /// Hash of the id of the replica's life that is believed to answer; 0 when
+    /// not known.
+    #[prost(uint32, tag = "7")]
+    pub replica: u32,
 }
 /// The sender keeps a record.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/tests/all/origin.rs
+++ b/tests/all/origin.rs
@@ -23,6 +23,7 @@
             service: "app".to_owned(),
             version: version.to_owned(),
         },
+        replica: 1,
         sequence,
         recorded_at: 0,
         keep_ms: 60_000,
@@ -160,6 +161,7 @@
         sequence: 1,
         age_ms: 0,
         keep_ms: 30_000,
+        replica: 0x1f_ffff,
     };
     let receipt = Receipt { stream: u64::MAX, sequence: 1 };
     let length = |origins| {
