Show streams that are refused after a kill of all nodes

Records of where streams began are in memory only, and a node takes the only version that it knows after 30 s at the earliest.

--- a/tests/all/version_changes.rs
+++ b/tests/all/version_changes.rs
@@ -1,4 +1,5 @@
-//! Streams while a replica restarts in place with another software version.
+//! Streams while a replica restarts in place with another software version,
+//! and while all nodes are killed.
 //!
 //! Each event names the version of the replica that made it. The heartbeats of
 //! the new incarnation arrive late, or never.
@@ -12,7 +13,11 @@
     time::Duration,
 };
 
-use azuremount::{mesh::table::incarnation_id, node, wire::Sighting};
+use azuremount::{
+    mesh::table::{Liveness, Table, incarnation_id, record_key},
+    node,
+    wire::{Peer, Sighting},
+};
 use tokio::time::sleep;
 
 use crate::{
@@ -111,6 +116,19 @@
     fn front(&self, node: usize) -> SocketAddr {
         self.site.node(node % 4).front().unwrap()
     }
+
+    /// Kills all nodes and starts them again with their disks.
+    async fn restart_nodes(&mut self) {
+        self.nodes.lock().unwrap().clear();
+        for node in 0..4 {
+            self.site.stop(node).await;
+        }
+        for node in 0..4 {
+            self.site.start(node, false).await;
+        }
+        *self.nodes.lock().unwrap() = self.site.nodes().cloned().collect();
+        self.site.wait_until_all_serve().await;
+    }
 }
 
 /// Sends each replica's heartbeats to one node after the other.
@@ -215,3 +233,105 @@
         assert!(share(&streams) >= MIN_SHARE, "{streams:?}");
     }
 }
+
+/// Begins streams whose callers leave after some events.
+async fn begin_streams(fleet: &Fleet, count: usize) -> Vec<Stream> {
+    let mut streams = Vec::new();
+    for number in 0..count {
+        let mut stream = Stream::default();
+        stream.attempt(fleet.front(number), BROKEN_AFTER).await;
+        streams.push(stream);
+    }
+    streams
+}
+
+/// Resumes all streams at the same time, once each.
+async fn resume_all(fleet: &Fleet, streams: Vec<Stream>) -> Vec<Stream> {
+    let mut callers = Vec::new();
+    for (number, mut stream) in streams.into_iter().enumerate() {
+        let front = fleet.front(number + 1);
+        callers.push(tokio::spawn(async move {
+            stream.attempt(front, EVENTS).await;
+            stream
+        }));
+    }
+    let mut streams = Vec::new();
+    for caller in callers {
+        streams.push(caller.await.unwrap());
+    }
+    streams
+}
+
+/// Guards against streams that are refused after a kill of all nodes, as the
+/// records of where they began are lost, although one version serves.
+#[tokio::test]
+async fn streams_go_on_after_all_nodes_were_killed() {
+    let mut fleet = Fleet::open(&["v1"; 3], Break::Pause).await;
+    let streams = begin_streams(&fleet, STREAMS / 2).await;
+    fleet.restart_nodes().await;
+    // Bound: the streams go on within 2 s of readiness.
+    sleep(Duration::from_secs(2)).await;
+    let streams = resume_all(&fleet, streams).await;
+    assert_eq!(mixed(&streams), 0);
+    assert!(share(&streams) >= MIN_SHARE, "{streams:?}");
+}
+
+/// Guards against streams that go on at another version after a kill of all
+/// nodes: the version that began them was first heard just before the kill,
+/// and its replica is not heard after it.
+#[tokio::test]
+async fn a_kill_right_after_a_new_version_mixes_no_stream() {
+    let mut fleet = Fleet::open(&["v1"; 3], Break::Pause).await;
+    fleet.restart(0, "v2");
+    fleet.let_be_heard(0);
+    sleep(2 * HEARTBEAT_INTERVAL).await;
+    let streams = begin_streams(&fleet, STREAMS / 2).await;
+    fleet.incarnations.lock().unwrap()[0].is_heard = false;
+    fleet.restart_nodes().await;
+    let streams = resume_all(&fleet, streams).await;
+    sleep(Duration::from_secs(2)).await;
+    let streams = resume_all(&fleet, streams).await;
+    assert_eq!(mixed(&streams), 0);
+}
+
+/// Returns a heartbeat of an incarnation of a replica.
+fn heartbeat(born: u64, sequence: u64, version: &str) -> Sighting {
+    let address = SocketAddr::from(([127, 0, 0, 1], 80));
+    Sighting {
+        born,
+        sequence,
+        version: version.to_owned(),
+        ..sighting(&incarnation_id("r", born), address, 0)
+    }
+}
+
+/// Guards against a heartbeat that was sent before a restart in place, arrives
+/// after it, and confirms a connection to the new incarnation.
+#[test]
+fn a_late_heartbeat_counts_from_when_it_was_due() {
+    let mut table = Table::open(Peer { ip: 1, ..Peer::default() });
+    let key = record_key(&incarnation_id("r", 1));
+    table.apply_sighting(10_000, heartbeat(1, 1, "v1"), true);
+    // Due at 11,200, and 2 s late. The next one is as late.
+    table.apply_sighting(13_200, heartbeat(1, 2, "v1"), true);
+    table.apply_sighting(14_400, heartbeat(1, 3, "v1"), true);
+    assert_eq!(table.liveness(key, 12_500), Liveness::Open);
+    assert_eq!(table.liveness(key, 9000), Liveness::Confirmed);
+    let superseded = Liveness::Superseded("v2".to_owned());
+    table.apply_sighting(14_500, heartbeat(2, 1, "v2"), true);
+    assert_eq!(table.liveness(key, 12_500), superseded);
+    assert_eq!(table.liveness(key, 9000), Liveness::Confirmed);
+    assert_eq!(table.liveness(key + 1, 9000), Liveness::Unknown);
+}
+
+/// Guards against a later incarnation whose clock had stepped back, so that it
+/// seems to be the earlier one: it confirms nothing.
+#[test]
+fn an_incarnation_with_an_earlier_start_confirms_nothing() {
+    let mut table = Table::open(Peer { ip: 1, ..Peer::default() });
+    let key = record_key(&incarnation_id("r", 9));
+    table.apply_sighting(10_000, heartbeat(9, 1, "v1"), true);
+    table.apply_sighting(11_000, heartbeat(5, 1, "v2"), true);
+    table.apply_sighting(25_000, heartbeat(5, 2, "v2"), true);
+    assert_ne!(table.liveness(key, 10_500), Liveness::Confirmed);
+}
