--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -318,7 +318,7 @@
             let now = self.now();
             let table = mesh.table();
             let only = table.only_version(now, &self.service);
-            let only = only.map(|version| StreamVersion::of(version));
+            let only = only.map(StreamVersion::of);
             if only.as_ref() == Some(&self.version)
                 && table.is_on_time(now, begun.replica)
             {
