Keep roll-outs of software versions in the replicated log

Cause: operators can't move a service to another software version; a new version gets traffic as soon as its replicas appear. Change: orders and their state are records of the ledger. Members get them with their view; other nodes fetch them when a datagram names a newer version. Reads go through the quorum.

--- a/src/control/ledger.rs
+++ b/src/control/ledger.rs
@@ -33,12 +33,13 @@
     config,
     util::{common, position, upsert},
     wire::{
-        Answer, AppliedRecord, ApplyConfig, ApplyOutcome, Change, Claim,
-        ClaimOutcome, ClaimRecord, Depart, Endpoint, EndpointOutcome,
-        EndpointRecord, IssueOrder, LedgerState, LogEntry, OrderOutcome,
-        OrderRecord, Outcome, PlanOutcome, PutPlan, RecordUsage, Settle,
-        SourceFile, UsageOutcome, apply_outcome, change, claim_outcome,
-        endpoint_outcome, outcome,
+        Answer, AppliedRecord, ApplyConfig, ApplyOutcome, Change,
+        ChangeRollout, Claim, ClaimOutcome, ClaimRecord, Depart, Endpoint,
+        EndpointOutcome, EndpointRecord, IssueOrder, LedgerState, LogEntry,
+        OrderOutcome, OrderRecord, Outcome, PlanOutcome, PutPlan, RecordUsage,
+        RolloutOutcome, RolloutRecord, RolloutState, Settle, SourceFile,
+        UsageOutcome, apply_outcome, change, claim_outcome, endpoint_outcome,
+        outcome, rollout_outcome,
     },
 };
 
@@ -52,6 +53,12 @@
 /// Maximum length of a stored answer body, in bytes; longer bodies are
 /// dropped.
 pub const MAX_ANSWER_BYTES: usize = 64 * 1024;
+/// Time after the end of a roll-out for which the same order counts as a
+/// repeat whose answer was lost, in ms. Later it is a new order, so that an
+/// operator can try a version again.
+pub const ROLLOUT_REPEAT_MS: u64 = 10 * 60 * 1000;
+/// Number of roll-outs that are kept for each service.
+pub const MAX_ROLLOUTS_PER_SERVICE: usize = 8;
 
 common! {
     /// A configuration as the operators wrote it, with its revision.
@@ -65,6 +72,33 @@
     }
 }
 
+common! {
+    copy
+    /// What a [`ChangeRollout`] does; the numbers are those on the wire.
+    pub enum RolloutAction {
+        /// Starts a roll-out.
+        Start,
+        /// Raises the share of the new version.
+        Step,
+        /// Ends it: the new version has all traffic.
+        Complete,
+        /// Ends it: the old version has all traffic.
+        Revert,
+    }
+}
+
+impl RolloutAction {
+    fn of(action: u32) -> Option<RolloutAction> {
+        match action {
+            0 => Some(RolloutAction::Start),
+            1 => Some(RolloutAction::Step),
+            2 => Some(RolloutAction::Complete),
+            3 => Some(RolloutAction::Revert),
+            _ => None,
+        }
+    }
+}
+
 /// The state that results from the applied part of the log.
 #[derive(Debug, Default)]
 pub struct Ledger {
@@ -79,6 +113,8 @@
     plan: Option<PutPlan>,
     /// Usage records, sorted by window.
     usage: Vec<RecordUsage>,
+    /// Roll-outs, sorted by service and order.
+    rollouts: RolloutState,
 }
 
 impl Ledger {
@@ -101,6 +137,7 @@
             pruned_at: state.pruned_at,
             plan: state.plan,
             usage: state.usage,
+            rollouts: state.rollouts.unwrap_or_default(),
         })
     }
 
@@ -124,6 +161,8 @@
             pruned_at: self.pruned_at,
             plan: self.plan.clone(),
             usage: self.usage.clone(),
+            rollouts: (self.rollouts.version > 0)
+                .then(|| self.rollouts.clone()),
         }
         .encode_to_vec()
     }
@@ -172,6 +211,11 @@
         self.plan.as_ref().map_or(0, |plan| plan.version)
     }
 
+    /// Returns the state of all roll-outs.
+    pub fn rollouts(&self) -> &RolloutState {
+        &self.rollouts
+    }
+
     /// Returns the number of claims held.
     pub fn claim_count(&self) -> usize {
         self.claims.len()
@@ -234,6 +278,9 @@
             change::Kind::RecordUsage(usage) => {
                 outcome::Kind::Usage(self.record_usage(usage))
             }
+            change::Kind::Rollout(rollout) => {
+                outcome::Kind::Rollout(self.change_rollout(rollout))
+            }
             change::Kind::Membership(_) => outcome::Kind::Done(true),
         }
     }
@@ -313,6 +360,114 @@
         UsageOutcome { recorded: Some(recorded) }
     }
 
+    // ---- Roll-outs --------------------------------------------------------
+
+    fn change_rollout(&mut self, change: ChangeRollout) -> RolloutOutcome {
+        use rollout_outcome::Result;
+        let (result, record) = match RolloutAction::of(change.action) {
+            Some(RolloutAction::Start) => self.start_rollout(&change),
+            Some(action) => self.advance_rollout(action, &change),
+            None => (Result::Outdated, None),
+        };
+        let version = self.rollouts.version;
+        RolloutOutcome { result: result as i32, version, record }
+    }
+
+    /// Starts a roll-out, unless one of the service runs.
+    ///
+    /// The same order may arrive again as its answer was lost, also after its
+    /// end and after later orders. It is then accepted without effect: a state
+    /// never goes back from an end to running.
+    fn start_rollout(
+        &mut self,
+        order: &ChangeRollout,
+    ) -> (rollout_outcome::Result, Option<RolloutRecord>) {
+        use rollout_outcome::Result;
+        let known = || {
+            let records = self.rollouts.records.iter();
+            records.filter(|record| record.service == order.service)
+        };
+        let is_same = |record: &&RolloutRecord| {
+            record.to == order.to && record.duration_ms == order.duration_ms
+        };
+        let is_repeat = |record: &&RolloutRecord| {
+            let ended_ms = record.ended_ms.max(record.wall_ms);
+            let is_late = order.wall_ms >= ended_ms + ROLLOUT_REPEAT_MS;
+            is_same(record) && (record.is_running() || !is_late)
+        };
+        if let Some(record) = known().rev().find(is_repeat) {
+            return (Result::Accepted, Some(record.clone()));
+        }
+        match known().next_back() {
+            Some(last) if last.is_running() => {
+                return (Result::Conflict, Some(last.clone()));
+            }
+            Some(last) if last.is_completed() && last.to == order.to => {
+                return (Result::CompletedBefore, Some(last.clone()));
+            }
+            _ => {}
+        }
+        let excess =
+            (known().count() + 1).saturating_sub(MAX_ROLLOUTS_PER_SERVICE);
+        let state = &mut self.rollouts;
+        state.last_order += 1;
+        state.version += 1;
+        let record = RolloutRecord {
+            service: order.service.clone(),
+            to: order.to.clone(),
+            order: state.last_order,
+            wall_ms: order.wall_ms,
+            duration_ms: order.duration_ms,
+            ..RolloutRecord::default()
+        };
+        let mut dropped = 0;
+        state.records.retain(|record| {
+            let is_old = record.service == order.service && dropped < excess;
+            dropped += usize::from(is_old);
+            !is_old
+        });
+        let at = state.records.partition_point(|known| {
+            (&known.service, known.order) < (&record.service, record.order)
+        });
+        state.records.insert(at, record.clone());
+        (Result::Accepted, Some(record))
+    }
+
+    /// Applies the next step or the end of a roll-out. A decision that arrives
+    /// after another end changes nothing.
+    fn advance_rollout(
+        &mut self,
+        action: RolloutAction,
+        change: &ChangeRollout,
+    ) -> (rollout_outcome::Result, Option<RolloutRecord>) {
+        use rollout_outcome::Result;
+        let state = &mut self.rollouts;
+        let mut records = state.records.iter_mut();
+        let Some(record) = records.find(|record| record.order == change.order)
+        else {
+            return (Result::Outdated, None);
+        };
+        let is_newer = match action {
+            RolloutAction::Step => change.step > record.step,
+            _ => true,
+        };
+        if !record.is_running() || !is_newer {
+            return (Result::Outdated, Some(record.clone()));
+        }
+        match action {
+            RolloutAction::Step | RolloutAction::Start => {
+                record.step = change.step;
+            }
+            RolloutAction::Complete | RolloutAction::Revert => {
+                record.state = action as u32 - 1;
+                record.reason.clone_from(&change.reason);
+                record.ended_ms = change.wall_ms.max(record.wall_ms);
+            }
+        }
+        state.version += 1;
+        (Result::Accepted, Some(record.clone()))
+    }
+
     // ---- Claims -------------------------------------------------------------
 
     fn apply_claim(&mut self, at_ms: u64, claim: Claim) -> ClaimOutcome {
--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -31,8 +31,8 @@
     util::{common, wall_ms},
     wire::{
         Change, ConfigReply, Depart, Envelope, LogEntry, Member, Outcome,
-        PutPlan, Query, QueryReply, SourceFile, StatusReply, SyncReply,
-        SyncRequest, change, query, query_reply,
+        PutPlan, Query, QueryReply, RolloutState, SourceFile, StatusReply,
+        SyncReply, SyncRequest, change, query, query_reply,
     },
 };
 
@@ -108,6 +108,8 @@
     pub hears_leader: bool,
     /// The newest gateway plan that is known to be committed.
     pub plan: Option<Arc<PutPlan>>,
+    /// The newest state of the roll-outs that is known to be committed.
+    pub rollouts: Arc<RolloutState>,
 }
 
 common! {
@@ -581,7 +583,8 @@
                 || view.leader != self.node.leader()
                 || view.leads != self.node.is_leader()
                 || view.hears_leader != hears_leader
-                || published_version != version;
+                || published_version != version
+                || view.rollouts.version != self.ledger.rollouts().version;
             view.term = self.node.term();
             view.leader = self.node.leader();
             view.leads = self.node.is_leader();
@@ -589,6 +592,9 @@
             if published_version != version {
                 view.plan = self.ledger.plan().cloned().map(Arc::new);
             }
+            if view.rollouts.version != self.ledger.rollouts().version {
+                view.rollouts = Arc::new(self.ledger.rollouts().clone());
+            }
             changed
         });
     }
@@ -774,6 +780,10 @@
             Some(query::Kind::Plan(plan_query)) => {
                 Some(query_reply::Kind::Plan(self.plan_reply(plan_query.held)))
             }
+            Some(query::Kind::Rollouts(_)) => {
+                let state = self.ledger.rollouts().clone();
+                Some(query_reply::Kind::Rollouts(state))
+            }
             None => None,
         };
         QueryReply { kind }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -16,4 +16,5 @@
 pub mod rate_limit;
 pub mod reach;
 pub mod retry;
+pub mod rollout;
 pub mod route;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 //! | `origins` | keeps records of where streams began, at other nodes as well |
 //! | `resume` | decides where a stream goes on that a caller resumes |
 //! | `retries` | claims retries from the retry budgets |
+//! | `rollouts` | sends a new software version its share of the requests |
 //! | `overload` | refuses requests that replicas can't start in time |
 //! | `suspects` | tracks requests that may have crashed replicas |
 //! | `survival` | tells whether replicas survived what they answered |
@@ -55,6 +56,7 @@
 mod relay;
 mod resume;
 mod retries;
+mod rollouts;
 pub mod server;
 mod survival;
 mod suspects;
@@ -83,6 +85,7 @@
     plan::{Limits, Plan, Route, Team},
     probes::PathCheck,
     quotas::Quotas,
+    rollouts::Rollouts,
     survival::UnprovenAnswers,
     upstream::Pool,
 };
@@ -93,6 +96,7 @@
         quota::Tolerance,
         rate_limit::RateLimits,
         retry::{Bound, Peak},
+        rollout,
     },
     mesh::{self, table::LocalReport},
     metrics::Metrics,
@@ -136,6 +140,8 @@
     pub usage_window: UsageWindow,
     /// Memory for the bodies of all requests in flight together, in bytes.
     pub body_memory: usize,
+    /// Bounds on roll-outs; without them there are no roll-outs.
+    pub rollouts: Option<rollout::Bounds>,
 }
 
 /// The data path of one node.
@@ -176,6 +182,7 @@
     mesh: std::sync::OnceLock<mesh::Handle>,
     fleet: Mutex<Fleet>,
     quotas: Mutex<Quotas>,
+    rollouts: Rollouts,
     /// True when other nodes may already have been serving when this node
     /// started.
     joins: AtomicBool,
@@ -241,6 +248,7 @@
                 options.retry_bound,
             )),
             quotas: Mutex::default(),
+            rollouts: Rollouts::open(options.rollouts),
             joins: AtomicBool::new(false),
             usage_window: options.usage_window,
             tolerance: options.tolerance,
--- a/src/gateway/newest_plan.rs
+++ b/src/gateway/newest_plan.rs
@@ -37,7 +37,7 @@
     }
 
     /// Returns the newest version that this node knows of.
-    pub(super) fn newest_plan_version(&self) -> u64 {
+    pub(crate) fn newest_plan_version(&self) -> u64 {
         self.newest_plan.lock().version.max(self.plan_version())
     }
 
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -131,6 +131,9 @@
     /// Called with another node's records of streams, or its requests for
     /// them. Returns the reply.
     fn on_origins(&self, from: Ipv4Addr, origins: Origins) -> Option<Origins>;
+    /// Called with the node that sent a datagram, if it takes part in
+    /// roll-outs.
+    fn on_rollouts(self: Arc<Self>, from: &Peer);
     /// Called after a change, and in each regular round.
     fn on_changes(self: Arc<Self>, changes: Changes);
 }
@@ -324,6 +327,7 @@
         if !gossip.limits.is_empty() {
             host.on_rate_limits(&gossip.limits);
         }
+        let peer = gossip.from.clone().filter(|peer| peer.rollouts > 0);
         let now = shared.timer.now();
         let (changes, departures) = {
             let mut table = shared.table();
@@ -337,6 +341,9 @@
                 "Departure of a replica reported by {}.", from.ip()
             );
         }
+        if let Some(peer) = &peer {
+            host.clone().on_rollouts(peer);
+        }
         if changes != Changes::default() {
             host.clone().on_changes(changes);
         }
--- a/src/node/member.rs
+++ b/src/node/member.rs
@@ -31,6 +31,7 @@
                 (me.leader_term, me.leader) = (current.term, leader);
             }
         }
+        node.adopt_rollouts(current.rollouts);
         if let Some(plan) = current.plan {
             node.adopt(plan);
         }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -26,6 +26,7 @@
 mod plan;
 mod plan_fetch;
 mod recall;
+mod rollouts;
 
 use std::{
     fmt, io,
@@ -69,11 +70,14 @@
     util::random_id,
     wire::{
         Cached, Crash, CrashReport, Origins, Peer, PutPlan, RateLimit,
-        Sighting, Success,
+        RolloutRecord, Sighting, Success,
     },
 };
 
-pub use self::plan::PutError;
+pub use self::{
+    plan::PutError,
+    rollouts::{RolloutError, RolloutOrder},
+};
 
 /// Maximum time for which a stopping node goes on accepting requests. Clients
 /// keep an address for up to twice its announced lifetime. The few that come
@@ -150,6 +154,7 @@
     /// with the gateway's plan.
     plan_record: Mutex<Option<Arc<PutPlan>>>,
     plan_fetch: plan_fetch::State,
+    rollout_fetch: rollouts::Fetching,
     /// Whether this node can tell other nodes what replicas have cached.
     knows_caches: AtomicBool,
     /// Time of the last log line about an unreadable heartbeat.
@@ -216,6 +221,7 @@
         read_plan: options.read_plan,
         plan_record: Mutex::new(None),
         plan_fetch: plan_fetch::State::default(),
+        rollout_fetch: rollouts::Fetching::default(),
         knows_caches: AtomicBool::new(false),
         unreadable_logged_at: Mutex::new(None),
         stopping: AtomicBool::new(false),
@@ -273,6 +279,9 @@
         tokio::spawn(recall::learn(node.clone(), folder.clone())),
         tokio::spawn(probes::run(gateway.clone())),
     ];
+    if gateway.has_rollouts() {
+        tasks.push(tokio::spawn(rollouts::run(node.clone(), seat.clone())));
+    }
     if let Some(folder) = folder {
         tasks.push(tokio::spawn(recall::save(node.clone(), folder)));
     }
@@ -368,6 +377,38 @@
         read
     }
 
+    /// Returns true where operators can start roll-outs.
+    pub fn has_rollouts(&self) -> bool {
+        self.node.gateway.has_rollouts()
+    }
+
+    /// Starts a roll-out. Returns its state once the order is committed; an
+    /// order that was accepted before is accepted again without effect.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the order is invalid, if another roll-out of the
+    /// service runs, or if control did not confirm it.
+    pub async fn start_rollout(
+        &self,
+        order: RolloutOrder,
+    ) -> Result<RolloutRecord, RolloutError> {
+        self.node.start_rollout(order).await
+    }
+
+    /// Returns the newest roll-out of a service, read through the quorum.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no majority answers.
+    pub async fn read_rollout(
+        &self,
+        service: &str,
+    ) -> Result<Option<RolloutRecord>, RolloutError> {
+        let state = self.node.read_rollouts().await?;
+        Ok(state.newest(service).cloned())
+    }
+
     /// Returns a VM that can send `bytes` bytes to an operator much faster
     /// than this VM, if the transfer would take long here and such a VM is
     /// known.
@@ -591,6 +632,12 @@
         self.gateway.receive_origins(from, origins)
     }
 
+    fn on_rollouts(self: Arc<Self>, from: &Peer) {
+        if self.gateway.has_rollouts() {
+            self.receive_known_rollouts(from.ip.into(), from.rollouts);
+        }
+    }
+
     fn on_changes(self: Arc<Self>, changes: Changes) {
         // A leaving replica must not get requests from now on, so the fleet is
         // refreshed at once. New replicas can wait until several have
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -15,11 +15,12 @@
 use tonic::{Request, Response, Status, transport::server::TcpIncoming};
 use tracing::warn;
 
-use super::{Node, lock};
+use super::{Node, RolloutError, RolloutOrder, lock};
 use crate::{
     control::server::{MAX_MESSAGE_BYTES, Service},
     wire::{
-        Caches, Empty, Levels, PartRelease, PutPlan, Sightings,
+        Caches, ChangeRollout, Empty, Levels, PartRelease, PutPlan,
+        RolloutOutcome, RolloutState, Sightings,
         nodes_server::{Nodes, NodesServer},
     },
 };
@@ -110,6 +111,37 @@
         }
     }
 
+    async fn rollouts(
+        &self,
+        _: Request<Empty>,
+    ) -> Result<Response<RolloutState>, Status> {
+        let state = self.node.gateway.rollout_state();
+        Ok(Response::new(RolloutState::clone(&state)))
+    }
+
+    async fn start_rollout(
+        &self,
+        request: Request<ChangeRollout>,
+    ) -> Result<Response<RolloutOutcome>, Status> {
+        if !self.node.gateway.has_rollouts() {
+            return Err(Status::unimplemented("there are no roll-outs"));
+        }
+        let ChangeRollout { service, to, duration_ms, .. } =
+            request.into_inner();
+        let order = RolloutOrder { service, to, duration_ms };
+        let started = self.node.start_rollout(order).await;
+        let record = started.map_err(|error| match error {
+            RolloutError::Invalid(text) => Status::invalid_argument(text),
+            RolloutError::Conflict(text) => Status::already_exists(text),
+            RolloutError::NotConfirmed(text) => Status::unavailable(text),
+        })?;
+        let record = Some(record);
+        Ok(Response::new(RolloutOutcome {
+            record,
+            ..RolloutOutcome::default()
+        }))
+    }
+
     async fn recall(
         &self,
         _: Request<Empty>,
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -118,7 +118,7 @@
     /// Wall clock of the leader that proposed it, in ms; drives retention.
     #[prost(uint64, tag = "1")]
     pub at_ms: u64,
-    #[prost(oneof = "change::Kind", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "change::Kind", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub kind: ::core::option::Option<change::Kind>,
 }
 /// Nested message and enum types in `Change`.
@@ -143,8 +143,35 @@
         PutPlan(super::PutPlan),
         #[prost(message, tag = "10")]
         RecordUsage(super::RecordUsage),
+        #[prost(message, tag = "11")]
+        Rollout(super::ChangeRollout),
     }
 }
+/// Starts the roll-out of a software version of a service, or moves it on.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ChangeRollout {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// 0: an operator's order, 1: the next step, 2: completed, 3: reverted.
+    #[prost(uint32, tag = "2")]
+    pub action: u32,
+    /// Software version that the service's traffic moves to.
+    #[prost(string, tag = "3")]
+    pub to: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "4")]
+    pub duration_ms: u64,
+    /// Time of day of the order, in ms since 1970, by the median of the nodes'
+    /// clocks.
+    #[prost(uint64, tag = "5")]
+    pub wall_ms: u64,
+    /// The order that a step or an end is for; without effect on another one.
+    #[prost(uint64, tag = "6")]
+    pub order: u64,
+    #[prost(uint32, tag = "7")]
+    pub step: u32,
+    #[prost(string, tag = "8")]
+    pub reason: ::prost::alloc::string::String,
+}
 /// A gateway plan, numbered by its operators; the highest version counts.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct PutPlan {
@@ -350,6 +377,65 @@
     #[prost(uint64, tag = "1")]
     pub version: u64,
 }
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RolloutOutcome {
+    #[prost(enumeration = "rollout_outcome::Result", tag = "1")]
+    pub result: i32,
+    /// Version of the state of all roll-outs afterwards.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    #[prost(message, optional, tag = "3")]
+    pub record: ::core::option::Option<RolloutRecord>,
+}
+/// Nested message and enum types in `RolloutOutcome`.
+pub mod rollout_outcome {
+    #[derive(
+        Clone,
+        Copy,
+        Debug,
+        PartialEq,
+        Eq,
+        Hash,
+        PartialOrd,
+        Ord,
+        ::prost::Enumeration
+    )]
+    #[repr(i32)]
+    pub enum Result {
+        /// Also for an order that was accepted before.
+        Accepted = 0,
+        /// Another roll-out of the service runs.
+        Conflict = 1,
+        /// The service has completed a roll-out of this version last.
+        CompletedBefore = 2,
+        /// The roll-out has ended, or has moved on.
+        Outdated = 3,
+    }
+    impl Result {
+        /// String value of the enum field names used in the ProtoBuf definition.
+        ///
+        /// The values are not transformed in any way and thus are considered stable
+        /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+        pub fn as_str_name(&self) -> &'static str {
+            match self {
+                Self::Accepted => "ACCEPTED",
+                Self::Conflict => "CONFLICT",
+                Self::CompletedBefore => "COMPLETED_BEFORE",
+                Self::Outdated => "OUTDATED",
+            }
+        }
+        /// Creates an enum from field names used in the ProtoBuf definition.
+        pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+            match value {
+                "ACCEPTED" => Some(Self::Accepted),
+                "CONFLICT" => Some(Self::Conflict),
+                "COMPLETED_BEFORE" => Some(Self::CompletedBefore),
+                "OUTDATED" => Some(Self::Outdated),
+                _ => None,
+            }
+        }
+    }
+}
 /// The window's figure that was recorded first.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct UsageOutcome {
@@ -360,7 +446,7 @@
 pub struct Outcome {
     #[prost(uint64, tag = "1")]
     pub index: u64,
-    #[prost(oneof = "outcome::Kind", tags = "2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "outcome::Kind", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
     pub kind: ::core::option::Option<outcome::Kind>,
 }
 /// Nested message and enum types in `Outcome`.
@@ -381,6 +467,8 @@
         Plan(super::PlanOutcome),
         #[prost(message, tag = "8")]
         Usage(super::UsageOutcome),
+        #[prost(message, tag = "9")]
+        Rollout(super::RolloutOutcome),
     }
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -468,6 +556,45 @@
     #[prost(message, optional, tag = "3")]
     pub order: ::core::option::Option<IssueOrder>,
 }
+/// An operator's order to move a service's traffic to a software version.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RolloutRecord {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub to: ::prost::alloc::string::String,
+    /// Identifies the order; grows with each order of any service.
+    #[prost(uint64, tag = "3")]
+    pub order: u64,
+    /// Time of day of the order, in ms since 1970.
+    #[prost(uint64, tag = "4")]
+    pub wall_ms: u64,
+    #[prost(uint64, tag = "5")]
+    pub duration_ms: u64,
+    /// 0: running, 1: completed, 2: reverted.
+    #[prost(uint32, tag = "6")]
+    pub state: u32,
+    /// Number of times that the share of the version was raised.
+    #[prost(uint32, tag = "7")]
+    pub step: u32,
+    /// Why it was reverted.
+    #[prost(string, tag = "8")]
+    pub reason: ::prost::alloc::string::String,
+    /// Time of day of the end, in ms since 1970.
+    #[prost(uint64, tag = "9")]
+    pub ended_ms: u64,
+}
+/// All roll-outs: the newest ones of each service, by service and order.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RolloutState {
+    /// Grows with each change.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub records: ::prost::alloc::vec::Vec<RolloutRecord>,
+    #[prost(uint64, tag = "3")]
+    pub last_order: u64,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct LedgerState {
     #[prost(uint64, tag = "1")]
@@ -494,6 +621,8 @@
     pub plan: ::core::option::Option<PutPlan>,
     #[prost(message, repeated, tag = "12")]
     pub usage: ::prost::alloc::vec::Vec<RecordUsage>,
+    #[prost(message, optional, tag = "13")]
+    pub rollouts: ::core::option::Option<RolloutState>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct VoteRequest {
@@ -683,7 +812,7 @@
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Query {
-    #[prost(oneof = "query::Kind", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "query::Kind", tags = "1, 2, 3, 4, 5")]
     pub kind: ::core::option::Option<query::Kind>,
 }
 /// Nested message and enum types in `Query`.
@@ -698,6 +827,8 @@
         Status(super::Empty),
         #[prost(message, tag = "4")]
         Plan(super::PlanQuery),
+        #[prost(message, tag = "5")]
+        Rollouts(super::Empty),
     }
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -734,7 +865,7 @@
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct QueryReply {
-    #[prost(oneof = "query_reply::Kind", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "query_reply::Kind", tags = "1, 2, 3, 4, 5")]
     pub kind: ::core::option::Option<query_reply::Kind>,
 }
 /// Nested message and enum types in `QueryReply`.
@@ -749,6 +880,8 @@
         Status(super::StatusReply),
         #[prost(message, tag = "4")]
         Plan(super::PutPlan),
+        #[prost(message, tag = "5")]
+        Rollouts(super::RolloutState),
     }
 }
 /// A copy of an accepted request, with what has been answered so far.
@@ -887,6 +1020,10 @@
     /// the node has heard of them itself; 0 when not known.
     #[prost(uint32, tag = "16")]
     pub entries: u32,
+    /// Version of the state of the roll-outs that the node obeys, plus one; 0
+    /// while it does not know the state, or takes no part in roll-outs.
+    #[prost(uint64, tag = "17")]
+    pub rollouts: u64,
 }
 /// What is known of one incarnation of a replica.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -1137,6 +1274,70 @@
     pub origins: ::core::option::Option<Origins>,
     #[prost(message, optional, tag = "21")]
     pub parts: ::core::option::Option<CrashReport>,
+    #[prost(message, optional, tag = "22")]
+    pub rollouts: ::core::option::Option<RolloutReport>,
+}
+/// Answers of the replicas of a service to one node, since the order.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Tally {
+    /// Hash of the route's name.
+    #[prost(fixed64, tag = "1")]
+    pub route: u64,
+    /// Step of the roll-out.
+    #[prost(uint32, tag = "2")]
+    pub step: u32,
+    /// Whether the replicas have the software version of the order.
+    #[prost(bool, tag = "3")]
+    pub is_new: bool,
+    /// What is timed, and the size of the request.
+    #[prost(uint32, tag = "4")]
+    pub class: u32,
+    /// Answers, failures among them, and answers that broke off.
+    #[prost(uint32, tag = "5")]
+    pub answers: u32,
+    #[prost(uint32, tag = "6")]
+    pub failures: u32,
+    #[prost(uint32, tag = "7")]
+    pub breaks: u32,
+    /// Histogram of the times, from the interval `first` on.
+    #[prost(uint32, tag = "8")]
+    pub first: u32,
+    #[prost(uint32, repeated, tag = "9")]
+    pub times: ::prost::alloc::vec::Vec<u32>,
+}
+/// What a node has seen of a roll-out, as totals since it learnt of it.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Evidence {
+    #[prost(uint64, tag = "1")]
+    pub order: u64,
+    /// The step that the node obeys.
+    #[prost(uint32, tag = "2")]
+    pub step: u32,
+    /// Set while the node sends nothing to the new version.
+    #[prost(bool, tag = "3")]
+    pub holds_back: bool,
+    /// Its requests in flight at other versions.
+    #[prost(uint32, tag = "4")]
+    pub old_in_flight: u32,
+    #[prost(message, repeated, tag = "5")]
+    pub tallies: ::prost::alloc::vec::Vec<Tally>,
+    /// Requests that it sent to the service, and to the new version.
+    #[prost(uint64, tag = "6")]
+    pub sent: u64,
+    #[prost(uint64, tag = "7")]
+    pub exposed: u64,
+}
+/// What a node knows of the roll-outs that run.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RolloutReport {
+    /// Version of the state, plus one.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Since a leader is known to have had no newer state.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
+    #[prost(message, repeated, tag = "3")]
+    pub evidence: ::prost::alloc::vec::Vec<Evidence>,
 }
 /// Where a stream began, which may be resumed.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -2653,6 +2854,50 @@
                 .insert(GrpcMethod::new("azuremount.v1.Nodes", "Release"));
             self.inner.unary(req, path, codec).await
         }
+        /// The state of the roll-outs that the receiver obeys.
+        pub async fn rollouts(
+            &mut self,
+            request: impl tonic::IntoRequest<super::Empty>,
+        ) -> std::result::Result<tonic::Response<super::RolloutState>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/azuremount.v1.Nodes/Rollouts",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("azuremount.v1.Nodes", "Rollouts"));
+            self.inner.unary(req, path, codec).await
+        }
+        /// Starts a roll-out, as an operator's call to the platform's API does.
+        pub async fn start_rollout(
+            &mut self,
+            request: impl tonic::IntoRequest<super::ChangeRollout>,
+        ) -> std::result::Result<tonic::Response<super::RolloutOutcome>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/azuremount.v1.Nodes/StartRollout",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("azuremount.v1.Nodes", "StartRollout"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -2700,6 +2945,16 @@
             &self,
             request: tonic::Request<super::PartRelease>,
         ) -> std::result::Result<tonic::Response<super::Empty>, tonic::Status>;
+        /// The state of the roll-outs that the receiver obeys.
+        async fn rollouts(
+            &self,
+            request: tonic::Request<super::Empty>,
+        ) -> std::result::Result<tonic::Response<super::RolloutState>, tonic::Status>;
+        /// Starts a roll-out, as an operator's call to the platform's API does.
+        async fn start_rollout(
+            &self,
+            request: tonic::Request<super::ChangeRollout>,
+        ) -> std::result::Result<tonic::Response<super::RolloutOutcome>, tonic::Status>;
     }
     #[derive(Debug)]
     pub struct NodesServer<T> {
@@ -2993,6 +3248,92 @@
                     };
                     Box::pin(fut)
                 }
+                "/azuremount.v1.Nodes/Rollouts" => {
+                    #[allow(non_camel_case_types)]
+                    struct RolloutsSvc<T: Nodes>(pub Arc<T>);
+                    impl<T: Nodes> tonic::server::UnaryService<super::Empty>
+                    for RolloutsSvc<T> {
+                        type Response = super::RolloutState;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::Empty>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Nodes>::rollouts(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = RolloutsSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/azuremount.v1.Nodes/StartRollout" => {
+                    #[allow(non_camel_case_types)]
+                    struct StartRolloutSvc<T: Nodes>(pub Arc<T>);
+                    impl<T: Nodes> tonic::server::UnaryService<super::ChangeRollout>
+                    for StartRolloutSvc<T> {
+                        type Response = super::RolloutOutcome;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::ChangeRollout>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Nodes>::start_rollout(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = StartRolloutSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -25,3 +25,32 @@
         (&self.id, self.incarnation)
     }
 }
+
+impl RolloutRecord {
+    /// Returns true until the roll-out is completed or reverted.
+    pub fn is_running(&self) -> bool {
+        self.state == 0
+    }
+
+    /// Returns true once the new version has all traffic.
+    pub fn is_completed(&self) -> bool {
+        self.state == 1
+    }
+
+    /// Returns the state by its name in operators' calls.
+    pub fn state_name(&self) -> &'static str {
+        match self.state {
+            0 => "running",
+            1 => "completed",
+            _ => "reverted",
+        }
+    }
+}
+
+impl RolloutState {
+    /// Returns the newest roll-out of a service.
+    pub fn newest(&self, service: &str) -> Option<&RolloutRecord> {
+        let mut records = self.records.iter().rev();
+        records.find(|record| record.service == service)
+    }
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -38,6 +38,7 @@
 mod requests;
 mod retry_budget;
 mod roles;
+mod rollouts;
 mod scenario;
 mod steps;
 mod versions;
--- a/tests/all/nodes.rs
+++ b/tests/all/nodes.rs
@@ -9,6 +9,8 @@
 
 use azuremount::{
     control::seat,
+    decide::rollout,
+    gateway,
     mesh::table::replica_hash,
     node::{self, PutError},
     timer::Timer,
@@ -30,6 +32,7 @@
 pub struct Site {
     /// Number of members that may lose their disks at the same time.
     survivable_disk_losses: usize,
+    rollouts: Option<rollout::Bounds>,
     ips: Vec<Ipv4Addr>,
     folders: Vec<Option<TempFolder>>,
     nodes: Vec<Option<node::Handle>>,
@@ -38,19 +41,30 @@
 impl Site {
     /// Starts `disks` nodes with a disk and `others` nodes without one.
     pub async fn open(disks: usize, others: usize) -> Site {
-        Site::open_with_tolerance(disks, others, 1).await
+        Site::open_with_tolerance(disks, others, 1, None).await
+    }
+
+    /// Starts nodes that take part in roll-outs.
+    pub async fn open_with_rollouts(
+        disks: usize,
+        others: usize,
+        bounds: rollout::Bounds,
+    ) -> Site {
+        Site::open_with_tolerance(disks, others, 1, Some(bounds)).await
     }
 
     async fn open_with_tolerance(
         disks: usize,
         others: usize,
         survivable_disk_losses: usize,
+        rollouts: Option<rollout::Bounds>,
     ) -> Site {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let net = NEXT.fetch_add(1, Ordering::Relaxed);
         let count = disks + others;
         let mut site = Site {
             survivable_disk_losses,
+            rollouts,
             ips: (0..count as u32)
                 .map(|at| Ipv4Addr::from(0x7f58_0001 + (net << 8) + at))
                 .collect(),
@@ -67,12 +81,17 @@
 
     pub async fn start(&mut self, at: usize, first: bool) {
         let folder = self.folders[at].as_ref();
+        let defaults = options(self.ips[at], PORT, &self.ips[..3]);
         let options = node::Options {
             folder: folder.map(|folder| folder.0.clone()),
             founds: first && at == 0,
             is_first_start: first,
             survivable_disk_losses: self.survivable_disk_losses,
-            ..options(self.ips[at], PORT, &self.ips[..3])
+            gateway: gateway::Options {
+                rollouts: self.rollouts,
+                ..defaults.gateway.clone()
+            },
+            ..defaults
         };
         let started = async {
             loop {
@@ -383,7 +402,7 @@
 /// among those that return with an empty disk.
 #[tokio::test]
 async fn acknowledged_plans_survive_disk_losses_during_a_power_loss() {
-    let mut site = Site::open_with_tolerance(5, 2, 2).await;
+    let mut site = Site::open_with_tolerance(5, 2, 2, None).await;
     apply_plan(site.node(6), 1).await;
     site.wait_until_all_serve().await;
     for (round, lost) in [[0, 1], [2, 3], [4, 0]].into_iter().enumerate() {
--- a/tests/all/world.rs
+++ b/tests/all/world.rs
@@ -214,6 +214,7 @@
             },
             usage_window: UsageWindow { length_ms: 5000 },
             body_memory: 30 * 1024,
+            rollouts: None,
         },
         duties: duty::Options {
             holder: ip.to_string(),
