--- a/src/decide/route/mod.rs
+++ b/src/decide/route/mod.rs
@@ -147,6 +147,12 @@
         Certain,
         /// The version with this hash, if it is certain.
         Only(u64),
+        /// The version with this hash, also if it is not certain.
+        Of(u64),
+        /// Any version but the one with this hash, also an unknown one.
+        Except(u64),
+        /// Any version that is certain, but the one with this hash.
+        CertainExcept(u64),
     }
 }
 
@@ -488,6 +494,37 @@
         self.replicas.iter().map(|replica| replica.identity.slots).sum()
     }
 
+    /// Returns the slots of the serving replicas with a software version, and
+    /// of the other serving replicas.
+    pub fn slots_by_version(&self, version: u64) -> (u32, u32) {
+        let serving = self.replicas.iter().filter(|one| one.is_serving());
+        serving.fold((0, 0), |(of, others), replica| {
+            let slots = replica.identity.slots;
+            match replica.identity.version == version {
+                true => (of + slots, others),
+                false => (of, others + slots),
+            }
+        })
+    }
+
+    /// Returns the number of this entry's requests in flight at replicas with
+    /// other software versions than this one.
+    pub fn in_flight_except(&self, version: u64) -> u32 {
+        let others = self
+            .replicas
+            .iter()
+            .filter(|replica| replica.identity.version != version);
+        others.map(|replica| replica.own_in_flight).sum()
+    }
+
+    /// Returns true if the replicas have several software versions.
+    pub fn has_several_versions(&self) -> bool {
+        let mut versions =
+            self.replicas.iter().map(|replica| replica.identity.version);
+        let first = versions.next();
+        versions.any(|version| Some(version) != first)
+    }
+
     /// Returns the estimated number of requests that run or wait at all
     /// replicas.
     pub fn load(&self) -> f32 {
@@ -905,6 +942,11 @@
         VersionRule::Only(version) => {
             is_certain && identity.version == version
         }
+        VersionRule::Of(version) => identity.version == version,
+        VersionRule::Except(version) => identity.version != version,
+        VersionRule::CertainExcept(version) => {
+            is_certain && identity.version != version
+        }
     };
     !may_run
         || request.excluded.iter().any(|(id, incarnation)| {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -38,6 +38,7 @@
 mod requests;
 mod retry_budget;
 mod roles;
+mod rollout_judge;
 mod rollouts;
 mod scenario;
 mod steps;
