Send a new version its share, judge it, and move the service

Cause: a roll-out that is ordered changes nothing at the nodes. Change: nodes obey the newest state that they know, hold back without news of it, and count attempts by version. Datagrams carry the counts as totals to the nodes with a disk and the age of the state to all. The leader raises the share, completes once no node has a request at another version, or reverts. Crashes of a version on trial are not held against requests. Orders of replicas count the old version only while a roll-out runs.

--- a/src/duty/mod.rs
+++ b/src/duty/mod.rs
@@ -20,7 +20,7 @@
 use crate::{
     board::Cell,
     control::{client::Client, member::Leadership, seat},
-    gateway::plan::Plan,
+    gateway::{Gateway, plan::Plan},
     mesh,
     timer::Timer,
     util::common,
@@ -144,6 +144,8 @@
     pub cloud: Arc<dyn Cloud>,
     /// The clock.
     pub timer: Timer,
+    /// The gateway, which knows the roll-outs.
+    pub gateway: Arc<Gateway>,
 }
 
 impl Context {
--- a/src/duty/scale.rs
+++ b/src/duty/scale.rs
@@ -7,7 +7,10 @@
     decide::place::{
         Bounds, Load, Site, compute_targets, estimate_initial_replicas,
     },
-    gateway::plan::{Plan, Scaling, Service},
+    gateway::{
+        plan::{Plan, Scaling, Service},
+        rollouts,
+    },
     mesh::{
         mean_propagation_delay_ms,
         table::{Replica, State, Table},
@@ -59,7 +62,8 @@
         let table = context.mesh.table();
         for service in plan.services() {
             if service.scaling.is_some() {
-                self.record_load(now, service, &table);
+                let scaling = context.gateway.rollout_scaling(&service.name);
+                self.record_load(now, service, &table, &scaling);
             }
         }
     }
@@ -79,7 +83,8 @@
         let plan_guard = context.plan.read();
         let Some(plan) = plan_guard.as_ref() else { return };
         let now = context.timer.now();
-        let due = self.due(now, plan, &context.mesh.table());
+        let counted = |service: &str| context.gateway.rollout_scaling(service);
+        let due = self.due(now, plan, &context.mesh.table(), &counted);
         for (order, there) in due {
             let Some(token) = context.token(options).await else { return };
             let result = context.cloud.order(&token, &order).await;
@@ -91,14 +96,25 @@
 
     /// Returns the orders that are new or were not met, each with the number
     /// of replicas that are ready now.
-    fn due(&self, now: u64, plan: &Plan, table: &Table) -> Vec<(Order, u32)> {
+    fn due(
+        &self,
+        now: u64,
+        plan: &Plan,
+        table: &Table,
+        counted: &dyn Fn(&str) -> rollouts::Scaling,
+    ) -> Vec<(Order, u32)> {
         let mut due = Vec::new();
         for service in plan.services() {
             let Some(scaling) = &service.scaling else { continue };
             let known =
                 self.loads.iter().find(|(known, _)| *known == service.name);
             let Some((_, load)) = known else { continue };
-            let ready = ready_replicas(now, table, &service.name);
+            let counted = counted(&service.name);
+            if counted == rollouts::Scaling::Paused {
+                continue;
+            }
+            let is_on_trial = matches!(counted, rollouts::Scaling::OnTrial(_));
+            let ready = ready_replicas(now, table, &service.name, &counted);
             let mut sites = sites(scaling, &ready);
             for site in &mut sites {
                 let name = &site.data_centre;
@@ -128,7 +144,10 @@
                         reclaimable,
                         count,
                     };
-                    if self.is_due(now, &order, there) {
+                    // The replicas of a roll-out are the operator's: an order
+                    // must not release any of either version.
+                    let releases = is_on_trial && count < there;
+                    if !releases && self.is_due(now, &order, there) {
                         due.push((order, there));
                     }
                 }
@@ -139,9 +158,15 @@
         due
     }
 
-    fn record_load(&mut self, now: u64, service: &Service, table: &Table) {
+    fn record_load(
+        &mut self,
+        now: u64,
+        service: &Service,
+        table: &Table,
+        counted: &rollouts::Scaling,
+    ) {
         let name = &service.name;
-        let ready = ready_replicas(now, table, name);
+        let ready = ready_replicas(now, table, name, counted);
         if ready.is_empty() {
             return;
         }
@@ -228,7 +253,15 @@
     now: u64,
     table: &'a Table,
     service: &str,
+    counted: &rollouts::Scaling,
 ) -> Vec<&'a Replica> {
+    let is_counted = |replica: &&Replica| match counted {
+        rollouts::Scaling::OnTrial(version)
+        | rollouts::Scaling::Without(version) => {
+            replica.sighting.version != *version
+        }
+        rollouts::Scaling::All | rollouts::Scaling::Paused => true,
+    };
     table
         .replicas()
         .iter()
@@ -236,6 +269,7 @@
         .filter(|replica| replica.remembered_until.is_none())
         .filter(|replica| now < replica.heard_at + HEARTBEAT_TIMEOUT_MS)
         .filter(|replica| replica.sighting.service == service)
+        .filter(is_counted)
         .collect()
 }
 
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -703,6 +703,32 @@
         })
     }
 
+    /// Returns the slots of a service's serving replicas with a software
+    /// version, those of its other serving replicas, and the estimated number
+    /// of requests in flight at all of them.
+    pub fn slots_by_version(
+        &mut self,
+        service: &str,
+        version: u64,
+    ) -> (u32, u32, f32) {
+        let Some(routed) = self.find(service) else { return (0, 0, 0.0) };
+        let (of, others) = routed.pool.slots_by_version(version);
+        (of, others, routed.pool.load())
+    }
+
+    /// Returns the number of this node's requests in flight at a service's
+    /// replicas with other software versions than this one.
+    pub fn in_flight_except(&mut self, service: &str, version: u64) -> u32 {
+        let routed = self.find(service);
+        routed.map_or(0, |routed| routed.pool.in_flight_except(version))
+    }
+
+    /// Returns true if a service's replicas have several software versions.
+    pub fn has_several_versions(&mut self, service: &str) -> bool {
+        let routed = self.find(service);
+        routed.is_some_and(|routed| routed.pool.has_several_versions())
+    }
+
     /// Returns how many replicas of a service may be used, their slots, and
     /// the estimated number of requests in flight there.
     pub fn load(&self, service: &str) -> (usize, u32, f32) {
--- a/src/gateway/flight.rs
+++ b/src/gateway/flight.rs
@@ -12,12 +12,22 @@
     survival::Proof,
     upstream::Pool,
 };
-use crate::decide::quarantine::Identity;
+use crate::{
+    decide::{
+        quarantine::Identity,
+        rollout::evidence::{End, Sample},
+    },
+    util::name_hash,
+};
 
 /// Silence on an abandoned attempt after which its replica may have crashed,
 /// in ms: longer than the pauses that an engine makes.
 const CRASH_SUSPICION_SILENCE_MS: u64 = 1000;
 
+/// Time from which an attempt that its caller left counts as one that took at
+/// least so long, in ms. Callers leave sooner for reasons of their own.
+const MIN_CENSORED_MS: u32 = 1000;
+
 /// What carries an attempt to a replica.
 pub(super) enum Carrier {
     /// A connection of this node.
@@ -88,6 +98,11 @@
     proof: Proof,
     /// The outcome that is counted on drop.
     pub end: Outcome,
+    /// False if a failure says nothing about the replica's software.
+    pub is_judged: bool,
+    /// The attempt as evidence of a roll-out, and the order; `None` if none of
+    /// the service ran when it began.
+    evidence: Option<Box<(u64, Sample)>>,
 }
 
 impl Flight {
@@ -105,6 +120,8 @@
             // The outcome when the caller disconnects and the attempt is
             // dropped.
             end: Outcome::Abandoned,
+            is_judged: true,
+            evidence: evidence_of(accepted, target),
         }
     }
 
@@ -114,6 +131,10 @@
         self.proof = proof;
         let now = self.gateway.timer.now();
         self.heard_at = now;
+        if let Some(evidence) = &mut self.evidence {
+            let first_ms = now.saturating_sub(self.began_at) as u32;
+            evidence.1.first_ms = Some(first_ms);
+        }
         let mut fleet = self.gateway.fleet();
         fleet.record_start(now, &self.service, &self.target, answer_info.load);
     }
@@ -161,9 +182,60 @@
     }
 }
 
+/// Returns the attempt as evidence of the roll-out that runs.
+fn evidence_of(
+    accepted: &AcceptedRequest,
+    target: &Target,
+) -> Option<Box<(u64, Sample)>> {
+    let gateway = &accepted.gateway;
+    let (order, step, is_new) =
+        gateway.running_rollout(&accepted.service, &target.version)?;
+    let (prompt, answer) = accepted.request_info.tokens.unwrap_or((0, 0));
+    let sample = Sample {
+        route: name_hash(&accepted.route.name),
+        step,
+        is_new,
+        prompt: (prompt as u32).saturating_sub(target.cached_tokens),
+        answer: answer as u32,
+        first_ms: None,
+        whole_ms: None,
+        end: End::Left,
+    };
+    Some(Box::new((order, sample)))
+}
+
+impl Flight {
+    /// Records the attempt as evidence of a roll-out.
+    fn record_evidence(&mut self, now: u64) {
+        let Some(evidence) = self.evidence.take() else { return };
+        let (order, mut sample) = *evidence;
+        let held_ms = now.saturating_sub(self.began_at) as u32;
+        sample.end = match self.end {
+            Outcome::Completed { .. } if self.proof == Proof::None => {
+                End::Failed
+            }
+            Outcome::Completed { .. } => {
+                sample.whole_ms = sample.first_ms.map(|_| held_ms);
+                End::Good
+            }
+            Outcome::Failed if self.is_judged => End::Failed,
+            Outcome::Disconnected if self.is_judged => End::Broken,
+            Outcome::Abandoned if held_ms >= MIN_CENSORED_MS => {
+                // The answer would have begun later still.
+                sample.first_ms.get_or_insert(held_ms);
+                End::Left
+            }
+            _ => return,
+        };
+        let service = &self.service;
+        self.gateway.record_rollout_sample(service, order, &sample);
+    }
+}
+
 impl Drop for Flight {
     fn drop(&mut self) {
         let now = self.gateway.timer.now();
+        self.record_evidence(now);
         let ticket = self.target.ticket;
         let mut fleet = self.gateway.fleet();
         fleet.record_end(
@@ -187,6 +259,10 @@
             }
             _ => return,
         };
+        let version = &self.target.version;
+        if self.gateway.is_version_on_trial(&self.service, version) {
+            return;
+        }
         let attempt = Attempt {
             identity: self.identity.clone(),
             sent_at: self.began_at,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -37,6 +37,7 @@
     plan::{RetryPolicy, Route, Team},
     refusal::{Refusal, Tried, id_text},
     relay,
+    rollouts::Guide,
     server::{Body, full},
     survival::Proof,
     upstream::{Connection, Error, Fault},
@@ -394,6 +395,7 @@
                     self.attempts.note(&target.replica, verdict, sent);
                     if !sent {
                         self.return_claim();
+                        self.return_exposure(&target);
                     }
                     last = match (failed.verdict, failed.sent) {
                         (Verdict::NotRun, true) => Refusal::retryable(
@@ -492,7 +494,45 @@
 
     /// Returns the router's choice among the replicas that have not been
     /// tried.
+    ///
+    /// While a roll-out of the service runs, a share of the attempts goes to
+    /// the new version; the choice is counted as an attempt.
     pub fn pick(&self) -> Option<Target> {
+        let (gateway, service) = (&self.gateway, &self.service);
+        let route = &self.route.name;
+        let may_try = match &self.version {
+            StreamVersion::Any => self.attempts.arrived == 0,
+            StreamVersion::Only(version) => {
+                gateway.is_version_on_trial(service, version)
+            }
+            StreamVersion::Unknown => false,
+        };
+        let guide = gateway.guide(service, route, may_try);
+        let target = match guide {
+            Guide::Free => self.pick_freely(),
+            Guide::Wait => None,
+            Guide::Avoid(to) => self.pick_without(to),
+            Guide::Move(to) => self.pick_version(to),
+            Guide::Try(to) => {
+                if let Some(target) = self.pick_version(to) {
+                    // An attempt at a new version that would begin late says
+                    // nothing about the version.
+                    let is_late =
+                        target.predicted_ms > self.route.target_ms as f32;
+                    if !is_late || self.version != StreamVersion::Any {
+                        return Some(target);
+                    }
+                    self.release_slot(&target);
+                }
+                gateway.return_try(service, route);
+                self.pick_without(to)
+            }
+        }?;
+        gateway.record_exposure(service, route, &target.version);
+        Some(target)
+    }
+
+    fn pick_freely(&self) -> Option<Target> {
         let is_resumable = self.route.retry_policy == RetryPolicy::Resumable;
         match &self.version {
             // A stream that begins at a replica whose version is not certain
@@ -508,6 +548,36 @@
         }
     }
 
+    /// Like [`AcceptedRequest::pick_freely`], with one version only.
+    fn pick_version(&self, to: u64) -> Option<Target> {
+        let is_resumable = self.route.retry_policy == RetryPolicy::Resumable;
+        match &self.version {
+            StreamVersion::Any if is_resumable => self
+                .pick_by(VersionRule::Only(to))
+                .or_else(|| self.pick_by(VersionRule::Of(to))),
+            StreamVersion::Any => self.pick_by(VersionRule::Of(to)),
+            StreamVersion::Only(version) if name_hash(version) == to => {
+                self.pick_by(VersionRule::Only(to))
+            }
+            StreamVersion::Only(_) | StreamVersion::Unknown => None,
+        }
+    }
+
+    /// Like [`AcceptedRequest::pick_freely`], without one version.
+    fn pick_without(&self, to: u64) -> Option<Target> {
+        let is_resumable = self.route.retry_policy == RetryPolicy::Resumable;
+        match &self.version {
+            StreamVersion::Any if is_resumable => self
+                .pick_by(VersionRule::CertainExcept(to))
+                .or_else(|| self.pick_by(VersionRule::Except(to))),
+            StreamVersion::Any => self.pick_by(VersionRule::Except(to)),
+            StreamVersion::Only(version) if name_hash(version) != to => {
+                self.pick_by(VersionRule::Only(name_hash(version)))
+            }
+            StreamVersion::Only(_) | StreamVersion::Unknown => None,
+        }
+    }
+
     fn pick_by(&self, version: VersionRule) -> Option<Target> {
         let blocks = prompt_blocks(&self.request_info.parts);
         let tokens = self.request_info.tokens.map_or(0, |(prompt, _)| prompt);
@@ -524,7 +594,7 @@
         let tried_before =
             tried_before.filter(|(id, _)| *id == target.replica).count() > 0;
         if tried_before {
-            self.release(&target);
+            self.release_slot(&target);
             return None;
         }
         Some(target)
@@ -552,6 +622,17 @@
 
     /// Releases a chosen replica without sending the request to it.
     pub fn release(&self, target: &Target) {
+        self.return_exposure(target);
+        self.release_slot(target);
+    }
+
+    /// Takes back the count of an attempt that did not arrive at a replica.
+    pub fn return_exposure(&self, target: &Target) {
+        let (service, route) = (&self.service, &self.route.name);
+        self.gateway.return_exposure(service, route, &target.version);
+    }
+
+    fn release_slot(&self, target: &Target) {
         let now = self.now();
         let mut fleet = self.gateway.fleet();
         fleet.record_end(
@@ -582,6 +663,7 @@
             .await;
         let mut connection = taken.inspect_err(|_| {
             flight.end = Outcome::Failed;
+            flight.is_judged = false;
             self.gateway
                 .record_connection_failure(&self.service, &target.replica);
         })?;
@@ -601,6 +683,7 @@
                 self.gateway
                     .record_connection_failure(&self.service, &target.replica);
             }
+            flight.is_judged &= failed.sent;
             let due = Instant::now() < self.deadline;
             if due || failed.verdict != Verdict::MayHaveRun {
                 flight.end = match failed.fault {
@@ -626,6 +709,9 @@
         if answer_info.is_leaving && self.forwarded.is_some() {
             mark_departure(response.headers_mut(), &target.replica);
         }
+        if answer_info.not_run || answer_info.wrong_replica {
+            flight.is_judged = false;
+        }
         if answer_info.not_run {
             let mut fleet = self.gateway.fleet();
             fleet.record_rejected(self.now(), &self.service, target.ticket);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,7 +20,7 @@
 //! | `origins` | keeps records of where streams began, at other nodes as well |
 //! | `resume` | decides where a stream goes on that a caller resumes |
 //! | `retries` | claims retries from the retry budgets |
-//! | `rollouts` | sends a new software version its share of the requests |
+//! | [`rollouts`] | sends a new software version its share of the requests |
 //! | `overload` | refuses requests that replicas can't start in time |
 //! | `suspects` | tracks requests that may have crashed replicas |
 //! | `survival` | tells whether replicas survived what they answered |
@@ -56,7 +56,7 @@
 mod relay;
 mod resume;
 mod retries;
-mod rollouts;
+pub mod rollouts;
 pub mod server;
 mod survival;
 mod suspects;
@@ -383,6 +383,7 @@
         let parts = self.crash_reports(Subject::Part);
         let has_parts = parts != CrashReport::default();
         let limits = self.next_rate_limit_reports();
+        let rollouts = self.rollout_report();
         let mut fleet = self.fleet();
         let cached = fleet.next_cached_reports(self.timer.now());
         LocalReport {
@@ -395,6 +396,7 @@
             successes: suspects.successes,
             parts: has_parts.then_some(parts),
             limits,
+            rollouts,
             begun: self.accepted_count.load(Ordering::Relaxed),
         }
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -280,6 +280,7 @@
                     self.accepted.attempts.note(replica, verdict, sent);
                     if !sent {
                         self.accepted.return_claim();
+                        self.accepted.return_exposure(&target);
                     }
                 }
             }
--- a/src/gateway/retries.rs
+++ b/src/gateway/retries.rs
@@ -115,7 +115,11 @@
 
     /// Returns the number of entries that share the slack of the retry
     /// budgets, or `None` if this node has no share or can't know the number.
-    fn retry_entries(&self, now: u64, table: &Table) -> Option<usize> {
+    pub(super) fn retry_entries(
+        &self,
+        now: u64,
+        table: &Table,
+    ) -> Option<usize> {
         // The successor of a process that drains has the share.
         let me = table.own_peer();
         if !me.serving || Role::of(me) == Role::Standby {
--- a/src/mesh/datagram.rs
+++ b/src/mesh/datagram.rs
@@ -10,7 +10,7 @@
 };
 use crate::{
     util::{common, position},
-    wire::{Beat, Began, Gossip, Peer, Sighting},
+    wire::{Beat, Began, Gossip, Peer, RolloutReport, Sighting},
 };
 
 /// Time without heartbeats after which a replica is dropped, in ms. It is
@@ -70,6 +70,11 @@
     }
 }
 
+/// Leaves out the evidence, which only nodes that can lead need.
+pub(super) fn without_evidence(report: RolloutReport) -> RolloutReport {
+    RolloutReport { evidence: Vec::new(), ..report }
+}
+
 impl Table {
     /// Applies a received datagram. `wall_ms` is this node's wall-clock time.
     pub fn receive(
@@ -253,6 +258,7 @@
                 successes: own.successes,
                 parts: own.parts,
                 limits: own.limits,
+                rollouts: own.rollouts.map(without_evidence),
                 ..gossip
             },
         }
@@ -295,6 +301,7 @@
             successes: own.successes,
             parts: own.parts,
             limits: own.limits,
+            rollouts: own.rollouts,
             usage: self
                 .counts
                 .latest_of(self.me.incarnation, self.load_reports_sent),
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -53,7 +53,8 @@
     timer::Timer,
     util::wall_ms,
     wire::{
-        Cached, Crash, CrashReport, Gossip, Origins, Peer, RateLimit, Success,
+        Cached, Crash, CrashReport, Gossip, Origins, Peer, RateLimit,
+        RolloutReport, Success,
     },
 };
 
@@ -132,8 +133,12 @@
     /// them. Returns the reply.
     fn on_origins(&self, from: Ipv4Addr, origins: Origins) -> Option<Origins>;
     /// Called with the node that sent a datagram, if it takes part in
-    /// roll-outs.
-    fn on_rollouts(self: Arc<Self>, from: &Peer);
+    /// roll-outs, and with what it knows of those that run.
+    fn on_rollouts(
+        self: Arc<Self>,
+        from: &Peer,
+        report: Option<RolloutReport>,
+    );
     /// Called after a change, and in each regular round.
     fn on_changes(self: Arc<Self>, changes: Changes);
 }
@@ -328,6 +333,7 @@
             host.on_rate_limits(&gossip.limits);
         }
         let peer = gossip.from.clone().filter(|peer| peer.rollouts > 0);
+        let gossip_rollouts = gossip.rollouts.take();
         let now = shared.timer.now();
         let (changes, departures) = {
             let mut table = shared.table();
@@ -342,7 +348,7 @@
             );
         }
         if let Some(peer) = &peer {
-            host.clone().on_rollouts(peer);
+            host.clone().on_rollouts(peer, gossip_rollouts);
         }
         if changes != Changes::default() {
             host.clone().on_changes(changes);
--- a/src/mesh/round.rs
+++ b/src/mesh/round.rs
@@ -6,7 +6,7 @@
 
 use super::{
     FANOUT, GREETING_INTERVAL_ROUNDS, LOAD_FANOUT,
-    datagram::Scope,
+    datagram::{Scope, without_evidence},
     role::{MAX_ADDRESSES, Role},
     table::{LocalReport, Node, Table},
 };
@@ -109,10 +109,23 @@
             under: gossip.under.clone(),
             wall_ms: gossip.wall_ms,
             scope: Scope::InFlight as u32,
+            rollouts: gossip.rollouts.clone(),
             ..Gossip::default()
         };
         let mut datagrams = self.split_by_usage(round, gossip, to);
-        datagrams.push(Datagram { to: rest, gossip: load });
+        if load.rollouts.is_none() {
+            datagrams.push(Datagram { to: rest, gossip: load });
+            return datagrams;
+        }
+        // The evidence of a roll-out reaches the nodes that can lead in each
+        // round: a bad version gets requests until a leader has judged it.
+        let leads = self.nodes_with_disk(round.now);
+        let (leaders, rest) =
+            rest.into_iter().partition(|to| leads.contains(to));
+        let rollouts = load.rollouts.clone().map(without_evidence);
+        let others = Gossip { rollouts, ..load.clone() };
+        datagrams.push(Datagram { to: leaders, gossip: load });
+        datagrams.push(Datagram { to: rest, gossip: others });
         datagrams
     }
 
@@ -135,6 +148,7 @@
         let without_usage = Gossip {
             usage: Vec::new(),
             relayed: Vec::new(),
+            rollouts: gossip.rollouts.clone().map(without_evidence),
             ..gossip.clone()
         };
         vec![
@@ -190,7 +204,7 @@
         let chosen = mix(round.number ^ (me << 32)) as usize;
         let asked = to.get(chosen % to.len().max(1)).copied();
         let gossip = self.compose(round.now, round.wall_ms, own);
-        let has_usage = !gossip.usage.is_empty();
+        let has_usage = !gossip.usage.is_empty() || gossip.rollouts.is_some();
         let query = Gossip {
             peers: Vec::new(),
             usage: Vec::new(),
--- a/src/mesh/table.rs
+++ b/src/mesh/table.rs
@@ -27,7 +27,7 @@
     util::{common, mix, position},
     wire::{
         Began, Cached, Crash, CrashReport, Peer, RateLimit, RecordUsage,
-        Spent, Success, Under, Work,
+        RolloutReport, Spent, Success, Under, Work,
     },
 };
 
@@ -134,6 +134,8 @@
     pub parts: Option<CrashReport>,
     /// Rate limits that replicas have announced.
     pub limits: Vec<RateLimit>,
+    /// What this node knows of the roll-outs that run.
+    pub rollouts: Option<RolloutReport>,
     /// Callers' requests since the start.
     pub begun: u64,
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -147,6 +147,14 @@
     pub retry_budget_entries: Gauge,
     /// Time since this process began to count retries, in s.
     pub retry_budget_age: Gauge<f64, AtomicU64>,
+    /// State of the newest roll-out: 0 running, 1 completed, 2 reverted.
+    pub rollout_state: Family<Service, Gauge>,
+    /// Step of the newest roll-out.
+    pub rollout_step: Family<Service, Gauge>,
+    /// Attempts that this node sent to a service since the order.
+    pub rollout_sent: Family<Service, Gauge>,
+    /// Attempts that it sent to the new version.
+    pub rollout_exposed: Family<Service, Gauge>,
     /// Services whose replicas this node can't reach.
     pub unreachable_services: Gauge,
     /// Requests forwarded to other nodes.
@@ -210,6 +218,10 @@
             retry_budget_allowed: Family::default(),
             retry_budget_entries: Gauge::default(),
             retry_budget_age: Gauge::default(),
+            rollout_state: Family::default(),
+            rollout_step: Family::default(),
+            rollout_sent: Family::default(),
+            rollout_exposed: Family::default(),
             unreachable_services: Gauge::default(),
             forwarded: Counter::default(),
             taken_for_others: Counter::default(),
@@ -327,6 +339,26 @@
             "Since this process began to count retries",
             metrics.retry_budget_age.clone(),
         );
+        registry.register(
+            "rollout_state",
+            "Newest roll-out: 0 running, 1 completed, 2 reverted",
+            metrics.rollout_state.clone(),
+        );
+        registry.register(
+            "rollout_step",
+            "Times that the share of the new version was raised",
+            metrics.rollout_step.clone(),
+        );
+        registry.register(
+            "rollout_sent",
+            "Attempts of this node at the service since the order",
+            metrics.rollout_sent.clone(),
+        );
+        registry.register(
+            "rollout_exposed",
+            "Attempts of this node at the new version since the order",
+            metrics.rollout_exposed.clone(),
+        );
         registry.register(
             "unreachable_services",
             "Services whose replicas this node can't reach",
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -70,7 +70,7 @@
     util::random_id,
     wire::{
         Cached, Crash, CrashReport, Origins, Peer, PutPlan, RateLimit,
-        RolloutRecord, Sighting, Success,
+        RolloutRecord, RolloutReport, Sighting, Success,
     },
 };
 
@@ -280,6 +280,9 @@
         tokio::spawn(probes::run(gateway.clone())),
     ];
     if gateway.has_rollouts() {
+        if seat.is_some() {
+            gateway.keep_rollout_evidence();
+        }
         tasks.push(tokio::spawn(rollouts::run(node.clone(), seat.clone())));
     }
     if let Some(folder) = folder {
@@ -299,6 +302,7 @@
             control: node.control.clone(),
             mesh,
             plan: gateway.plan.clone(),
+            gateway: gateway.clone(),
             cloud: options.cloud.clone(),
             timer,
         };
@@ -632,9 +636,17 @@
         self.gateway.receive_origins(from, origins)
     }
 
-    fn on_rollouts(self: Arc<Self>, from: &Peer) {
-        if self.gateway.has_rollouts() {
-            self.receive_known_rollouts(from.ip.into(), from.rollouts);
+    fn on_rollouts(
+        self: Arc<Self>,
+        from: &Peer,
+        report: Option<RolloutReport>,
+    ) {
+        if !self.gateway.has_rollouts() {
+            return;
+        }
+        self.receive_known_rollouts(from.ip.into(), from.rollouts);
+        if let Some(report) = report {
+            self.gateway.receive_rollout_report(from, &report);
         }
     }
 
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -25,6 +25,9 @@
     },
 };
 
+/// Longest duration of a roll-out, in ms: a week.
+const MAX_ROLLOUT_MS: u64 = 7 * 24 * 60 * 60 * 1000;
+
 /// Serves other nodes until this node stops.
 pub(super) async fn serve(node: Arc<Node>, listener: TcpListener) {
     // The transport does not compress. Plans are packed once, when they are
@@ -128,6 +131,11 @@
         }
         let ChangeRollout { service, to, duration_ms, .. } =
             request.into_inner();
+        if to.is_empty() || !(1000..=MAX_ROLLOUT_MS).contains(&duration_ms) {
+            return Err(Status::invalid_argument(
+                "the version is empty, or the time is not 1 s to a week",
+            ));
+        }
         let order = RolloutOrder { service, to, duration_ms };
         let started = self.node.start_rollout(order).await;
         let record = started.map_err(|error| match error {
--- a/src/node/rollouts.rs
+++ b/src/node/rollouts.rs
@@ -346,20 +346,45 @@
     RolloutError::NotConfirmed(error.to_string())
 }
 
-/// Keeps the roll-outs going until the node stops.
+/// Judges the versions on trial until the node stops, and moves the roll-outs
+/// on while it leads.
 pub(super) async fn run(node: Arc<Node>, seat: Option<seat::Handle>) {
     while !node.has_stopped() {
         sleep(TICK_INTERVAL).await;
+        node.gateway.judge_rollouts();
         let Some(seat) = &seat else { continue };
         let at = node.gateway.timer.now();
-        if seat.leadership().await.is_none() {
-            continue;
-        }
+        let Some(leadership) = seat.leadership().await else { continue };
         // Read after the leadership: a newer state can't have been committed
         // elsewhere before `at`.
         let state = seat.view().borrow().rollouts.clone();
         let version = state.version;
         node.adopt_rollouts(state);
         node.confirm_rollouts(version, at);
+        for change in node.gateway.rollout_actions(leadership.leading_ms) {
+            node.decide_rollout(change).await;
+        }
+    }
+}
+
+impl Node {
+    async fn decide_rollout(&self, change: ChangeRollout) {
+        let (service, order) = (change.service.clone(), change.order);
+        let (action, step) = (change.action, change.step);
+        let reason = change.reason.clone();
+        match self.change_rollout(change).await {
+            Ok(outcome) => info!(
+                target: "rollout",
+                service, order, action, step, reason,
+                result = outcome.result,
+                version = outcome.version,
+                "Decided on a roll-out."
+            ),
+            Err(error) => warn!(
+                target: "rollout",
+                service, order, action, step, reason,
+                "Decision on a roll-out not confirmed: {error}."
+            ),
+        }
     }
 }
--- a/tests/all/rollouts.rs
+++ b/tests/all/rollouts.rs
@@ -1,23 +1,32 @@
 //! Tests of roll-outs: the records in the log, and real nodes.
 
-use std::time::Duration;
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use azuremount::{
     control::ledger::{Ledger, ROLLOUT_REPEAT_MS, RolloutAction},
     decide::rollout::Bounds,
-    node::{RolloutError, RolloutOrder},
+    node::{Handle, RolloutError, RolloutOrder},
     wire::{
-        Change, ChangeRollout, LogEntry, RolloutOutcome, change, outcome,
-        rollout_outcome::Result as Outcome,
+        Change, ChangeRollout, LogEntry, RolloutOutcome, Sighting, change,
+        outcome, rollout_outcome::Result as Outcome,
     },
 };
 use prost::Message;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
-use tokio::time::{sleep, timeout};
+use tokio::{
+    task::JoinHandle,
+    time::{Instant, sleep, timeout},
+};
 
 use crate::{
     nodes::Site,
-    world::{TEST_TIMEOUT, apply_plan},
+    world::{Replica, TEST_TIMEOUT, WAIT, apply_plan, ok, post, sighting},
 };
 
 /// Bounds of the page.
@@ -161,9 +170,13 @@
 }
 
 async fn start(site: &Site, at: usize, to: &str) {
+    start_order(site, at, order(to)).await;
+}
+
+async fn start_order(site: &Site, at: usize, order: RolloutOrder) {
     let started = async {
         loop {
-            match site.node(at).start_rollout(order(to)).await {
+            match site.node(at).start_rollout(order.clone()).await {
                 Ok(_) => return,
                 Err(RolloutError::NotConfirmed(_)) => {
                     sleep(Duration::from_millis(50)).await;
@@ -218,3 +231,194 @@
     }
     start(&site, 3, "v2").await;
 }
+
+/// Replicas of each version.
+const REPLICAS: usize = 2;
+/// Interval between two heartbeats of a replica.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Nodes under load before replicas of two versions, the second of which the
+/// test makes bad.
+struct Trial {
+    site: Site,
+    /// The nodes that get heartbeats and requests.
+    nodes: Arc<Mutex<Vec<Handle>>>,
+    /// Requests at each version so far.
+    counts: [Arc<AtomicUsize>; 2],
+    is_stopped: Arc<AtomicBool>,
+    callers: Vec<JoinHandle<()>>,
+    _replicas: Vec<Replica>,
+}
+
+impl Trial {
+    /// Starts four nodes, and replicas whose new version fails `failures` of
+    /// ten requests.
+    async fn open(failures: usize) -> Trial {
+        let site = Site::open_with_rollouts(3, 1, BOUNDS).await;
+        apply_plan(site.node(0), 1).await;
+        site.wait_until_all_serve().await;
+        let nodes = Arc::new(Mutex::new(site.nodes().cloned().collect()));
+        let counts: [Arc<AtomicUsize>; 2] = Default::default();
+        let mut replicas = Vec::new();
+        for number in 0..2 * REPLICAS {
+            let count = counts[number / REPLICAS].clone();
+            let is_new = number >= REPLICAS;
+            let respond = move |_: &str| {
+                let before = count.fetch_add(1, Ordering::Relaxed);
+                match is_new && before % 10 < failures {
+                    true => vec![
+                        "HTTP/1.1 500 Bad\r\nContent-Length: 0\r\n\r\n".into(),
+                    ],
+                    false => {
+                        let mut pieces = vec![WAIT.to_owned()];
+                        pieces.extend(ok("well"));
+                        pieces
+                    }
+                }
+            };
+            replicas.push(Replica::spawn(respond).await);
+        }
+        let addresses: Vec<_> =
+            replicas.iter().map(|replica| replica.address).collect();
+        let mut trial = Trial {
+            site,
+            nodes,
+            counts,
+            is_stopped: Arc::default(),
+            callers: Vec::new(),
+            _replicas: replicas,
+        };
+        let nodes = trial.nodes.clone();
+        trial.callers.push(tokio::spawn(async move {
+            for sequence in 1.. {
+                let nodes: Vec<Handle> = nodes.lock().unwrap().clone();
+                for (number, address) in addresses.iter().enumerate() {
+                    let says = sighting(&format!("r{number}"), *address, 0);
+                    let version = format!("v{}", 1 + number / REPLICAS);
+                    if !nodes.is_empty() {
+                        nodes[(sequence as usize + number) % nodes.len()]
+                            .apply_heartbeat(Sighting {
+                                sequence,
+                                version,
+                                ..says
+                            });
+                    }
+                }
+                sleep(HEARTBEAT_INTERVAL).await;
+            }
+        }));
+        trial
+    }
+
+    /// Starts callers that send requests to all nodes, one after the other.
+    fn call(&mut self) {
+        for caller in 0..16 {
+            let nodes = self.nodes.clone();
+            let is_stopped = self.is_stopped.clone();
+            self.callers.push(tokio::spawn(async move {
+                for number in 0.. {
+                    if is_stopped.load(Ordering::Relaxed) {
+                        return;
+                    }
+                    let nodes: Vec<Handle> = nodes.lock().unwrap().clone();
+                    let at = (number + caller) % nodes.len().max(1);
+                    let front = nodes.get(at).and_then(Handle::front);
+                    if let Some(front) = front {
+                        let id = caller * 1_000_000 + number;
+                        let call = post(front, "/again/x", id, "body");
+                        let _ = timeout(Duration::from_secs(3), call).await;
+                    }
+                    sleep(Duration::from_millis(20)).await;
+                }
+            }));
+        }
+    }
+
+    fn counts(&self) -> (usize, usize) {
+        let [old, new] = &self.counts;
+        (old.load(Ordering::Relaxed), new.load(Ordering::Relaxed))
+    }
+
+    /// Waits until a node reads an end state.
+    async fn wait_for_end(&self) -> String {
+        let end = async {
+            loop {
+                let state = state(&self.site, 3).await;
+                if state != "running" {
+                    return state;
+                }
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(TEST_TIMEOUT, end).await.expect("no end of the roll-out")
+    }
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        self.callers.iter().for_each(JoinHandle::abort);
+    }
+}
+
+/// Guards against a good version that is not completed before its deadline,
+/// and against requests at old replicas once `completed` can be read, as they
+/// stop then.
+#[tokio::test]
+async fn a_good_version_is_completed_and_the_old_one_gets_nothing() {
+    let mut trial = Trial::open(0).await;
+    let order = RolloutOrder { duration_ms: 12_000, ..order("v2") };
+    let began = Instant::now();
+    start_order(&trial.site, 3, order.clone()).await;
+    trial.call();
+    assert_eq!(trial.wait_for_end().await, "completed");
+    assert!(began.elapsed() < Duration::from_secs(12));
+    let (old, new) = trial.counts();
+    sleep(Duration::from_millis(1500)).await;
+    let (old_later, new_later) = trial.counts();
+    assert_eq!(old, old_later, "requests at the old version");
+    assert!(new_later > new, "no requests at the new version");
+    start_order(&trial.site, 1, order).await;
+    assert_eq!(state(&trial.site, 0).await, "completed");
+}
+
+/// Guards against a bad version that gets more than its share, or requests
+/// after it was reverted.
+#[tokio::test]
+async fn a_bad_version_is_reverted_within_its_share() {
+    let mut trial = Trial::open(4).await;
+    let order = RolloutOrder { duration_ms: 12_000, ..order("v2") };
+    start_order(&trial.site, 3, order).await;
+    trial.call();
+    assert_eq!(trial.wait_for_end().await, "reverted");
+    // Nodes learn of the end within a round or two.
+    sleep(Duration::from_millis(1500)).await;
+    let (_, new) = trial.counts();
+    sleep(Duration::from_millis(1500)).await;
+    let (old_later, new_later) = trial.counts();
+    assert_eq!(new, new_later, "requests at the reverted version");
+    let allowed = 0.1 * (old_later + new_later) as f64 + BOUNDS.slack;
+    assert!(new_later as f64 <= allowed, "{new_later} of {old_later}");
+    assert!(new_later > 0, "the version got no request");
+}
+
+/// Guards against a roll-out that is forgotten, or a bad version that gets
+/// requests without limit, after all nodes were killed in the middle.
+#[tokio::test]
+async fn a_kill_of_all_nodes_midway_keeps_the_share() {
+    let mut trial = Trial::open(4).await;
+    let order = RolloutOrder { duration_ms: 9000, ..order("v2") };
+    start_order(&trial.site, 3, order).await;
+    trial.nodes.lock().unwrap().clear();
+    for at in 0..4 {
+        trial.site.stop(at).await;
+    }
+    for at in 0..4 {
+        trial.site.start(at, false).await;
+    }
+    *trial.nodes.lock().unwrap() = trial.site.nodes().cloned().collect();
+    trial.call();
+    assert_eq!(trial.wait_for_end().await, "reverted");
+    let (old, new) = trial.counts();
+    let allowed = 0.1 * (old + new) as f64 + BOUNDS.slack;
+    assert!(new as f64 <= allowed, "{new} of {old}");
+}
