Start and show roll-outs on the command line

Cause: operators without access to the platform's calls can't see why a roll-out was reverted. Change: azuremount rollout start and show, and a line in status for the newest roll-out of each service.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -35,6 +35,7 @@
     Status(Status),
     Drain(Drain),
     Release(Release),
+    Rollout(Rollout),
     Explain(Explain),
     Call(Call),
 }
@@ -121,6 +122,51 @@
     node: std::net::SocketAddr,
 }
 
+/// Move a service to another software version, or show how far that is.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "rollout")]
+pub struct Rollout {
+    #[argh(subcommand)]
+    action: RolloutAction,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum RolloutAction {
+    Start(StartRollout),
+    Show(ShowRollout),
+}
+
+/// Move the traffic of a service to a software version, step by step.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "start")]
+pub struct StartRollout {
+    /// the service
+    #[argh(positional)]
+    service: String,
+    /// the software version
+    #[argh(positional)]
+    to: String,
+    /// seconds until the roll-out is completed or reverted
+    #[argh(option)]
+    seconds: u64,
+    /// any node, as ip:port of its port for other nodes
+    #[argh(option)]
+    node: std::net::SocketAddr,
+}
+
+/// Show the roll-outs of a service, or of all services.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "show")]
+pub struct ShowRollout {
+    /// the service
+    #[argh(positional)]
+    service: Option<String>,
+    /// control members, as ip:port,ip:port; at nodes, the port for other nodes
+    #[argh(option)]
+    control: Option<String>,
+}
+
 /// Explain where a request was sent and why.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "explain")]
@@ -215,6 +261,12 @@
         Command::Status(arguments) => operate::status(&arguments).await,
         Command::Drain(arguments) => operate::drain(&arguments).await,
         Command::Release(arguments) => operate::release(&arguments).await,
+        Command::Rollout(arguments) => match arguments.action {
+            RolloutAction::Start(start) => {
+                operate::start_rollout(&start).await
+            }
+            RolloutAction::Show(show) => operate::show_rollout(&show).await,
+        },
         Command::Explain(arguments) => operate::explain(&arguments).await,
         Command::Call(arguments) => operate::call(&arguments).await,
     }
--- a/src/cli/operate.rs
+++ b/src/cli/operate.rs
@@ -13,8 +13,8 @@
 use tokio::time::{sleep, timeout};
 
 use super::{
-    Apply, Call, Check, Drain, Explain, Failure, Release, Show, Status, files,
-    parse_addresses,
+    Apply, Call, Check, Drain, Explain, Failure, Release, Show, ShowRollout,
+    StartRollout, Status, files, parse_addresses,
 };
 use crate::{
     caller::{Caller, PlainCall},
@@ -23,8 +23,9 @@
     entry::dispatch::{self, CallError, Dispatcher},
     util::random_id,
     wire::{
-        ApplyConfig, Change, ConfigReply, Depart, Empty, IssueOrder,
-        PartRelease, Query, StatusReply, apply_outcome, change, claim_outcome,
+        ApplyConfig, Change, ChangeRollout, ConfigReply, Depart, Empty,
+        IssueOrder, PartRelease, Query, RolloutRecord, RolloutState,
+        StatusReply, apply_outcome, change, claim_outcome,
         nodes_client::NodesClient, outcome, query, query_reply,
     },
 };
@@ -194,9 +195,77 @@
         );
     }
     println!("{} claims kept", status.claims);
+    let state = read_rollouts(&control).await?;
+    for record in &state.records {
+        if state.newest(&record.service) == Some(record) {
+            print_rollout(record);
+        }
+    }
     Ok(())
 }
 
+pub async fn start_rollout(arguments: &StartRollout) -> Result<(), Failure> {
+    let mut client = NodesClient::new(connect(arguments.node));
+    let order = ChangeRollout {
+        service: arguments.service.clone(),
+        to: arguments.to.clone(),
+        duration_ms: arguments.seconds.saturating_mul(1000),
+        ..ChangeRollout::default()
+    };
+    let started = timeout(CONTROL_TIMEOUT, client.start_rollout(order)).await;
+    let outcome = match started {
+        Ok(Ok(outcome)) => outcome.into_inner(),
+        Ok(Err(status)) => return Err(failed(status.message())),
+        Err(_) => return Err(failed("the node did not answer in time")),
+    };
+    if let Some(record) = &outcome.record {
+        print_rollout(record);
+    }
+    Ok(())
+}
+
+pub async fn show_rollout(arguments: &ShowRollout) -> Result<(), Failure> {
+    let control = control(&arguments.control)?;
+    let state = read_rollouts(&control).await?;
+    let service = arguments.service.as_ref();
+    let mut records = state
+        .records
+        .iter()
+        .filter(|record| service.is_none_or(|name| record.service == *name))
+        .peekable();
+    if records.peek().is_none() {
+        return Err(failed("no roll-out so far"));
+    }
+    records.for_each(print_rollout);
+    Ok(())
+}
+
+fn print_rollout(record: &RolloutRecord) {
+    let reason = match record.reason.as_str() {
+        "" => String::new(),
+        reason => format!(": {reason}"),
+    };
+    println!(
+        "rollout {} {} to {} in {} s, step {}, {}{reason}",
+        record.order,
+        record.service,
+        record.to,
+        record.duration_ms / 1000,
+        record.step,
+        record.state_name()
+    );
+}
+
+async fn read_rollouts(control: &Client) -> Result<RolloutState, Failure> {
+    let query = Query { kind: Some(query::Kind::Rollouts(Empty {})) };
+    let reply = control.read(query, CONTROL_TIMEOUT).await.map_err(failed)?;
+    match reply.kind {
+        Some(query_reply::Kind::Rollouts(state)) => Ok(state),
+        // A member of an earlier version does not know the query.
+        _ => Ok(RolloutState::default()),
+    }
+}
+
 pub async fn drain(arguments: &Drain) -> Result<(), Failure> {
     let control = control(&arguments.control)?;
     let status = read_status(&control).await?;
