--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 //! | `origins` | keeps records of where streams began, at other nodes as well |
 //! | `resume` | decides where a stream goes on that a caller resumes |
 //! | `retries` | claims retries from the retry budgets |
+//! | [`rollouts`] | sends a new software version its share of the requests |
 //! | `overload` | refuses requests that replicas can't start in time |
 //! | `suspects` | tracks requests that may have crashed replicas |
 //! | `survival` | tells whether replicas survived what they answered |
@@ -56,6 +57,7 @@
 mod relay;
 mod resume;
 mod retries;
+pub mod rollouts;
 pub mod server;
 mod survival;
 mod suspects;
@@ -85,6 +87,7 @@
     probes::PathCheck,
     proof::Seals,
     quotas::Quotas,
+    rollouts::Rollouts,
     survival::UnprovenAnswers,
     upstream::Pool,
 };
@@ -95,6 +98,7 @@
         quota::Tolerance,
         rate_limit::RateLimits,
         retry::{Bound, Peak},
+        rollout,
     },
     mesh::{self, table::LocalReport},
     metrics::Metrics,
@@ -138,6 +142,8 @@
     pub usage_window: UsageWindow,
     /// Memory for the bodies of all requests in flight together, in bytes.
     pub body_memory: usize,
+    /// Bounds on roll-outs; without them there are no roll-outs.
+    pub rollouts: Option<rollout::Bounds>,
 }
 
 /// The data path of one node.
@@ -179,6 +185,7 @@
     mesh: std::sync::OnceLock<mesh::Handle>,
     fleet: Mutex<Fleet>,
     quotas: Mutex<Quotas>,
+    rollouts: Rollouts,
     /// True when other nodes may already have been serving when this node
     /// started.
     joins: AtomicBool,
@@ -245,6 +252,7 @@
                 options.retry_bound,
             )),
             quotas: Mutex::default(),
+            rollouts: Rollouts::open(options.rollouts),
             joins: AtomicBool::new(false),
             usage_window: options.usage_window,
             tolerance: options.tolerance,
@@ -380,6 +388,7 @@
         let parts = self.crash_reports(Subject::Part);
         let has_parts = parts != CrashReport::default();
         let limits = self.next_rate_limit_reports();
+        let rollouts = self.rollout_report();
         let mut fleet = self.fleet();
         let cached = fleet.next_cached_reports(self.timer.now());
         LocalReport {
@@ -392,6 +401,7 @@
             successes: suspects.successes,
             parts: has_parts.then_some(parts),
             limits,
+            rollouts,
             begun: self.accepted_count.load(Ordering::Relaxed),
         }
     }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -40,6 +40,8 @@
 mod requests;
 mod retry_budget;
 mod roles;
+mod rollout_judge;
+mod rollouts;
 mod scenario;
 mod steps;
 mod version_changes;
