Admit requests by shares of the capacity that replicas have

The present rule refuses by the wait at the best replica as one node sees it, so that under overload every queue grows to twice the target. The option is off by default.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -5,6 +5,7 @@
 //! these types while holding a mutex; `benches/` and the tests call them
 //! directly.
 
+pub mod admission;
 pub mod admit;
 pub mod brittle;
 pub mod moving;
--- a/src/decide/route/cost.rs
+++ b/src/decide/route/cost.rs
@@ -247,7 +247,11 @@
     /// Returns the estimated prompt tokens that a replica has yet to compute
     /// for other entries: the reported number, which decays towards the
     /// average as the report ages.
-    fn expected_others_pending(&self, now: u64, replica: &Replica) -> f32 {
+    pub(super) fn expected_others_pending(
+        &self,
+        now: u64,
+        replica: &Replica,
+    ) -> f32 {
         let (tokens, at) = replica.others_pending;
         let age = now.saturating_sub(at) as f32;
         let weight = (-age / PENDING_DECAY_MS).exp();
--- a/src/decide/route/mod.rs
+++ b/src/decide/route/mod.rs
@@ -28,6 +28,7 @@
 //! threshold to tune, and falls again with the first piece of an answer.
 
 mod baseline;
+mod capacity;
 mod cost;
 mod replica;
 mod shortage;
@@ -35,8 +36,8 @@
 
 use rand::{RngExt, SeedableRng, rngs::StdRng, seq::IteratorRandom};
 
+pub use self::{capacity::Capacity, shortage::Shortage, weights::Weights};
 use self::{replica::Replica, weights::MIN_FETCH_TOKENS};
-pub use self::{shortage::Shortage, weights::Weights};
 use super::{
     brittle::{Brittle, Budget},
     prefix::Index,
@@ -201,6 +202,13 @@
     }
 }
 
+impl Ticket {
+    /// Returns the prompt tokens that the replica has to compute.
+    pub fn tokens(&self) -> u32 {
+        self.tokens
+    }
+}
+
 /// The replicas of one service, as one entry sees them.
 #[derive(Debug)]
 pub struct Pool {
--- a/src/decide/route/replica.rs
+++ b/src/decide/route/replica.rs
@@ -116,6 +116,16 @@
         self.identity.availability == Availability::Serving
     }
 
+    /// Returns the speed relative to the pool's model.
+    pub fn speed(&self) -> f32 {
+        1.0
+    }
+
+    /// Returns the number of requests that it can usefully run at a time.
+    pub fn usable_slots(&self) -> f32 {
+        self.identity.slots.max(1) as f32
+    }
+
     /// Whether the replica has requested a backoff that is not over.
     pub fn is_backing_off(&self, now: u64) -> bool {
         now < self.backoff_until
--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -163,6 +163,7 @@
         claimed_at: None,
         forwarded: None,
         peers_tried: Vec::new(),
+        admitted: None,
         chosen: None,
         _running: gateway.metrics.run(),
     })
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -21,8 +21,8 @@
         reach::{Change, Probe, Reach},
         retry::{Bound, Claim, Usage, Window},
         route::{
-            Availability, Choice, Identity, Policy, Pool, RouteRequest,
-            Shortage, Status, Ticket, UNKNOWN_VERSION, Weights,
+            Availability, Capacity, Choice, Identity, Policy, Pool,
+            RouteRequest, Shortage, Status, Ticket, UNKNOWN_VERSION, Weights,
         },
     },
     mesh::{
@@ -703,6 +703,12 @@
         })
     }
 
+    /// Returns what the replicas of a service can take now.
+    pub fn capacity(&self, now: u64, service: &str) -> Option<Capacity> {
+        let at = self.find_at(service)?;
+        Some(self.services[at].pool.capacity(now))
+    }
+
     /// Returns how many replicas of a service may be used, their slots, and
     /// the estimated number of requests in flight there.
     pub fn load(&self, service: &str) -> (usize, u32, f32) {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -24,6 +24,7 @@
 use super::{
     Gateway,
     accept::{accept, cost_of, remove_hop_by_hop_headers},
+    admission::Admitted,
     bodies::Reservation,
     dialect::{AnswerInfo, AttemptInfo, RequestInfo},
     fleet::{Outcome, Target},
@@ -107,6 +108,8 @@
     pub forwarded: Option<ForwardedGuard>,
     /// Addresses of the nodes that the request was sent to.
     pub peers_tried: Vec<u32>,
+    /// The work that was admitted, where nodes share the capacity.
+    pub admitted: Option<Admitted>,
     /// The router's latest choice, used for logging.
     pub chosen: Option<Target>,
     pub _running: Running,
@@ -350,7 +353,7 @@
             };
             let refusal = self.check_quarantine_again(tried);
             if let Some(refusal) =
-                refusal.or_else(|| self.check_predicted_wait(&target, tried))
+                refusal.or_else(|| self.check_capacity(&target, tried))
             {
                 self.release(&target);
                 return self.answer_or_refuse(answer, refusal);
@@ -824,7 +827,8 @@
     }
 
     /// Records the time until the answer began.
-    fn observe_first_token(&self) {
+    fn observe_first_token(&mut self) {
+        self.record_first_token();
         let metrics = &self.gateway.metrics;
         let first = metrics.first_token.get_or_create(&self.labels());
         first.observe(self.began.elapsed().as_secs_f64());
@@ -832,6 +836,7 @@
 
     /// Records the time until the complete answer ended.
     pub fn observe_latency(&self) {
+        self.record_written();
         let metrics = &self.gateway.metrics;
         let latency = metrics.latency.get_or_create(&self.labels());
         latency.observe(self.began.elapsed().as_secs_f64());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! | [`plan`] | validates routes, services, teams and limits |
 //! | `newest_plan` | knows the newest plan that any node holds |
 //! | [`dialect`] | reads and writes the headers that the gateway interprets |
+//! | `admission` | shares the capacity of the replicas between teams |
 //! | `bodies` | limits the memory that request bodies take together |
 //! | `accept` | checks a request before it is sent to a replica |
 //! | [`forward`] | sends a request to replicas and retries it |
@@ -33,6 +34,7 @@
 //! The decision algorithms are in [`crate::decide`].
 
 mod accept;
+mod admission;
 mod bodies;
 pub mod dialect;
 mod ending;
@@ -72,7 +74,9 @@
 };
 use tracing::info;
 
+pub use self::admission::Admission;
 use self::{
+    admission::Controllers,
     bodies::Budget,
     dialect::Dialect,
     ending::CrashDetector,
@@ -136,6 +140,8 @@
     pub usage_window: UsageWindow,
     /// Memory for the bodies of all requests in flight together, in bytes.
     pub body_memory: usize,
+    /// How requests are refused while replicas are overloaded.
+    pub admission: Admission,
 }
 
 /// The data path of one node.
@@ -176,6 +182,8 @@
     mesh: std::sync::OnceLock<mesh::Handle>,
     fleet: Mutex<Fleet>,
     quotas: Mutex<Quotas>,
+    /// Set if the nodes share the capacity of the replicas.
+    controllers: Option<Mutex<Controllers>>,
     /// True when other nodes may already have been serving when this node
     /// started.
     joins: AtomicBool,
@@ -241,6 +249,7 @@
                 options.retry_bound,
             )),
             quotas: Mutex::default(),
+            controllers: Controllers::open(options.admission),
             joins: AtomicBool::new(false),
             usage_window: options.usage_window,
             tolerance: options.tolerance,
@@ -317,6 +326,7 @@
         self.update_rate_limit_shares_in(&table, &mut fleet);
         self.connections.retain(|replica| fleet.has_replica(replica));
         self.refresh_quotas(now, &table, plan.as_ref().as_ref());
+        self.refresh_admission(now, &table, &mut fleet);
         drop(table);
         self.changed.send_replace(());
     }
@@ -375,12 +385,14 @@
         let parts = self.crash_reports(Subject::Part);
         let has_parts = parts != CrashReport::default();
         let limits = self.next_rate_limit_reports();
+        let team_work = self.team_work();
         let mut fleet = self.fleet();
         let cached = fleet.next_cached_reports(self.timer.now());
         LocalReport {
             under: fleet.in_flight(),
             spent,
             work: fleet.work(),
+            team_work,
             cached,
             crashes: suspects.crashes,
             suspected: suspects.suspected,
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -10,6 +10,7 @@
 use super::server::{Body, full};
 use crate::{
     decide::{
+        admission,
         quarantine::{PartReason, Reason},
         quota,
         route::Shortage,
@@ -52,6 +53,14 @@
             /// Longest predicted time that is admitted, in ms.
             limit_ms: u64,
         },
+        /// The team has used up its share of the capacity, or the first token
+        /// would come late.
+        Admission {
+            /// Name of the team; empty for a public route.
+            team: String,
+            /// Shares, demand and capacity.
+            shortage: admission::Shortage,
+        },
         /// The replicas back off or have used up their rate limits.
         Shortage(Shortage),
         /// The request is quarantined.
@@ -237,6 +246,20 @@
                 replica, foretold_ms, limit_ms,
                 "Refused: {text}."
             ),
+            Some(Cause::Admission { team, shortage }) => info!(
+                target: "gateway",
+                request, route, status, verdict, after_ms, retry_after_ms,
+                team,
+                reason = ?shortage.reason,
+                share = shortage.share,
+                demand = shortage.demand,
+                total_demand = shortage.total_demand,
+                capacity = shortage.capacity,
+                capacity_age_ms = shortage.age_ms,
+                backlog_ms = shortage.backlog_ms as u64,
+                foretold_ms = shortage.predicted_ms as u64,
+                "Refused: {text}."
+            ),
             Some(Cause::Shortage(shortage)) => info!(
                 target: "gateway",
                 request, route, status, verdict, after_ms, retry_after_ms,
--- a/src/mesh/datagram.rs
+++ b/src/mesh/datagram.rs
@@ -102,6 +102,7 @@
                 let scope = Scope::of(gossip.scope);
                 if scope != Scope::Nothing {
                     node.under = gossip.under;
+                    node.team_work = (now, gossip.team_work);
                 }
                 if scope == Scope::All {
                     node.spent = gossip.spent;
@@ -174,6 +175,7 @@
                     node.under.clear();
                     node.spent.clear();
                     node.work.clear();
+                    node.team_work = (0, Vec::new());
                 }
                 node.peer = peer;
                 is_restarted
@@ -187,6 +189,7 @@
                     under: Vec::new(),
                     spent: Vec::new(),
                     work: Vec::new(),
+                    team_work: (0, Vec::new()),
                     unheard: Vec::new(),
                     clock_lead_ms: 0,
                 };
@@ -289,6 +292,7 @@
             under: own.under,
             spent: own.spent,
             work: own.work,
+            team_work: own.team_work,
             cached: own.cached,
             crashes: own.crashes,
             suspected: own.suspected,
--- a/src/mesh/round.rs
+++ b/src/mesh/round.rs
@@ -88,7 +88,7 @@
     /// requests in flight to the others.
     ///
     /// The latter takes a tenth of the bytes and contains what routing depends
-    /// on: with reports that are 0.5 s old instead of 0.15 s, forty nodes send
+    /// on, and the work by team where capacity is shared: with reports that are 0.5 s old instead of 0.15 s, forty nodes send
     /// requests to the same idle replicas.
     fn member_round(
         &mut self,
@@ -107,6 +107,7 @@
         let load = Gossip {
             from: gossip.from.clone(),
             under: gossip.under.clone(),
+            team_work: gossip.team_work.clone(),
             wall_ms: gossip.wall_ms,
             scope: Scope::InFlight as u32,
             ..Gossip::default()
--- a/src/mesh/table.rs
+++ b/src/mesh/table.rs
@@ -27,7 +27,7 @@
     util::{common, mix, position},
     wire::{
         Began, Cached, Crash, CrashReport, Peer, RateLimit, RecordUsage,
-        Spent, Success, Under, Work,
+        Spent, Success, TeamWork, Under, Work,
     },
 };
 
@@ -76,6 +76,8 @@
         pub(super) spent: Vec<Spent>,
         /// The work of its requests since its start, by service.
         pub(super) work: Vec<Work>,
+        /// The same by team, and when that arrived.
+        pub(super) team_work: (u64, Vec<TeamWork>),
         /// Nodes that it does not hear.
         pub(super) unheard: Vec<u32>,
         /// Its clock's lead over this node's, in ms.
@@ -122,6 +124,8 @@
     pub spent: Vec<Spent>,
     /// The work of the requests sent since the start, by service.
     pub work: Vec<Work>,
+    /// The same by team; empty if nodes don't share capacity.
+    pub team_work: Vec<TeamWork>,
     /// Parts of prompts that have been sent to replicas recently.
     pub cached: Vec<Cached>,
     /// Requests in flight at replicas that crashed.
@@ -341,6 +345,15 @@
         })
     }
 
+    /// Returns the work of each other node since its start, by service and
+    /// team: the node's incarnation, when its report arrived, and the work.
+    pub fn team_work(&self) -> impl Iterator<Item = (u64, u64, &[TeamWork])> {
+        self.nodes.iter().map(|node| {
+            let (at, work) = &node.team_work;
+            (node.peer.incarnation, *at, work.as_slice())
+        })
+    }
+
     /// Returns this node's rank in the order for `subject`, among the nodes
     /// that take callers' requests: the number of nodes that act before it.
     /// Nodes that hear each other find the same order.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -79,6 +79,17 @@
     pub outcome: &'static str,
 }
 
+/// Labels of a refusal for want of capacity.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct AdmissionRefusal {
+    /// The team.
+    pub team: String,
+    /// The service.
+    pub service: String,
+    /// `share`, `late` or `early`.
+    pub reason: &'static str,
+}
+
 type Histograms = Family<Labels, Histogram, fn() -> Histogram>;
 
 /// The metrics of one entry.
@@ -147,6 +158,12 @@
     pub retry_budget_entries: Gauge,
     /// Time since this process began to count retries, in s.
     pub retry_budget_age: Gauge<f64, AtomicU64>,
+    /// Requests refused for want of capacity, by team, service and reason.
+    pub admission_refusals: Family<AdmissionRefusal, Counter>,
+    /// Replicas' worth of work that may be admitted, by service.
+    pub admission_capacity: Family<Service, Gauge<f64, AtomicU64>>,
+    /// Replicas' worth of work that callers ask for, by service.
+    pub admission_demand: Family<Service, Gauge<f64, AtomicU64>>,
     /// Services whose replicas this node can't reach.
     pub unreachable_services: Gauge,
     /// Requests forwarded to other nodes.
@@ -210,6 +227,9 @@
             retry_budget_allowed: Family::default(),
             retry_budget_entries: Gauge::default(),
             retry_budget_age: Gauge::default(),
+            admission_refusals: Family::default(),
+            admission_capacity: Family::default(),
+            admission_demand: Family::default(),
             unreachable_services: Gauge::default(),
             forwarded: Counter::default(),
             taken_for_others: Counter::default(),
@@ -327,6 +347,21 @@
             "Since this process began to count retries",
             metrics.retry_budget_age.clone(),
         );
+        registry.register(
+            "admission_refusals",
+            "Requests refused for want of capacity, by team and reason",
+            metrics.admission_refusals.clone(),
+        );
+        registry.register(
+            "admission_capacity_replicas",
+            "Work that may be admitted, in replicas",
+            metrics.admission_capacity.clone(),
+        );
+        registry.register(
+            "admission_demand_replicas",
+            "Work that callers ask for at all nodes, in replicas",
+            metrics.admission_demand.clone(),
+        );
         registry.register(
             "unreachable_services",
             "Services whose replicas this node can't reach",
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -1137,6 +1137,26 @@
     pub origins: ::core::option::Option<Origins>,
     #[prost(message, optional, tag = "21")]
     pub parts: ::core::option::Option<CrashReport>,
+    /// Work of the sender's requests since its start, by service and team.
+    #[prost(message, repeated, tag = "23")]
+    pub team_work: ::prost::alloc::vec::Vec<TeamWork>,
+}
+/// Work of requests since the sender's start, in ms of one replica.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TeamWork {
+    /// Hashes of their names.
+    #[prost(fixed32, tag = "1")]
+    pub service: u32,
+    #[prost(fixed32, tag = "2")]
+    pub team: u32,
+    /// What callers asked for.
+    #[prost(uint64, tag = "3")]
+    pub demand: u64,
+    #[prost(uint64, tag = "4")]
+    pub admitted: u64,
+    /// Requests whose first token has arrived.
+    #[prost(uint64, tag = "5")]
+    pub finished: u64,
 }
 /// Where a stream began, which may be resumed.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! All tests, in one binary: it links once, and its parts share helpers.
 
+mod admission_load;
 mod backoff;
 mod brittle;
 // The benches use more of these two than the tests do.
--- a/tests/all/world.rs
+++ b/tests/all/world.rs
@@ -13,7 +13,7 @@
     decide::{quota::Tolerance, retry::Bound},
     duty::{self, Cloud, FencingToken, Order},
     gateway::{
-        self, UsageWindow,
+        self, Admission, UsageWindow,
         dialect::{
             AnswerInfo, AttemptInfo, Backoff, Dialect, Limit, RequestInfo,
         },
@@ -214,6 +214,7 @@
             },
             usage_window: UsageWindow { length_ms: 5000 },
             body_memory: 30 * 1024,
+            admission: Admission::Off,
         },
         duties: duty::Options {
             holder: ip.to_string(),
