Measure the yield at the replicas where requests wait

While replicas returned after a loss, requests waited at some of them and the yield of all fell to half. It is measured at the busy ones now. Shares apply in full only from half of the reference wait on: random bursts at 0.85 of the capacity were refused before.

--- a/src/decide/admission/mod.rs
+++ b/src/decide/admission/mod.rs
@@ -50,16 +50,16 @@
 pub const RATE_MS: f32 = 300.0;
 /// Time constant of the yield of a replica, in ms.
 const YIELD_MS: f32 = 400.0;
-/// Time in which a backlog above the reference is read, in ms: the shortest
-/// target.
-const DRAIN_MS: f32 = 500.0;
+/// Time in which a backlog above the reference is read, in ms. With news that
+/// is 0.3 s old, a shorter one makes the backlog oscillate.
+const DRAIN_MS: f32 = 1000.0;
 /// Time constant of the weights of the teams, in ms. A burst lasts seconds.
 const WEIGHT_MS: f32 = 120_000.0;
 /// Part of the mean weight that a team without any history has.
 const NEW_TEAM_WEIGHT: f32 = 0.2;
 /// Backlog that is kept, as a part of the tightest target: replicas must not
 /// run idle between reports, and prompts also wait for their own reading.
-const BACKLOG_SHARE: f32 = 0.3;
+const BACKLOG_SHARE: f32 = 0.4;
 /// Target that is assumed before any request, in ms.
 const INITIAL_TARGET_MS: f32 = 500.0;
 /// Wait below which nothing waits, in ms.
@@ -87,6 +87,9 @@
 const SAMPLE_WEIGHT: f32 = 0.05;
 /// Initial time to write an answer, in ms.
 const INITIAL_WRITE_MS: f32 = 1000.0;
+/// Part of the replicas at which requests must wait for a measurement of the
+/// yield.
+const MIN_BUSY: f32 = 0.5;
 /// Bounds on the measured yield of a replica.
 const YIELD_RANGE: (f32, f32) = (0.02, 4.0);
 /// Longest predicted time to the first token that is admitted, as a multiple
@@ -403,8 +406,12 @@
         if capacity.replicas <= 0.0 {
             return;
         }
-        let measured = finished / capacity.replicas;
-        let is_busy = capacity.wait_ms > self.reference_ms();
+        let shown = finished / capacity.replicas;
+        let is_busy =
+            capacity.wait_ms > self.reference_ms() && capacity.busy > MIN_BUSY;
+        // While requests wait at some replicas only, the others finish less
+        // than they could.
+        let measured = if is_busy { shown / capacity.busy } else { shown };
         if measured > self.yield_ || is_busy {
             let weight = 1.0 - (-elapsed_ms / YIELD_MS).exp();
             self.yield_ += (measured - self.yield_) * weight;
@@ -479,6 +486,14 @@
         }
     }
 
+    /// Returns how far fractions are applied, from 0 to 1: in full from half
+    /// of the reference wait on. Without it, random bursts would be refused
+    /// while the replicas have room.
+    fn pressure(&self) -> f32 {
+        let wait_ms = self.capacity.map_or(0.0, |now| now.wait_ms);
+        (wait_ms / (self.reference_ms() / 2.0)).min(1.0)
+    }
+
     // ---- Requests ----------------------------------------------------------
 
     /// Admits or refuses a request.
@@ -514,8 +529,8 @@
         if is_empty && request.predicted_ms <= most_ms {
             return Ok(self.take(at, request, work));
         }
-        let is_congested = self.teams[at].fraction < 1.0
-            || self.fraction < 1.0
+        let is_congested = self.pressure() > 0.0
+            && (self.teams[at].fraction < 1.0 || self.fraction < 1.0)
             || capacity.wait_ms > self.reference_ms();
         if !is_congested && request.predicted_ms <= most_ms {
             return Ok(self.take(at, request, work));
@@ -607,8 +622,10 @@
             Attempt::First => 1.0,
             _ => REPEAT_WEIGHT,
         };
+        let pressure = self.pressure();
         let team = &mut self.teams[at];
         let fraction = (team.fraction * bias * weight).min(1.0);
+        let fraction = fraction + (1.0 - fraction) * (1.0 - pressure);
         let found = position(&team.credits, &request.kind, |(kind, _)| kind);
         let credit = found.unwrap_or_else(|at| {
             let seed = mix(self.seed ^ request.kind ^ u64::from(team.hash));
--- a/src/decide/route/capacity.rs
+++ b/src/decide/route/capacity.rs
@@ -2,6 +2,9 @@
 
 use super::Pool;
 
+/// Wait up to which a replica counts as idle, in ms: a short prompt's reading.
+const NO_WAIT_MS: f32 = 20.0;
+
 /// The replicas of one service and what they have to do, as one entry
 /// sees them.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -14,6 +17,8 @@
     pub load: f32,
     /// Mean time for which a request without a prompt would wait, in ms.
     pub wait_ms: f32,
+    /// Part of the replicas at which a request would wait.
+    pub busy: f32,
     /// Time to compute one prompt token on a replica without other work,
     /// in ms.
     pub token_ms: f32,
@@ -30,6 +35,7 @@
             slots: 0.0,
             load: 0.0,
             wait_ms: 0.0,
+            busy: 0.0,
             token_ms: self.unloaded_token_ms,
         };
         for replica in &self.replicas {
@@ -47,8 +53,13 @@
             capacity.slots += slots;
             capacity.load += load;
             capacity.wait_ms += wait_ms * replica.speed();
+            if wait_ms > NO_WAIT_MS {
+                capacity.busy += replica.speed();
+            }
         }
-        capacity.wait_ms /= capacity.replicas.max(f32::EPSILON);
+        let replicas = capacity.replicas.max(f32::EPSILON);
+        capacity.wait_ms /= replicas;
+        capacity.busy /= replicas;
         capacity
     }
 }
