Merge admission by shared capacity, off

Nodes tell each other demand and work by team, and admit the same fraction of a team's requests by max-min shares.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -24,6 +24,7 @@
 use super::{
     Gateway,
     accept::{accept, cost_of, remove_hop_by_hop_headers},
+    admission::Admitted,
     bodies::Reservation,
     dialect::{AnswerInfo, AttemptInfo, RequestInfo},
     fleet::{Outcome, Target},
@@ -113,6 +114,8 @@
     pub forwarded: Option<ForwardedGuard>,
     /// Addresses of the nodes that the request was sent to.
     pub peers_tried: Vec<u32>,
+    /// The work that was admitted, where nodes share the capacity.
+    pub admitted: Option<Admitted>,
     /// The router's latest choice, used for logging.
     pub chosen: Option<Target>,
     pub _running: Running,
@@ -284,9 +287,7 @@
     let route = accepted.route.name.clone();
     let began = accepted.began;
     let result = match accepted.run().await {
-        Ok(reply) if reply.promises_not_run() => {
-            Err(Refusal::unproven())
-        }
+        Ok(reply) if reply.promises_not_run() => Err(Refusal::unproven()),
         Ok(Reply::Streaming(source, head)) if accepted.forwarded.is_some() => {
             // The other node is told the version in the head.
             let (version, begun) = (&source.version, source.begun);
@@ -381,7 +382,7 @@
             };
             let refusal = self.check_quarantine_again(tried);
             if let Some(refusal) =
-                refusal.or_else(|| self.check_predicted_wait(&target, tried))
+                refusal.or_else(|| self.check_capacity(&target, tried))
             {
                 self.release(&target);
                 return self.answer_or_refuse(answer, refusal);
@@ -953,7 +954,8 @@
     }
 
     /// Records the time until the answer began.
-    fn observe_first_token(&self) {
+    fn observe_first_token(&mut self) {
+        self.record_first_token();
         let metrics = &self.gateway.metrics;
         let first = metrics.first_token.get_or_create(&self.labels());
         first.observe(self.began.elapsed().as_secs_f64());
@@ -961,6 +963,7 @@
 
     /// Records the time until the complete answer ended.
     pub fn observe_latency(&self) {
+        self.record_written();
         let metrics = &self.gateway.metrics;
         let latency = metrics.latency.get_or_create(&self.labels());
         latency.observe(self.began.elapsed().as_secs_f64());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! | [`plan`] | validates routes, services, teams and limits |
 //! | `newest_plan` | knows the newest plan that any node holds |
 //! | [`dialect`] | reads and writes the headers that the gateway interprets |
+//! | `admission` | shares the capacity of the replicas between teams |
 //! | `bodies` | limits the memory that request bodies take together |
 //! | `accept` | checks a request before it is sent to a replica |
 //! | [`forward`] | sends a request to replicas and retries it |
@@ -34,6 +35,7 @@
 //! The decision algorithms are in [`crate::decide`].
 
 mod accept;
+mod admission;
 mod bodies;
 pub mod dialect;
 mod ending;
@@ -75,7 +77,9 @@
 };
 use tracing::info;
 
+pub use self::admission::Admission;
 use self::{
+    admission::Controllers,
     bodies::Budget,
     dialect::Dialect,
     ending::CrashDetector,
@@ -144,6 +148,8 @@
     pub body_memory: usize,
     /// Bounds on roll-outs; without them there are no roll-outs.
     pub rollouts: Option<rollout::Bounds>,
+    /// How requests are refused while replicas are overloaded.
+    pub admission: Admission,
 }
 
 /// The data path of one node.
@@ -186,6 +192,8 @@
     fleet: Mutex<Fleet>,
     quotas: Mutex<Quotas>,
     rollouts: Rollouts,
+    /// Set if the nodes share the capacity of the replicas.
+    controllers: Option<Mutex<Controllers>>,
     /// True when other nodes may already have been serving when this node
     /// started.
     joins: AtomicBool,
@@ -253,6 +261,7 @@
             )),
             quotas: Mutex::default(),
             rollouts: Rollouts::open(options.rollouts),
+            controllers: Controllers::open(options.admission),
             joins: AtomicBool::new(false),
             usage_window: options.usage_window,
             tolerance: options.tolerance,
@@ -330,6 +339,7 @@
         self.connections.retain(|replica| fleet.has_replica(replica));
         self.seals.retain(|replica| fleet.knows(replica));
         self.refresh_quotas(now, &table, plan.as_ref().as_ref());
+        self.refresh_admission(now, &table, &mut fleet);
         drop(table);
         self.changed.send_replace(());
     }
@@ -389,12 +399,14 @@
         let has_parts = parts != CrashReport::default();
         let limits = self.next_rate_limit_reports();
         let rollouts = self.rollout_report();
+        let team_work = self.team_work();
         let mut fleet = self.fleet();
         let cached = fleet.next_cached_reports(self.timer.now());
         LocalReport {
             under: fleet.in_flight(),
             spent,
             work: fleet.work(),
+            team_work,
             cached,
             crashes: suspects.crashes,
             suspected: suspects.suspected,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -79,6 +79,17 @@
     pub outcome: &'static str,
 }
 
+/// Labels of a refusal for want of capacity.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct AdmissionRefusal {
+    /// The team.
+    pub team: String,
+    /// The service.
+    pub service: String,
+    /// `share`, `late` or `early`.
+    pub reason: &'static str,
+}
+
 type Histograms = Family<Labels, Histogram, fn() -> Histogram>;
 
 /// The metrics of one entry.
@@ -158,6 +169,12 @@
     pub rollout_sent: Family<Service, Gauge>,
     /// Attempts that it sent to the new version.
     pub rollout_exposed: Family<Service, Gauge>,
+    /// Requests refused for want of capacity, by team, service and reason.
+    pub admission_refusals: Family<AdmissionRefusal, Counter>,
+    /// Replicas' worth of work that may be admitted, by service.
+    pub admission_capacity: Family<Service, Gauge<f64, AtomicU64>>,
+    /// Replicas' worth of work that callers ask for, by service.
+    pub admission_demand: Family<Service, Gauge<f64, AtomicU64>>,
     /// Services whose replicas this node can't reach.
     pub unreachable_services: Gauge,
     /// Requests forwarded to other nodes.
@@ -226,6 +243,9 @@
             rollout_step: Family::default(),
             rollout_sent: Family::default(),
             rollout_exposed: Family::default(),
+            admission_refusals: Family::default(),
+            admission_capacity: Family::default(),
+            admission_demand: Family::default(),
             unreachable_services: Gauge::default(),
             forwarded: Counter::default(),
             taken_for_others: Counter::default(),
@@ -368,6 +388,21 @@
             "Attempts of this node at the new version since the order",
             metrics.rollout_exposed.clone(),
         );
+        registry.register(
+            "admission_refusals",
+            "Requests refused for want of capacity, by team and reason",
+            metrics.admission_refusals.clone(),
+        );
+        registry.register(
+            "admission_capacity_replicas",
+            "Work that may be admitted, in replicas",
+            metrics.admission_capacity.clone(),
+        );
+        registry.register(
+            "admission_demand_replicas",
+            "Work that callers ask for at all nodes, in replicas",
+            metrics.admission_demand.clone(),
+        );
         registry.register(
             "unreachable_services",
             "Services whose replicas this node can't reach",
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -1276,6 +1276,9 @@
     pub parts: ::core::option::Option<CrashReport>,
     #[prost(message, optional, tag = "22")]
     pub rollouts: ::core::option::Option<RolloutReport>,
+    /// Work of the sender's requests since its start, by service and team.
+    #[prost(message, repeated, tag = "23")]
+    pub team_work: ::prost::alloc::vec::Vec<TeamWork>,
 }
 /// Answers of the replicas of a service to one node, since the order.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -1339,6 +1342,23 @@
     #[prost(message, repeated, tag = "3")]
     pub evidence: ::prost::alloc::vec::Vec<Evidence>,
 }
+/// Work of requests since the sender's start, in ms of one replica.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TeamWork {
+    /// Hashes of their names.
+    #[prost(fixed32, tag = "1")]
+    pub service: u32,
+    #[prost(fixed32, tag = "2")]
+    pub team: u32,
+    /// What callers asked for.
+    #[prost(uint64, tag = "3")]
+    pub demand: u64,
+    #[prost(uint64, tag = "4")]
+    pub admitted: u64,
+    /// Requests whose first token has arrived.
+    #[prost(uint64, tag = "5")]
+    pub finished: u64,
+}
 /// Where a stream began, which may be resumed.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StreamOrigin {
