Learn the speed of each replica and route by it

Replicas of a service differ in speed for moments and for good, and a pool had one value for all of them. A pool now combines reported figures with its own samples and those of other nodes, which arrive in Gossip 24, and counts the result in costs, in predicted times and in the load floor. Where none does, choices stay the same, as a test shows.

--- a/src/decide/route/cost.rs
+++ b/src/decide/route/cost.rs
@@ -5,7 +5,7 @@
 use super::{
     MIN_FETCH_TOKENS, Pool, Replica, RouteRequest, is_eligible, is_excluded,
 };
-use crate::util::mix;
+use crate::{decide::speed::Features, util::mix};
 
 /// Interval at which the load floor is recomputed, in ms.
 const LOAD_FLOOR_INTERVAL_MS: u64 = 50;
@@ -25,6 +25,17 @@
 /// Cost of a rejection by a brittle replica, in ms.
 const REJECTION_COST_MS: f32 = 300.0;
 
+/// Replicas that are considered for a request where speeds count, on average,
+/// and the least share of all, in 256ths.
+const CANDIDATES: u64 = 4;
+const MIN_CANDIDATE_SHARE: u64 = 26;
+/// Cost of each request beyond the knee, as a multiple of what any running
+/// request costs. With the time of a wait for a slot instead, replicas with
+/// free slots are avoided for slow ones.
+const CROWD_FACTOR: f32 = 4.0;
+/// Least number of replicas that are considered.
+const MIN_CANDIDATES: usize = 2;
+
 impl Pool {
     pub(super) fn pick_by_cost(
         &mut self,
@@ -35,6 +46,7 @@
         if now >= self.load_floor_at + LOAD_FLOOR_INTERVAL_MS {
             self.update_load_floor(now);
         }
+        self.update_factors(now);
         self.match_prefix(now, request);
         // Each cost is computed once: with many replicas the scan takes nearly
         // all the time of a decision.
@@ -42,6 +54,9 @@
         costs.clear();
         let all = self.replicas.iter();
         costs.extend(all.map(|replica| self.cost(now, replica, request)));
+        if self.speeds.is_on() && self.peers > 0.0 {
+            self.draw_candidates(&mut costs);
+        }
         let lowest = costs.iter().copied().fold(f32::INFINITY, f32::min);
         let chosen = match lowest.is_finite() {
             true => {
@@ -53,6 +68,35 @@
         chosen
     }
 
+    /// Raises the costs of replicas that are left out of this choice: a random
+    /// part of those that are not known to hold the prompt.
+    ///
+    /// Nodes learn of figures and of each other's requests some hundred ms
+    /// late, all at about the same time. If each considered all replicas, all
+    /// would send to those that have just become fast.
+    fn draw_candidates(&mut self, costs: &mut [f32]) {
+        let seed = self.rng.random::<u64>();
+        let count = self.replicas.len().max(1) as u64;
+        let share = MIN_CANDIDATE_SHARE.max(256 * CANDIDATES / count);
+        let draws = |at: usize| {
+            let drawn = mix(seed ^ at as u64) & 0xff;
+            drawn < share
+        };
+        let usable =
+            |at: usize| draws(at) || self.replicas[at].matched_tokens > 0;
+        let found = costs.iter().enumerate();
+        let mut left =
+            found.filter(|(at, cost)| cost.is_finite() && usable(*at));
+        if left.nth(MIN_CANDIDATES - 1).is_none() {
+            return;
+        }
+        for (at, cost) in costs.iter_mut().enumerate() {
+            if !usable(at) {
+                *cost = f32::INFINITY;
+            }
+        }
+    }
+
     /// Draws one of the replicas whose cost is at most `limit`.
     ///
     /// Prefers the replicas with the fewest requests of this entry in flight,
@@ -119,7 +163,7 @@
             replica.bucket.is_none() && !replica.is_backing_off(now)
         });
         for replica in unlimited {
-            let count = replica.identity.slots.max(1) as f32;
+            let count = self.capacity(replica).max(1.0);
             slots.push((self.estimate(replica) / count, count));
         }
         let unreported = self.picks_per_ms * self.peers * age;
@@ -202,15 +246,18 @@
         }
         let weights = &self.weights;
         let identity = &replica.identity;
+        // Both are those of the pool while speeds don't count.
+        let time = replica.slowness;
         let slots = identity.slots as f32;
-        let load = self.estimate(replica).max(self.load_floor * slots);
+        let floor = self.load_floor * self.capacity(replica);
+        let load = self.estimate(replica).max(floor);
         // Only whole requests above the slots count: the estimates are less
         // precise than one request, and a fraction would distinguish replicas
         // that are practically equal. The cast goes through an integer because
         // rounding a float is a call into the C library.
         let excess = (load + 1.5 - slots).max(0.0) as u32 as f32;
-        let queue = excess / slots * self.weights.hold_ms;
-        let batch = load.min(slots) * weights.batch_ms;
+        let queue = excess / slots * self.weights.hold_ms * time;
+        let batch = load.min(slots) * weights.batch_ms * time;
         let uncached = request.tokens.saturating_sub(replica.matched_tokens);
         let fetched = self.fetchable_tokens(replica, request);
         let fetch = fetched as f32
@@ -218,14 +265,14 @@
         let uncached = (uncached - fetched) as f32 * weights.recompute_factor;
         let pending = replica.pending_tokens
             + self.expected_others_pending(now, replica);
-        let compute = (uncached + pending) * weights.token_ms + fetch;
+        let compute = (uncached + pending) * weights.token_ms * time + fetch;
         let stall_ms =
             match replica.last_progress.iter().map(|(_, at)| *at).min() {
                 Some(at) => {
                     let age = now.saturating_sub(at) as f32;
                     let expected = compute
                         + queue
-                        + replica.pending_tokens * weights.token_ms;
+                        + replica.pending_tokens * weights.token_ms * time;
                     (age - expected).max(0.0)
                 }
                 None => 0.0,
@@ -235,6 +282,13 @@
         let risk = replica.brittle.map_or(0.0, |brittle| brittle.risk());
         let rejected = risk * REJECTION_COST_MS;
         let mut cost = queue + batch + compute + stall_ms + failed + rejected;
+        // An infinite knee costs nothing.
+        let crowd = (load.min(slots) - replica.knee).max(0.0);
+        cost += crowd * weights.batch_ms * CROWD_FACTOR * time;
+        if time != 1.0 {
+            let fixed = self.speeds.model.fixed_ms().min(weights.hold_ms);
+            cost += fixed * (time - 1.0);
+        }
         if identity.reclaimable {
             cost += weights.reclaim_ms;
         }
@@ -255,6 +309,52 @@
             + (tokens - self.mean_others_pending_tokens) * weight
     }
 
+    /// Returns the slots by which loads of replicas are compared: a replica
+    /// that is half as fast has half as many.
+    fn capacity(&self, replica: &Replica) -> f32 {
+        match self.speeds.is_on() {
+            true => replica.usable_slots() * replica.speed(),
+            false => replica.identity.slots as f32,
+        }
+    }
+
+    /// Returns what the prediction for a request at a replica depends on.
+    pub(super) fn features(
+        &self,
+        now: u64,
+        replica: &Replica,
+        request: &RouteRequest<'_>,
+    ) -> Features {
+        let uncached = request.tokens.saturating_sub(replica.matched_tokens);
+        let fetched = self.fetchable_tokens(replica, request);
+        let load = self.estimate(replica).max(0.0);
+        let slots = replica.identity.slots as f32;
+        let excess = (load + 1.0 - slots).max(0.0);
+        Features {
+            tokens: (uncached - fetched) as f32,
+            pending: replica.pending_tokens
+                + self.expected_others_pending(now, replica),
+            load: load.min(slots),
+            queue_ms: excess / slots * self.weights.hold_ms,
+        }
+    }
+
+    /// Returns the predicted time to the first token, in ms: that of the
+    /// pool's model at this replica's speed, once there is one.
+    pub(super) fn predicted_ms(
+        &self,
+        now: u64,
+        replica: &Replica,
+        request: &RouteRequest<'_>,
+        features: &Features,
+    ) -> f32 {
+        let speeds = &self.speeds;
+        match speeds.is_on() && speeds.model.is_ready() {
+            true => speeds.model.predict(features) * replica.slowness,
+            false => self.first_token_ms(now, replica, request),
+        }
+    }
+
     /// Returns the predicted time to the first token, in ms.
     ///
     /// Unlike the cost, it contains no weights for price, distance or risk: it
--- a/src/decide/route/mod.rs
+++ b/src/decide/route/mod.rs
@@ -31,11 +31,12 @@
 mod cost;
 mod replica;
 mod shortage;
+mod speeds;
 mod weights;
 
 use rand::{RngExt, SeedableRng, rngs::StdRng, seq::IteratorRandom};
 
-use self::{replica::Replica, weights::MIN_FETCH_TOKENS};
+use self::{replica::Replica, speeds::Speeds, weights::MIN_FETCH_TOKENS};
 pub use self::{shortage::Shortage, weights::Weights};
 use super::{
     brittle::{Brittle, Budget},
@@ -198,6 +199,12 @@
         /// Other requests of this entry that were in flight at the replica
         /// when it was sent.
         others_in_flight: u32,
+        /// Prompt tokens that the replica had to compute before.
+        pending: u32,
+        /// Requests that ran there, in sixteenths.
+        load_sixteenths: u32,
+        /// Expected wait for a slot, in ms.
+        queue_ms: u32,
     }
 }
 
@@ -255,6 +262,7 @@
     /// When the last caller in the queue was told to return; see
     /// [`Pool::enqueue`].
     queue_end: u64,
+    speeds: Speeds,
 }
 
 /// Minimum number of computed tokens for a prompt to count as a sample of the
@@ -301,6 +309,7 @@
             budget: None,
             picked_at: 0,
             queue_end: 0,
+            speeds: Speeds::open(weights.token_ms, weights.batch_ms),
         }
     }
 
@@ -775,8 +784,9 @@
         if self.policy != Policy::Cost {
             self.match_prefix(now, request);
         }
-        let predicted_ms =
-            self.first_token_ms(now, &self.replicas[at], request);
+        let chosen = &self.replicas[at];
+        let features = self.features(now, chosen, request);
+        let predicted_ms = self.predicted_ms(now, chosen, request, &features);
         let cached = self.replicas[at].matched_tokens.min(request.tokens);
         let serial = self.next_serial;
         self.next_serial += 1;
@@ -813,6 +823,9 @@
                 tokens,
                 begun_at: now,
                 others_in_flight,
+                pending: features.pending as u32,
+                load_sixteenths: (features.load * 16.0) as u32,
+                queue_ms: features.queue_ms as u32,
             },
         };
         self.index.insert(number, request.blocks);
--- a/src/decide/route/replica.rs
+++ b/src/decide/route/replica.rs
@@ -2,7 +2,7 @@
 
 use super::{Availability, Identity, Ticket};
 use crate::{
-    decide::{brittle::Brittle, rate_limit::Bucket},
+    decide::{brittle::Brittle, rate_limit::Bucket, speed::Speed},
     util::{name_hash, position},
 };
 
@@ -77,6 +77,12 @@
     /// Whether an answer has said if the replica is brittle, since the first
     /// one of the service was.
     pub has_announced: bool,
+    /// Evidence about its speed.
+    pub pace: Speed,
+    /// Time that work takes here relative to the pool; 1 if unknown.
+    pub slowness: f32,
+    /// Useful number of running requests; infinite if unknown.
+    pub knee: f32,
 }
 
 impl Replica {
@@ -109,6 +115,9 @@
             backoff_until: 0,
             brittle: None,
             has_announced: false,
+            pace: Speed::default(),
+            slowness: 1.0,
+            knee: f32::INFINITY,
         }
     }
 
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -93,6 +93,9 @@
         pub matches: bool,
         /// Requests running and queued at the replica.
         pub load: Option<u32>,
+        /// How long work takes at the replica now, in percent of the usual
+        /// time.
+        pub work_time: Option<f32>,
         /// How long the replica keeps an idle connection open, in ms.
         pub keep_ms: Option<u64>,
         /// The rate limit that the replica announces.
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -24,6 +24,7 @@
             Availability, Choice, Identity, Policy, Pool, RouteRequest,
             Shortage, Status, Ticket, UNKNOWN_VERSION, Weights,
         },
+        speed::{Allowance, Evidence, Report, Sender, Switch, Turn},
     },
     mesh::{
         load_propagation_delay_ms,
@@ -150,6 +151,13 @@
     /// Parts that all nodes have sent to replicas lately.
     memory: Memory,
     backoffs: Backoffs,
+    speed_switch: Switch,
+    /// Limits the bytes in which speeds are reported.
+    allowance: Allowance,
+    /// The last reports of speeds.
+    speed_reports: Vec<Report>,
+    /// The nodes that report speeds, sorted by address.
+    speed_senders: Vec<(u32, u64)>,
 }
 
 /// Time for which a part sent to a replica is reported to the other nodes, in
@@ -173,9 +181,19 @@
             cached: Vec::new(),
             memory: Memory::default(),
             backoffs: Backoffs::default(),
+            speed_switch: Switch::Auto,
+            allowance: Allowance::default(),
+            speed_reports: Vec::new(),
+            speed_senders: Vec::new(),
         }
     }
 
+    /// Sets whether the speed of replicas counts.
+    pub fn with_speed_switch(mut self, switch: Switch) -> Fleet {
+        self.speed_switch = switch;
+        self
+    }
+
     /// Updates the services from the mesh table and the plan.
     pub fn refresh(&mut self, now: u64, table: &Table, plan: Option<&Plan>) {
         let usable = || {
@@ -208,6 +226,8 @@
                 service.places.clear();
             }
         }
+        let recipients = table.members(now).count();
+        self.allowance.set(table.nodes().len() + 1, recipients);
         let peers = table.live_entry_count(now);
         for service in &mut self.services {
             service.pool.set_peers(peers);
@@ -242,8 +262,13 @@
         name: &str,
         planned: Option<&Service>,
     ) -> usize {
-        let open =
-            || Pool::open(Policy::Cost, weights_for(planned), random_id());
+        let switch = self.speed_switch;
+        let open = || {
+            let weights = weights_for(planned);
+            let mut pool = Pool::open(Policy::Cost, weights, random_id());
+            pool.set_speed_switch(switch);
+            pool
+        };
         match position(&self.services, name, |routed| routed.name.as_str()) {
             Ok(at) => {
                 let routed = &mut self.services[at];
@@ -291,22 +316,24 @@
         request: &RouteRequest<'_>,
     ) -> Option<Target> {
         let routed = self.find(service)?;
-        let choice: Choice = routed.pool.pick(now, request)?;
-        routed.reach.record_begin(now);
-        let place = routed.place(&choice.id)?;
-        let (address, version) = (place.address, place.version.clone());
-        let is_version_certain = place.is_version_certain;
-        let fetch_from = choice.fetch_from.and_then(|id| routed.address(&id));
-        Some(Target {
-            replica: choice.id,
-            address,
-            fetch_from,
-            ticket: choice.ticket,
-            cached_tokens: choice.cached_tokens,
-            predicted_ms: choice.predicted_ms,
-            version,
-            is_version_certain,
-        })
+        let choice = routed.pool.pick(now, request)?;
+        routed.target(now, choice)
+    }
+
+    /// Like [`Fleet::pick`], for a request that may be used to find out
+    /// whether a slow replica has recovered.
+    pub fn pick_or_retry_slow(
+        &mut self,
+        now: u64,
+        service: &str,
+        request: &RouteRequest<'_>,
+    ) -> Option<Target> {
+        let routed = self.find(service)?;
+        let choice = match routed.pool.pick_retrial(now, request) {
+            Some(choice) => choice,
+            None => routed.pool.pick(now, request)?,
+        };
+        routed.target(now, choice)
     }
 
     /// Records the parts of a prompt that a replica was sent and did not have.
@@ -439,6 +466,126 @@
         }
     }
 
+    /// Records the figure that a replica reported with an answer.
+    pub fn record_figure(
+        &mut self,
+        now: u64,
+        service: &str,
+        replica: &str,
+        percent: f32,
+    ) {
+        if let Some(routed) = self.find(service) {
+            routed.pool.record_figure(now, replica, 0, percent);
+        }
+    }
+
+    /// Returns the relative time to the beginning of an answer; see
+    /// [`Pool::first_sample`].
+    pub fn first_sample(
+        &mut self,
+        now: u64,
+        service: &str,
+        ticket: Ticket,
+    ) -> Option<f32> {
+        self.find(service)?.pool.first_sample(now, ticket)
+    }
+
+    /// Records a replica's relative time.
+    pub fn record_sample(
+        &mut self,
+        now: u64,
+        service: &str,
+        ticket: Ticket,
+        log_time: f32,
+    ) {
+        if let Some(routed) = self.find(service) {
+            routed.pool.record_sample(now, ticket, log_time);
+        }
+    }
+
+    /// Records the mean time between two pieces of a complete answer.
+    pub fn record_gap(
+        &mut self,
+        now: u64,
+        service: &str,
+        ticket: Ticket,
+        gap_ms: f32,
+    ) {
+        if let Some(routed) = self.find(service) {
+            routed.pool.record_gap(now, ticket, gap_ms);
+        }
+    }
+
+    /// Returns reports of the speed of replicas, as many as other nodes may be
+    /// sent now. Those sent since a moment ago are repeated.
+    pub fn next_speed_reports(&mut self, now: u64) -> Vec<u64> {
+        if let Some(count) = self.allowance.next(now) {
+            self.speed_reports.clear();
+            for routed in &mut self.services {
+                let most = count - self.speed_reports.len();
+                let reports = routed.pool.take_reports(now, most);
+                self.speed_reports.extend(reports);
+            }
+            self.allowance.spend(self.speed_reports.len());
+        }
+        self.speed_reports.iter().map(Report::pack).collect()
+    }
+
+    /// Records another node's reports of the speed of replicas.
+    pub fn record_speed_reports(
+        &mut self,
+        now: u64,
+        sender: Sender,
+        packed: &[u64],
+    ) {
+        let senders = &mut self.speed_senders;
+        match position(senders, &sender.ip, |(ip, _)| ip) {
+            Ok(at) if senders[at].1 == sender.incarnation => {}
+            Ok(at) => {
+                senders[at].1 = sender.incarnation;
+                for routed in &mut self.services {
+                    routed.pool.forget_reports(sender.ip);
+                }
+            }
+            Err(_) if packed.is_empty() => return,
+            Err(at) => senders.insert(at, (sender.ip, sender.incarnation)),
+        }
+        if packed.is_empty() {
+            return;
+        }
+        let reports: Vec<Report> =
+            packed.iter().map(|one| Report::unpack(*one)).collect();
+        for routed in &mut self.services {
+            routed.pool.record_reports(now, sender, &reports);
+        }
+    }
+
+    /// Returns the replicas that were declared slow or well, by service.
+    pub fn take_speed_turns(
+        &mut self,
+    ) -> Vec<(String, String, Turn, Evidence)> {
+        let mut all = Vec::new();
+        for routed in &mut self.services {
+            for (id, turn, evidence) in routed.pool.take_speed_turns() {
+                all.push((routed.name.clone(), id, turn, evidence));
+            }
+        }
+        all
+    }
+
+    /// Returns the number of replicas that are considered slow, by service
+    /// where speeds count.
+    pub fn slow_counts(
+        &self,
+        now: u64,
+    ) -> impl Iterator<Item = (&str, usize)> {
+        let on = self.services.iter().filter(|one| one.pool.has_speeds());
+        on.map(move |routed| {
+            let count = routed.pool.slow_replicas(now).count();
+            (routed.name.as_str(), count)
+        })
+    }
+
     /// Records that a piece of a response arrived.
     pub fn record_progress(
         &mut self,
@@ -742,6 +889,24 @@
 }
 
 impl Routed {
+    fn target(&mut self, now: u64, choice: Choice) -> Option<Target> {
+        self.reach.record_begin(now);
+        let place = self.place(&choice.id)?;
+        let (address, version) = (place.address, place.version.clone());
+        let is_version_certain = place.is_version_certain;
+        let fetch_from = choice.fetch_from.and_then(|id| self.address(&id));
+        Some(Target {
+            replica: choice.id,
+            address,
+            fetch_from,
+            ticket: choice.ticket,
+            cached_tokens: choice.cached_tokens,
+            predicted_ms: choice.predicted_ms,
+            version,
+            is_version_certain,
+        })
+    }
+
     fn place(&self, replica: &str) -> Option<&Place> {
         let at =
             position(&self.places, replica, |place| place.replica.as_str());
--- a/src/gateway/flight.rs
+++ b/src/gateway/flight.rs
@@ -18,6 +18,12 @@
 /// in ms: longer than the pauses that an engine makes.
 const CRASH_SUSPICION_SILENCE_MS: u64 = 1000;
 
+/// Pieces of an answer after which its beginning counts as right. Replicas
+/// that fail fast send fewer.
+const PROVING_PIECES: u32 = 4;
+/// Pieces from which the time between them is measured.
+const MIN_GAP_PIECES: u32 = 8;
+
 /// What carries an attempt to a replica.
 pub(super) enum Carrier {
     /// A connection of this node.
@@ -84,6 +90,13 @@
     /// When data of the answer last arrived, or the attempt began, in ms.
     heard_at: u64,
     has_started: bool,
+    /// When the answer began, in ms.
+    started_at: u64,
+    /// Pieces of the answer that have arrived since.
+    pieces: u32,
+    /// How long the answer took to begin, relative to the prediction, until
+    /// the answer is known to be right.
+    sample: Option<f32>,
     /// What a complete answer shows.
     proof: Proof,
     /// The outcome that is counted on drop.
@@ -101,6 +114,9 @@
             began_at: accepted.now(),
             heard_at: accepted.now(),
             has_started: false,
+            started_at: 0,
+            pieces: 0,
+            sample: None,
             proof: Proof::None,
             // The outcome when the caller disconnects and the attempt is
             // dropped.
@@ -116,12 +132,52 @@
         self.heard_at = now;
         let mut fleet = self.gateway.fleet();
         fleet.record_start(now, &self.service, &self.target, answer_info.load);
+        self.started_at = now;
+        if let Some(percent) = answer_info.work_time {
+            let replica = &self.target.replica;
+            fleet.record_figure(now, &self.service, replica, percent);
+        }
+        if proof == Proof::None {
+            return;
+        }
+        let ticket = self.target.ticket;
+        self.sample = fleet.first_sample(now, &self.service, ticket);
+        if let Some(log_time) = self.sample
+            && log_time >= 0.0
+        {
+            fleet.record_sample(now, &self.service, ticket, log_time);
+            self.sample = None;
+        }
+    }
+
+    /// Records the sample that was kept until the answer proved right.
+    fn record_kept_sample(&mut self, now: u64) {
+        let Some(log_time) = self.sample.take() else { return };
+        let ticket = self.target.ticket;
+        let mut fleet = self.gateway.fleet();
+        fleet.record_sample(now, &self.service, ticket, log_time);
+    }
+
+    fn record_gap(&self, now: u64) {
+        let pieces = self.pieces;
+        if pieces < MIN_GAP_PIECES {
+            return;
+        }
+        let streamed_ms = self.heard_at.saturating_sub(self.started_at);
+        let gap_ms = streamed_ms as f32 / pieces as f32;
+        let ticket = self.target.ticket;
+        let mut fleet = self.gateway.fleet();
+        fleet.record_gap(now, &self.service, ticket, gap_ms);
     }
 
     /// Notes that the answer was read to its end.
     pub fn finish(&mut self, failure: bool) {
         let now = self.gateway.timer.now();
         let held_ms = now.saturating_sub(self.began_at) as u32;
+        if !failure {
+            self.record_kept_sample(now);
+            self.record_gap(now);
+        }
         match self.proof {
             Proof::Complete if !failure => {
                 self.gateway.record_success(&self.identity, now);
@@ -148,6 +204,10 @@
         self.heard_at = now;
         let ticket = self.target.ticket;
         self.gateway.fleet().record_progress(now, &self.service, ticket);
+        self.pieces += 1;
+        if self.pieces == PROVING_PIECES {
+            self.record_kept_sample(now);
+        }
     }
 
     /// Returns when the attempt began, in ms.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -508,6 +508,14 @@
         }
     }
 
+    /// Whether a replica that is considered slow may be tried again with this
+    /// request: a first attempt that is not among the most urgent ones.
+    fn may_test_slow_replica(&self) -> bool {
+        self.priority() > 0
+            && self.attempts.avoid.is_empty()
+            && self.version == StreamVersion::Any
+    }
+
     fn pick_by(&self, version: VersionRule) -> Option<Target> {
         let blocks = prompt_blocks(&self.request_info.parts);
         let tokens = self.request_info.tokens.map_or(0, |(prompt, _)| prompt);
@@ -519,7 +527,12 @@
             version,
         };
         let now = self.now();
-        let target = self.gateway.fleet().pick(now, &self.service, &ask)?;
+        let mut fleet = self.gateway.fleet();
+        let target = match self.may_test_slow_replica() {
+            true => fleet.pick_or_retry_slow(now, &self.service, &ask),
+            false => fleet.pick(now, &self.service, &ask),
+        }?;
+        drop(fleet);
         let tried_before = self.attempts.avoid.iter();
         let tried_before =
             tried_before.filter(|(id, _)| *id == target.replica).count() > 0;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 //! | `retries` | claims retries from the retry budgets |
 //! | `overload` | refuses requests that replicas can't start in time |
 //! | `suspects` | tracks requests that may have crashed replicas |
+//! | `speeds` | exchanges evidence about the speed of replicas, and logs it |
 //! | `survival` | tells whether replicas survived what they answered |
 //! | [`parts`] | maps the parts of a prompt to cache blocks |
 //! | `quotas` | enforces the teams' quotas |
@@ -56,6 +57,7 @@
 mod resume;
 mod retries;
 pub mod server;
+mod speeds;
 mod survival;
 mod suspects;
 pub mod upstream;
@@ -93,6 +95,7 @@
         quota::Tolerance,
         rate_limit::RateLimits,
         retry::{Bound, Peak},
+        speed::Switch,
     },
     mesh::{self, table::LocalReport},
     metrics::Metrics,
@@ -136,6 +139,8 @@
     pub usage_window: UsageWindow,
     /// Memory for the bodies of all requests in flight together, in bytes.
     pub body_memory: usize,
+    /// Whether the speed of each replica counts in routing.
+    pub replica_speed: Switch,
 }
 
 /// The data path of one node.
@@ -236,10 +241,10 @@
             rate_limits: Mutex::default(),
             suspects_changed: Notify::new(),
             mesh: std::sync::OnceLock::new(),
-            fleet: Mutex::new(Fleet::open(
-                &options.data_centre,
-                options.retry_bound,
-            )),
+            fleet: Mutex::new(
+                Fleet::open(&options.data_centre, options.retry_bound)
+                    .with_speed_switch(options.replica_speed),
+            ),
             quotas: Mutex::default(),
             joins: AtomicBool::new(false),
             usage_window: options.usage_window,
@@ -313,6 +318,7 @@
         fleet.refresh(now, &table, plan.as_ref().as_ref());
         let backing_off = fleet.backing_off(now) as i64;
         self.metrics.backing_off_replicas.set(backing_off);
+        self.observe_speeds(now, &mut fleet);
         self.observe_retry_usage(now, &table, &mut fleet);
         self.update_rate_limit_shares_in(&table, &mut fleet);
         self.connections.retain(|replica| fleet.has_replica(replica));
@@ -376,7 +382,8 @@
         let has_parts = parts != CrashReport::default();
         let limits = self.next_rate_limit_reports();
         let mut fleet = self.fleet();
-        let cached = fleet.next_cached_reports(self.timer.now());
+        let now = self.timer.now();
+        let cached = fleet.next_cached_reports(now);
         LocalReport {
             under: fleet.in_flight(),
             spent,
@@ -387,6 +394,7 @@
             successes: suspects.successes,
             parts: has_parts.then_some(parts),
             limits,
+            speeds: fleet.next_speed_reports(now),
             begun: self.accepted_count.load(Ordering::Relaxed),
         }
     }
--- a/src/mesh/datagram.rs
+++ b/src/mesh/datagram.rs
@@ -295,6 +295,7 @@
             successes: own.successes,
             parts: own.parts,
             limits: own.limits,
+            speeds: own.speeds,
             usage: self
                 .counts
                 .latest_of(self.me.incarnation, self.load_reports_sent),
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -128,6 +128,8 @@
     fn on_part_crashes(&self, report: &CrashReport, passes_on: bool);
     /// Called with the rate limits of replicas that another node reports.
     fn on_rate_limits(&self, limits: &[RateLimit]);
+    /// Called with a node's evidence about the speed of replicas.
+    fn on_speeds(&self, from: &Peer, speeds: &[u64]);
     /// Called with another node's records of streams, or its requests for
     /// them. Returns the reply.
     fn on_origins(&self, from: Ipv4Addr, origins: Origins) -> Option<Origins>;
@@ -324,6 +326,9 @@
         if !gossip.limits.is_empty() {
             host.on_rate_limits(&gossip.limits);
         }
+        if let Some(from) = gossip.from.as_ref() {
+            host.on_speeds(from, &gossip.speeds);
+        }
         let now = shared.timer.now();
         let (changes, departures) = {
             let mut table = shared.table();
--- a/src/mesh/round.rs
+++ b/src/mesh/round.rs
@@ -107,6 +107,7 @@
         let load = Gossip {
             from: gossip.from.clone(),
             under: gossip.under.clone(),
+            speeds: gossip.speeds.clone(),
             wall_ms: gossip.wall_ms,
             scope: Scope::InFlight as u32,
             ..Gossip::default()
--- a/src/mesh/table.rs
+++ b/src/mesh/table.rs
@@ -134,6 +134,8 @@
     pub parts: Option<CrashReport>,
     /// Rate limits that replicas have announced.
     pub limits: Vec<RateLimit>,
+    /// Evidence about the speed of replicas.
+    pub speeds: Vec<u64>,
     /// Callers' requests since the start.
     pub begun: u64,
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -131,6 +131,8 @@
     pub backoffs: Counter,
     /// Replicas that this node sends nothing now, as they requested.
     pub backing_off_replicas: Gauge,
+    /// Replicas that are considered slow, by service.
+    pub slow_replicas: Family<Service, Gauge>,
     /// Answers in which a replica announced that it leaves.
     pub leaving_answers: Counter,
     /// Attempts at replicas that failed, by fault.
@@ -202,6 +204,7 @@
             limited_replicas: Gauge::default(),
             backoffs: Counter::default(),
             backing_off_replicas: Gauge::default(),
+            slow_replicas: Family::default(),
             leaving_answers: Counter::default(),
             failed_attempts: Family::default(),
             resumptions: Family::default(),
@@ -287,6 +290,11 @@
             "Replicas that this node sends nothing now, as they requested",
             metrics.backing_off_replicas.clone(),
         );
+        registry.register(
+            "slow_replicas",
+            "Replicas that this node considers slow, by service",
+            metrics.slow_replicas.clone(),
+        );
         registry.register(
             "leaving_answers",
             "Answers in which a replica announced that it leaves",
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -587,6 +587,10 @@
         self.gateway.receive_rate_limits(limits);
     }
 
+    fn on_speeds(&self, from: &Peer, speeds: &[u64]) {
+        self.gateway.receive_speeds(from, speeds);
+    }
+
     fn on_origins(&self, from: Ipv4Addr, origins: Origins) -> Option<Origins> {
         self.gateway.receive_origins(from, origins)
     }
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -1137,6 +1137,10 @@
     pub origins: ::core::option::Option<Origins>,
     #[prost(message, optional, tag = "21")]
     pub parts: ::core::option::Option<CrashReport>,
+    /// The sender's evidence about the speed of replicas; decide::speed::Report
+    /// has the bits.
+    #[prost(fixed64, repeated, tag = "24")]
+    pub speeds: ::prost::alloc::vec::Vec<u64>,
 }
 /// Where a stream began, which may be resumed.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -35,6 +35,7 @@
 mod rejections;
 #[allow(dead_code)]
 mod relay;
+mod replica_speed;
 mod requests;
 mod retry_budget;
 mod roles;
--- a/tests/all/world.rs
+++ b/tests/all/world.rs
@@ -91,6 +91,9 @@
             wrong_replica: status == StatusCode::MISDIRECTED_REQUEST,
             matches: echoed.is_none() || echoed == request_id,
             load: None,
+            work_time: headers
+                .get("work-time")
+                .and_then(|time| time.to_str().ok()?.parse().ok()),
             keep_ms: None,
             limit: match headers.get("limit") {
                 Some(rate) => {
@@ -214,6 +217,7 @@
             },
             usage_window: UsageWindow { length_ms: 5000 },
             body_memory: 30 * 1024,
+            replica_speed: azuremount::decide::speed::Switch::Auto,
         },
         duties: duty::Options {
             holder: ip.to_string(),
