--- a/src/decide/route/cost.rs
+++ b/src/decide/route/cost.rs
@@ -29,6 +29,8 @@
 /// and the least share of all, in 256ths.
 const CANDIDATES: u64 = 4;
 const MIN_CANDIDATE_SHARE: u64 = 26;
+/// Nodes up to which the speed of replicas counts fully in their costs.
+const FEW_NODES: f32 = 10.0;
 /// Cost of each request beyond the knee, as a multiple of what any running
 /// request costs. With the time of a wait for a slot instead, replicas with
 /// free slots are avoided for slow ones.
@@ -80,7 +82,10 @@
         let share = MIN_CANDIDATE_SHARE.max(256 * CANDIDATES / count);
         let draws = |at: usize| {
             let drawn = mix(seed ^ at as u64) & 0xff;
-            drawn < share
+            let replica = &self.replicas[at];
+            // The rest of the factor thins out its requests instead.
+            let thinned = replica.cost_factor / replica.slowness;
+            (drawn as f32) < share as f32 * thinned
         };
         let usable =
             |at: usize| draws(at) || self.replicas[at].matched_tokens > 0;
@@ -140,6 +145,7 @@
         self.picks_since_update = 0;
         self.load_floor_at = now;
         let mut age = 0.0;
+        let mut fresh = 0.0;
         let mut others = 0.0;
         let mut pending = 0.0;
         for replica in &mut self.replicas {
@@ -148,9 +154,18 @@
             // running.
             replica.report_weight = (-report_age / self.weights.hold_ms).exp();
             age += report_age;
+            fresh += replica.report_weight;
             others += replica.others_load();
             pending += replica.others_pending.0;
         }
+        fresh /= self.replicas.len().max(1) as f32;
+        // A node that sends a small part of the requests also knows a small
+        // part of their times.
+        let known = (FEW_NODES / (self.peers + 1.0)).min(1.0);
+        self.speeds.fresh = match self.peers > 0.0 {
+            true => fresh * known,
+            false => 1.0,
+        };
         self.mean_others_pending_tokens =
             pending / self.replicas.len().max(1) as f32;
         age = (age / self.replicas.len().max(1) as f32)
@@ -247,7 +262,7 @@
         let weights = &self.weights;
         let identity = &replica.identity;
         // Both are those of the pool while speeds don't count.
-        let time = replica.slowness;
+        let time = replica.cost_factor;
         let slots = identity.slots as f32;
         let floor = self.load_floor * self.capacity(replica);
         let load = self.estimate(replica).max(floor);
@@ -313,7 +328,7 @@
     /// that is half as fast has half as many.
     fn capacity(&self, replica: &Replica) -> f32 {
         match self.speeds.is_on() {
-            true => replica.usable_slots() * replica.speed(),
+            true => replica.identity.slots as f32 / replica.cost_factor,
             false => replica.identity.slots as f32,
         }
     }
--- a/src/decide/route/mod.rs
+++ b/src/decide/route/mod.rs
@@ -205,6 +205,8 @@
         load_sixteenths: u32,
         /// Expected wait for a slot, in ms.
         queue_ms: u32,
+        /// What the replica's figure foretold, as a log in 64ths.
+        foretold_64ths: i16,
     }
 }
 
@@ -787,6 +789,7 @@
         let chosen = &self.replicas[at];
         let features = self.features(now, chosen, request);
         let predicted_ms = self.predicted_ms(now, chosen, request, &features);
+        let foretold_64ths = (chosen.pace.foretold(now) * 64.0) as i16;
         let cached = self.replicas[at].matched_tokens.min(request.tokens);
         let serial = self.next_serial;
         self.next_serial += 1;
@@ -826,6 +829,7 @@
                 pending: features.pending as u32,
                 load_sixteenths: (features.load * 16.0) as u32,
                 queue_ms: features.queue_ms as u32,
+                foretold_64ths,
             },
         };
         self.index.insert(number, request.blocks);
--- a/src/decide/route/replica.rs
+++ b/src/decide/route/replica.rs
@@ -81,6 +81,8 @@
     pub pace: Speed,
     /// Time that work takes here relative to the pool; 1 if unknown.
     pub slowness: f32,
+    /// The part of that factor that counts in its cost; 1 if unknown.
+    pub cost_factor: f32,
     /// Useful number of running requests; infinite if unknown.
     pub knee: f32,
 }
@@ -117,6 +119,7 @@
             has_announced: false,
             pace: Speed::default(),
             slowness: 1.0,
+            cost_factor: 1.0,
             knee: f32::INFINITY,
         }
     }
--- a/src/decide/route/speeds.rs
+++ b/src/decide/route/speeds.rs
@@ -6,7 +6,7 @@
 
 use super::{Pool, Replica, RouteRequest, Ticket, is_eligible};
 use crate::decide::speed::{
-    Evidence, Features, Model, Pace, Report, Sender, Switch, Trust, Turn,
+    Evidence, Features, Model, Pace, Report, Sender, Switch, Trusts, Turn,
     factor, readable_figure,
 };
 
@@ -35,9 +35,11 @@
     has_figures: bool,
     pub model: Model,
     pub pace: Pace,
-    trust: Trust,
+    trusts: Trusts,
     /// Log of the relative time of the fast replicas.
     fast: f32,
+    /// How much of the reported loads is still true, from 0 to 1.
+    pub fresh: f32,
     updated_at: u64,
     credit: f32,
     /// Replicas that were declared slow or well, not yet logged.
@@ -52,8 +54,9 @@
             has_figures: false,
             model: Model::open(token_ms, batch_ms),
             pace: Pace::default(),
-            trust: Trust::default(),
+            trusts: Trusts::default(),
             fast: 0.0,
+            fresh: 1.0,
             updated_at: 0,
             credit: 0.0,
             turns: Vec::new(),
@@ -71,6 +74,20 @@
 }
 
 impl Replica {
+    /// Sets the factor on the replica's times. `fresh` is how much of the
+    /// reported loads is still true.
+    ///
+    /// Where requests are shorter than load reports are old, nobody sees that
+    /// the faster replicas fill up. The factor then thins out the requests in
+    /// proportion, instead of raising a cost that all nodes avoid.
+    fn set_slowness(&mut self, slowness: f32, fresh: f32) {
+        self.slowness = slowness;
+        self.cost_factor = match slowness == 1.0 {
+            true => 1.0,
+            false => slowness.powf(fresh),
+        };
+    }
+
     /// Returns the replica's speed: 1 if it is as fast as the pool, 0.5 if
     /// work takes twice as long there.
     pub fn speed(&self) -> f32 {
@@ -113,8 +130,8 @@
         slow.map(move |replica| {
             let id = replica.identity.id.as_str();
             let evidence = &replica.pace;
-            let trust = &self.speeds.trust;
-            (id, evidence.evidence(now, trust, replica.slowness))
+            let trusts = &self.speeds.trusts;
+            (id, evidence.evidence(now, trusts, replica.slowness))
         })
     }
 
@@ -169,7 +186,9 @@
         }
         let Some(at) = self.position_of(ticket) else { return };
         let speed = &mut self.replicas[at].pace;
-        speed.record_sample(now, &mut self.speeds.trust, log_time);
+        let foretold = f32::from(ticket.foretold_64ths) / 64.0;
+        let trusts = &mut self.speeds.trusts;
+        speed.record_sample(now, trusts, log_time, foretold);
         self.update_factor(now, at);
     }
 
@@ -298,21 +317,21 @@
         self.speeds.updated_at = now;
         let mut logs = std::mem::take(&mut self.speeds.logs);
         logs.clear();
-        let trust = self.speeds.trust;
+        let trusts = self.speeds.trusts;
         let all = self.replicas.iter();
-        logs.extend(all.map(|one| one.pace.log_time(now, &trust)));
+        logs.extend(all.map(|one| one.pace.log_time(now, &trusts)));
         let mut sorted = logs.clone();
         let rank = sorted.len() / FAST_RANK_DIVISOR;
         let (_, fast, _) = sorted.select_nth_unstable_by(rank, f32::total_cmp);
         let fast = *fast;
         self.speeds.fast = fast;
         for (replica, log_time) in self.replicas.iter_mut().zip(&logs) {
-            replica.slowness = factor(*log_time, fast);
+            replica.set_slowness(factor(*log_time, fast), self.speeds.fresh);
             replica.knee =
                 self.speeds.pace.usable_slots(replica.identity.slots);
-            if let Some(turn) = replica.pace.update_turn(now, fast) {
+            if let Some(turn) = replica.pace.update_turn(now, &trusts, fast) {
                 let time = replica.slowness;
-                let evidence = replica.pace.evidence(now, &trust, time);
+                let evidence = replica.pace.evidence(now, &trusts, time);
                 let id = replica.identity.id.clone();
                 self.speeds.turns.push((id, turn, evidence));
             }
@@ -322,8 +341,9 @@
 
     fn update_factor(&mut self, now: u64, at: usize) {
         let replica = &mut self.replicas[at];
-        let log_time = replica.pace.log_time(now, &self.speeds.trust);
-        replica.slowness = factor(log_time, self.speeds.fast);
+        let log_time = replica.pace.log_time(now, &self.speeds.trusts);
+        let slowness = factor(log_time, self.speeds.fast);
+        replica.set_slowness(slowness, self.speeds.fresh);
     }
 }
 
--- a/src/decide/speed/mod.rs
+++ b/src/decide/speed/mod.rs
@@ -62,7 +62,7 @@
 /// Time in which the weight of samples halves, in ms. A replica gets about
 /// four requests a second from all nodes, so some twenty samples count: enough
 /// to tell a replica that is half as fast, and few enough to follow a change.
-const SAMPLE_HALF_LIFE_MS: f32 = 3000.0;
+const SAMPLE_HALF_LIFE_MS: f32 = 2000.0;
 /// Weight of the assumption that a replica is as fast as the pool, in
 /// samples. With two samples of a noisy service, most of the replicas would
 /// otherwise look fast or slow.
@@ -72,12 +72,15 @@
 /// Bounds of one sample, so that one request that was stuck is no more
 /// evidence than a request that took ten times as long.
 const SAMPLE_BOUNDS: (f32, f32) = (-1.4, 2.3);
+/// How fast the weight of a sample falls with the change of the figure that
+/// came with it: to a fifth at a figure of 250.
+const INEXACTNESS: f32 = 2.2;
 /// Distance from the mean beyond which a sample contradicts it: half as
 /// long again or more.
 const SURPRISE: f32 = 0.4;
 /// Contradicting samples in a row, all in one direction, after which older
 /// samples keep a fifth of their weight.
-const MAX_SURPRISES: u8 = 3;
+const MAX_SURPRISES: u8 = 2;
 /// Time constant with which a figure relaxes to the replica's mean figure,
 /// in ms: slowdowns of some 600 ms are seen 300 ms after they began on
 /// average.
@@ -99,12 +102,14 @@
 /// must have equal costs. Otherwise all nodes, whose knowledge of each other's
 /// requests is 0.3 s old, send to the one that is the fastest by a little.
 const STEP: f32 = 0.25;
+/// Largest difference that counts: three times as long.
+const MAX_DIFFERENCE: f32 = 1.1;
 /// Relative time from which a replica counts as slow, 1.5, and below which it
 /// is well again, 1.2.
 const SLOW_ABOVE: f32 = 0.405;
 const WELL_BELOW: f32 = 0.182;
 /// Samples from which a replica may count as slow.
-const MIN_SLOW_WEIGHT: f32 = 3.0;
+const MIN_SLOW_WEIGHT: f32 = 4.0;
 /// Other nodes' reports that are kept for one replica.
 const MAX_HEARD: usize = 8;
 /// Age from which another node's report is dropped, in ms.
@@ -133,19 +138,17 @@
 }
 
 /// Share of the sums of a [`Trust`] that a new sample replaces.
-const TRUST_FORGETTING: f32 = 0.02;
+const TRUST_FORGETTING: f32 = 0.005;
 /// Weight of the assumption about figures, in squares: that of four samples
 /// with a figure of 250.
 const TRUST_PRIOR: f32 = 3.4;
 
-impl Default for Trust {
-    fn default() -> Trust {
-        // Reported figures are mostly true.
-        Trust { products: 0.8 * TRUST_PRIOR, squares: TRUST_PRIOR }
+impl Trust {
+    /// Starts from an assumed share.
+    fn open(share: f32) -> Trust {
+        Trust { products: share * TRUST_PRIOR, squares: TRUST_PRIOR }
     }
-}
 
-impl Trust {
     fn record(&mut self, change: f32, log_time: f32) {
         if change.abs() < 0.05 {
             return;
@@ -161,6 +164,23 @@
     }
 }
 
+/// How far a service's figures are trusted.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Trusts {
+    /// How far the figure that comes with an answer explains its time.
+    pub explains: Trust,
+    /// How far the figure that is known when a request is sent foretells its
+    /// time. A true figure foretells little where it arrives late.
+    pub foretells: Trust,
+}
+
+impl Default for Trusts {
+    fn default() -> Trusts {
+        // Figures are mostly true, and late.
+        Trusts { explains: Trust::open(0.9), foretells: Trust::open(0.4) }
+    }
+}
+
 /// A figure as it was reported.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct Figure {
@@ -193,8 +213,15 @@
         }
         let age = now.saturating_sub(self.at) as f32;
         let fresh = (-age / FIGURE_RELAXATION_MS).exp();
-        let mean = self.mean * (-age / MEAN_FIGURE_MS).exp();
-        mean + (self.log_time - mean) * fresh
+        let usual = self.usual(now);
+        usual + (self.log_time - usual) * fresh
+    }
+
+    /// Returns the mean figure, which relaxes to the usual time when no figure
+    /// arrives.
+    fn usual(&self, now: u64) -> f32 {
+        let age = now.saturating_sub(self.at) as f32;
+        self.mean * (-age / MEAN_FIGURE_MS).exp()
     }
 }
 
@@ -213,7 +240,7 @@
         self.weight * decay(now.saturating_sub(self.at), SAMPLE_HALF_LIFE_MS)
     }
 
-    fn record(&mut self, now: u64, log_time: f32) {
+    fn record(&mut self, now: u64, log_time: f32, new: f32) {
         let distance = log_time - self.mean;
         let is_higher = distance > 0.0;
         self.surprises = match distance.abs() > SURPRISE {
@@ -228,8 +255,8 @@
             weight *= 0.2;
             self.surprises.0 = 0;
         }
-        self.mean += distance / (weight + 1.0);
-        self.weight = (weight + 1.0).min(MAX_WEIGHT);
+        self.mean += distance * new / (weight + new);
+        self.weight = (weight + new).min(MAX_WEIGHT);
         self.at = self.at.max(now);
     }
 }
@@ -258,7 +285,6 @@
     own: Samples,
     heard: Vec<Heard>,
     figure: Figure,
-    trust: Trust,
     is_slow: bool,
     /// How much other nodes would learn from a report.
     unsent: f32,
@@ -281,7 +307,7 @@
     pub figure: f32,
     /// Age of the newest evidence, in ms.
     pub age_ms: u64,
-    /// How far this replica's figure is trusted, from 0 to 1.
+    /// How far the service's figures are trusted, from 0 to 1.
     pub trust: f32,
 }
 
@@ -295,27 +321,37 @@
         }
     }
 
-    /// Records the relative time that a request of this node took.
+    /// Records the relative time that a request of this node took. `foretold`
+    /// is what [`Speed::foretold`] returned when it was sent.
     pub fn record_sample(
         &mut self,
         now: u64,
-        pool_trust: &mut Trust,
+        trusts: &mut Trusts,
         log_time: f32,
+        foretold: f32,
     ) {
         let (low, high) = SAMPLE_BOUNDS;
         let log_time = log_time.clamp(low, high);
         let is_fresh = now <= self.figure.at + FIGURE_RELAXATION_MS as u64;
-        if is_fresh && self.own.weight(now) > 1.0 {
+        if is_fresh && self.own.weight(now) > 0.5 {
             let change = self.figure.log_time - self.figure.mean;
             let rest = log_time - self.own.mean;
-            self.trust.record(change, rest);
-            pool_trust.record(change, rest);
+            trusts.explains.record(change, rest);
+            trusts.foretells.record(foretold, rest);
         }
-        let explained = self.trusted(pool_trust) * self.figure.value(now);
-        self.own.record(now, log_time - explained);
+        let explained = trusts.explains.share() * self.figure.value(now);
+        // What a figure explains is not exact.
+        let change = self.foretold(now) * INEXACTNESS;
+        let weight = 1.0 / (1.0 + change * change);
+        self.own.record(now, log_time - explained, weight);
         self.unsent += 0.5 + log_time.abs();
     }
 
+    /// Returns how much more than usual the figure says now.
+    pub fn foretold(&self, now: u64) -> f32 {
+        self.figure.value(now) - self.figure.usual(now)
+    }
+
     /// Records what another node reports.
     pub fn record_report(
         &mut self,
@@ -376,13 +412,6 @@
         }
     }
 
-    fn trusted(&self, pool: &Trust) -> f32 {
-        // A replica's own record counts once it has one.
-        let own = self.trust.squares - TRUST_PRIOR;
-        let weight = (own / (own + 2.0 * TRUST_PRIOR)).max(0.0);
-        pool.share() + (self.trust.share() - pool.share()) * weight
-    }
-
     /// Returns the mean of all samples and their weight.
     fn samples(&self, now: u64) -> (f32, f32) {
         let own = self.own.weight(now);
@@ -397,17 +426,25 @@
     }
 
     /// Returns the log of the replica's time relative to the prediction.
-    pub fn log_time(&self, now: u64, pool: &Trust) -> f32 {
-        let figure = self.trusted(pool) * self.figure.value(now);
+    pub fn log_time(&self, now: u64, trusts: &Trusts) -> f32 {
+        let usual = self.figure.usual(now);
+        let figure = trusts.explains.share() * usual
+            + trusts.foretells.share() * (self.figure.value(now) - usual);
         let (low, high) = TIME_BOUNDS;
         (self.samples(now).0 + figure).clamp(low, high)
     }
 
-    /// Updates whether the replica counts as slow, given its time relative to
-    /// the pool's median. Momentary figures don't count.
-    pub fn update_turn(&mut self, now: u64, median: f32) -> Option<Turn> {
+    /// Updates whether the replica counts as slow, given the time of the fast
+    /// replicas. Momentary figures don't count.
+    pub fn update_turn(
+        &mut self,
+        now: u64,
+        trusts: &Trusts,
+        fast: f32,
+    ) -> Option<Turn> {
         let (mean, weight) = self.samples(now);
-        let lasting = mean + self.figure.mean.max(0.0) * 0.5 - median.max(0.0);
+        let usual = trusts.explains.share() * self.figure.usual(now);
+        let lasting = mean + usual - fast;
         let was_slow = self.is_slow;
         self.is_slow = match was_slow {
             true => lasting > WELL_BELOW,
@@ -432,7 +469,7 @@
     }
 
     /// Returns the evidence, given the time relative to the pool.
-    pub fn evidence(&self, now: u64, pool: &Trust, time: f32) -> Evidence {
+    pub fn evidence(&self, now: u64, trusts: &Trusts, time: f32) -> Evidence {
         let own_samples = self.own.weight(now);
         Evidence {
             speed: 1.0 / time.max(f32::MIN_POSITIVE),
@@ -440,7 +477,7 @@
             heard_samples: self.samples(now).1 - own_samples,
             figure: 100.0 * self.figure.log_time.exp(),
             age_ms: now.saturating_sub(self.heard_at().max(self.figure.at)),
-            trust: self.trusted(pool),
+            trust: trusts.explains.share(),
         }
     }
 }
@@ -456,5 +493,5 @@
     if rest == 0.0 {
         return 1.0;
     }
-    ((rest / STEP).ceil() * STEP).exp()
+    ((rest / STEP).ceil() * STEP).min(MAX_DIFFERENCE).exp()
 }
--- a/src/gateway/flight.rs
+++ b/src/gateway/flight.rs
@@ -84,7 +84,8 @@
 pub(super) struct Flight {
     gateway: Arc<Gateway>,
     service: String,
-    target: Target,
+    /// Boxed, as a flight is moved with its answer.
+    target: Box<Target>,
     identity: Identity,
     began_at: u64,
     /// When data of the answer last arrived, or the attempt began, in ms.
@@ -109,7 +110,7 @@
         Flight {
             gateway: accepted.gateway.clone(),
             service: accepted.service.clone(),
-            target: target.clone(),
+            target: Box::new(target.clone()),
             identity: accepted.identity.clone(),
             began_at: accepted.now(),
             heard_at: accepted.now(),
--- a/tests/all/replica_speed.rs
+++ b/tests/all/replica_speed.rs
@@ -7,7 +7,7 @@
         Availability, Identity, Policy, Pool, RouteRequest, Ticket,
         VersionRule, Weights,
     },
-    speed::{Report, Sender, Switch},
+    speed::{Report, Sender, Switch, readable_figure},
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -611,3 +611,47 @@
         assert_eq!(picks(Switch::Auto), picks(Switch::Off));
     }
 }
+
+/// Figures that are random, or that say 100 while a third of the replicas is
+/// half as fast, cost no more than a hundredth of the requests in time.
+#[test]
+fn false_figures_do_no_harm() {
+    let third = (1.0 / 3.0, 2.0, 0, u64::MAX);
+    let random = Figures::Random;
+    let usual = Figures::Usual;
+    for case in [
+        Case { figures: random, ..ENGINES },
+        Case { figures: random, ..PLAIN },
+        Case { figures: usual, slow: third, ..ENGINES },
+    ] {
+        let before = run(case, Way::Present).in_time;
+        let now = run(case, Way::Speed).in_time;
+        assert!(now > before - 0.01, "{now} instead of {before}");
+    }
+}
+
+/// A third of the replicas is half as fast: without speeds, they get as many
+/// requests as the others, and more of these are late.
+#[test]
+fn slow_replicas_get_fewer_requests() {
+    for nodes in [1, 10] {
+        let slow = (1.0 / 3.0, 2.0, 0, u64::MAX);
+        let case = Case { nodes, slow, ..ENGINES };
+        let before = run(case, Way::Present);
+        let now = run(case, Way::Speed);
+        assert!(now.in_time > before.in_time, "{now:?} {before:?}");
+        assert!(now.slow_share < 0.2, "{now:?}");
+    }
+}
+
+/// A figure that can't be true is not used: absent, negative, not a number or
+/// huge.
+#[test]
+fn absurd_figures_are_ignored() {
+    for percent in [0.0, -250.0, f32::NAN, f32::INFINITY, 1e9] {
+        assert_eq!(readable_figure(percent), None, "{percent}");
+    }
+    let low = readable_figure(10.0).unwrap();
+    let high = readable_figure(90_000.0).unwrap();
+    assert!(low > -1.0 && high < 1.7);
+}
