Merge learned speeds of replicas, off

Each replica's speed is learned from the figure that it reports and from what it took against the pool's model, and shared between nodes.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -19,3 +19,4 @@
 pub mod retry;
 pub mod rollout;
 pub mod route;
+pub mod speed;
--- a/src/decide/route/mod.rs
+++ b/src/decide/route/mod.rs
@@ -32,12 +32,13 @@
 mod cost;
 mod replica;
 mod shortage;
+mod speeds;
 mod weights;
 
 use rand::{RngExt, SeedableRng, rngs::StdRng, seq::IteratorRandom};
 
 pub use self::{capacity::Capacity, shortage::Shortage, weights::Weights};
-use self::{replica::Replica, weights::MIN_FETCH_TOKENS};
+use self::{replica::Replica, speeds::Speeds, weights::MIN_FETCH_TOKENS};
 use super::{
     brittle::{Brittle, Budget},
     prefix::Index,
@@ -205,6 +206,14 @@
         /// Other requests of this entry that were in flight at the replica
         /// when it was sent.
         others_in_flight: u32,
+        /// Prompt tokens that the replica had to compute before.
+        pending: u32,
+        /// Requests that ran there, in sixteenths.
+        load_sixteenths: u32,
+        /// Expected wait for a slot, in ms.
+        queue_ms: u32,
+        /// What the replica's figure foretold, as a log in 64ths.
+        foretold_64ths: i16,
     }
 }
 
@@ -269,6 +278,7 @@
     /// When the last caller in the queue was told to return; see
     /// [`Pool::enqueue`].
     queue_end: u64,
+    speeds: Speeds,
 }
 
 /// Minimum number of computed tokens for a prompt to count as a sample of the
@@ -315,6 +325,7 @@
             budget: None,
             picked_at: 0,
             queue_end: 0,
+            speeds: Speeds::open(weights.token_ms, weights.batch_ms),
         }
     }
 
@@ -820,8 +831,10 @@
         if self.policy != Policy::Cost {
             self.match_prefix(now, request);
         }
-        let predicted_ms =
-            self.first_token_ms(now, &self.replicas[at], request);
+        let chosen = &self.replicas[at];
+        let features = self.features(now, chosen, request);
+        let predicted_ms = self.predicted_ms(now, chosen, request, &features);
+        let foretold_64ths = (chosen.pace.foretold(now) * 64.0) as i16;
         let cached = self.replicas[at].matched_tokens.min(request.tokens);
         let serial = self.next_serial;
         self.next_serial += 1;
@@ -858,6 +871,10 @@
                 tokens,
                 begun_at: now,
                 others_in_flight,
+                pending: features.pending as u32,
+                load_sixteenths: (features.load * 16.0) as u32,
+                queue_ms: features.queue_ms as u32,
+                foretold_64ths,
             },
         };
         self.index.insert(number, request.blocks);
--- a/src/decide/route/replica.rs
+++ b/src/decide/route/replica.rs
@@ -2,7 +2,7 @@
 
 use super::{Availability, Identity, Ticket};
 use crate::{
-    decide::{brittle::Brittle, rate_limit::Bucket},
+    decide::{brittle::Brittle, rate_limit::Bucket, speed::Speed},
     util::{name_hash, position},
 };
 
@@ -77,6 +77,14 @@
     /// Whether an answer has said if the replica is brittle, since the first
     /// one of the service was.
     pub has_announced: bool,
+    /// Evidence about its speed.
+    pub pace: Speed,
+    /// Time that work takes here relative to the pool; 1 if unknown.
+    pub slowness: f32,
+    /// The part of that factor that counts in its cost; 1 if unknown.
+    pub cost_factor: f32,
+    /// Useful number of running requests; infinite if unknown.
+    pub knee: f32,
 }
 
 impl Replica {
@@ -109,6 +117,10 @@
             backoff_until: 0,
             brittle: None,
             has_announced: false,
+            pace: Speed::default(),
+            slowness: 1.0,
+            cost_factor: 1.0,
+            knee: f32::INFINITY,
         }
     }
 
@@ -116,16 +128,6 @@
         self.identity.availability == Availability::Serving
     }
 
-    /// Returns the speed relative to the pool's model.
-    pub fn speed(&self) -> f32 {
-        1.0
-    }
-
-    /// Returns the number of requests that it can usefully run at a time.
-    pub fn usable_slots(&self) -> f32 {
-        self.identity.slots.max(1) as f32
-    }
-
     /// Whether the replica has requested a backoff that is not over.
     pub fn is_backing_off(&self, now: u64) -> bool {
         now < self.backoff_until
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 //! | [`rollouts`] | sends a new software version its share of the requests |
 //! | `overload` | refuses requests that replicas can't start in time |
 //! | `suspects` | tracks requests that may have crashed replicas |
+//! | `speeds` | exchanges evidence about the speed of replicas, and logs it |
 //! | `survival` | tells whether replicas survived what they answered |
 //! | [`parts`] | maps the parts of a prompt to cache blocks |
 //! | `quotas` | enforces the teams' quotas |
@@ -61,6 +62,7 @@
 mod retries;
 pub mod rollouts;
 pub mod server;
+mod speeds;
 mod survival;
 mod suspects;
 pub mod upstream;
@@ -103,6 +105,7 @@
         rate_limit::RateLimits,
         retry::{Bound, Peak},
         rollout,
+        speed::Switch,
     },
     mesh::{self, table::LocalReport},
     metrics::Metrics,
@@ -150,6 +153,8 @@
     pub rollouts: Option<rollout::Bounds>,
     /// How requests are refused while replicas are overloaded.
     pub admission: Admission,
+    /// Whether the speed of each replica counts in routing.
+    pub replica_speed: Switch,
 }
 
 /// The data path of one node.
@@ -255,10 +260,10 @@
             rate_limits: Mutex::default(),
             suspects_changed: Notify::new(),
             mesh: std::sync::OnceLock::new(),
-            fleet: Mutex::new(Fleet::open(
-                &options.data_centre,
-                options.retry_bound,
-            )),
+            fleet: Mutex::new(
+                Fleet::open(&options.data_centre, options.retry_bound)
+                    .with_speed_switch(options.replica_speed),
+            ),
             quotas: Mutex::default(),
             rollouts: Rollouts::open(options.rollouts),
             controllers: Controllers::open(options.admission),
@@ -334,6 +339,7 @@
         fleet.refresh(now, &table, plan.as_ref().as_ref());
         let backing_off = fleet.backing_off(now) as i64;
         self.metrics.backing_off_replicas.set(backing_off);
+        self.observe_speeds(now, &mut fleet);
         self.observe_retry_usage(now, &table, &mut fleet);
         self.update_rate_limit_shares_in(&table, &mut fleet);
         self.connections.retain(|replica| fleet.has_replica(replica));
@@ -401,7 +407,8 @@
         let rollouts = self.rollout_report();
         let team_work = self.team_work();
         let mut fleet = self.fleet();
-        let cached = fleet.next_cached_reports(self.timer.now());
+        let now = self.timer.now();
+        let cached = fleet.next_cached_reports(now);
         LocalReport {
             under: fleet.in_flight(),
             spent,
@@ -414,6 +421,7 @@
             parts: has_parts.then_some(parts),
             limits,
             rollouts,
+            speeds: fleet.next_speed_reports(now),
             begun: self.accepted_count.load(Ordering::Relaxed),
         }
     }
--- a/src/mesh/datagram.rs
+++ b/src/mesh/datagram.rs
@@ -306,6 +306,7 @@
             parts: own.parts,
             limits: own.limits,
             rollouts: own.rollouts,
+            speeds: own.speeds,
             usage: self
                 .counts
                 .latest_of(self.me.incarnation, self.load_reports_sent),
--- a/src/mesh/round.rs
+++ b/src/mesh/round.rs
@@ -108,6 +108,7 @@
             from: gossip.from.clone(),
             under: gossip.under.clone(),
             team_work: gossip.team_work.clone(),
+            speeds: gossip.speeds.clone(),
             wall_ms: gossip.wall_ms,
             scope: Scope::InFlight as u32,
             rollouts: gossip.rollouts.clone(),
--- a/src/mesh/table.rs
+++ b/src/mesh/table.rs
@@ -140,6 +140,8 @@
     pub limits: Vec<RateLimit>,
     /// What this node knows of the roll-outs that run.
     pub rollouts: Option<RolloutReport>,
+    /// Evidence about the speed of replicas.
+    pub speeds: Vec<u64>,
     /// Callers' requests since the start.
     pub begun: u64,
 }
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -1279,6 +1279,10 @@
     /// Work of the sender's requests since its start, by service and team.
     #[prost(message, repeated, tag = "23")]
     pub team_work: ::prost::alloc::vec::Vec<TeamWork>,
+    /// The sender's evidence about the speed of replicas; decide::speed::Report
+    /// has the bits.
+    #[prost(fixed64, repeated, tag = "24")]
+    pub speeds: ::prost::alloc::vec::Vec<u64>,
 }
 /// Answers of the replicas of a service to one node, since the order.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -39,6 +39,7 @@
 mod rejections;
 #[allow(dead_code)]
 mod relay;
+mod replica_speed;
 mod requests;
 mod retry_budget;
 mod roles;
--- a/tests/all/world.rs
+++ b/tests/all/world.rs
@@ -92,6 +92,9 @@
             matches: echoed.is_none() || echoed == request_id,
             is_sealed: headers.contains_key("seal"),
             load: None,
+            work_time: headers
+                .get("work-time")
+                .and_then(|time| time.to_str().ok()?.parse().ok()),
             keep_ms: None,
             limit: match headers.get("limit") {
                 Some(rate) => {
@@ -217,6 +220,7 @@
             body_memory: 30 * 1024,
             rollouts: None,
             admission: Admission::Off,
+            replica_speed: azuremount::decide::speed::Switch::Auto,
         },
         duties: duty::Options {
             holder: ip.to_string(),
