Bound the bytes of an answer beyond its data

Cause: the HTTP library bounds neither the digits of a chunk size nor the number of interim (1xx) heads. A replica that sends either is read until the route's timeout.

Change: a connection to a replica or node delivers at most 256 KiB without data of the answer, then fails; its read buffer has 64 KiB instead of 400 KB. The fault is "oversized": the attempt may have run, and the replica is charged a failure.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -728,16 +728,23 @@
             match timeout_at(self.deadline, body.frame()).await {
                 Ok(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
+                        connection.grant(data.len());
                         read.extend_from_slice(&data);
                     }
                 }
                 Ok(None) => break,
                 Ok(Some(Err(error))) => {
-                    carrier.disconnect();
+                    let fault = if connection.is_oversized() {
+                        carrier.fail();
+                        Fault::Oversized
+                    } else {
+                        carrier.disconnect();
+                        Fault::Broken
+                    };
                     return Err(Error {
                         verdict: Verdict::Ran,
                         sent: true,
-                        fault: Fault::Broken,
+                        fault,
                         text: format!("the answer broke off: {error}"),
                     });
                 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -138,6 +138,10 @@
         };
         let frame = match timeout_at(until, source.body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
+            Ok(Some(Err(_))) if source.connection.is_oversized() => {
+                source.carrier.fail();
+                return Received::Broken("the answer exceeds its bound");
+            }
             Ok(Some(Err(_))) => {
                 source.carrier.disconnect();
                 return Received::Broken("the replica's connection broke");
@@ -158,6 +162,7 @@
         let Ok(data) = frame.into_data() else {
             return Received::Data(Bytes::new());
         };
+        source.connection.grant(data.len());
         source.carrier.progress();
         if !self.is_event_stream {
             return Received::Data(data);
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -12,7 +12,7 @@
 use std::{
     io,
     net::SocketAddrV4,
-    sync::{Mutex, MutexGuard},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -27,7 +27,12 @@
     time::{Instant, timeout, timeout_at},
 };
 
-use crate::{decide::reach::Probe, util::common, verdict::Verdict};
+use crate::{
+    bounded::{Allowance, Bounded, MAX_HEAD_BYTES},
+    decide::reach::Probe,
+    util::common,
+    verdict::Verdict,
+};
 
 /// Time after which opening a connection fails. Links within a deployment take
 /// a few milliseconds. After this time the replica is down or unreachable, and
@@ -79,6 +84,8 @@
         ConnectTimeout,
         /// The replica closed the connection before its answer was complete.
         Broken,
+        /// The answer exceeds a bound in bytes.
+        Oversized,
         /// The answer is not shown to be that to the request.
         Unproven,
         /// Any failure that says nothing about the state of the replica.
@@ -93,6 +100,7 @@
             Fault::Refused => "refused",
             Fault::ConnectTimeout => "connect timeout",
             Fault::Broken => "broken",
+            Fault::Oversized => "oversized",
             Fault::Unproven => "unproven",
             Fault::Other => "other",
         }
@@ -138,6 +146,7 @@
     replica: String,
     address: SocketAddrV4,
     sender: Sender,
+    allowance: Arc<Allowance>,
     // Closes the connection when dropped.
     _task: Task,
     /// True when the connection was opened for this request.
@@ -254,10 +263,11 @@
                 let _ = timeout(PROBE_TIMEOUT, body.collect()).await;
                 Probe::Answered
             }
-            Err(error) if error.fault == Fault::Broken || !error.sent => {
-                Probe::Failed
-            }
-            Err(_) => Probe::Silent,
+            Err(error) => match error.fault {
+                Fault::Broken | Fault::Oversized => Probe::Failed,
+                _ if !error.sent => Probe::Failed,
+                _ => Probe::Silent,
+            },
         }
     }
 
@@ -326,12 +336,22 @@
         body_bytes: usize,
         max_silence: Duration,
     ) -> Result<Response<Incoming>, Error> {
+        self.allowance.reset();
         self.had_long_body = body_bytes > MAX_REUSE_BODY_BYTES;
         let sent = self.sender.try_send_request(request);
         match timeout(max_silence, sent).await {
             Ok(Ok(response)) => Ok(response),
             Ok(Err(mut failed)) => match failed.take_message() {
                 Some(_) => Err(Error::not_sent(failed.error())),
+                None if self.is_oversized()
+                    || failed.error().is_parse_too_large() =>
+                {
+                    let fault = Fault::Oversized;
+                    Err(Error {
+                        fault,
+                        ..Error::may_have_run("the answer exceeds its bound")
+                    })
+                }
                 None => Err(Error::connection_broken(failed.error())),
             },
             Err(_) => {
@@ -340,6 +360,16 @@
         }
     }
 
+    /// Allows the answer more bytes after `count` bytes of its data were read.
+    pub(super) fn grant(&self, count: usize) {
+        self.allowance.grant(count);
+    }
+
+    /// Returns true if the connection failed as its answer exceeds its bound.
+    pub(super) fn is_oversized(&self) -> bool {
+        self.allowance.is_exceeded()
+    }
+
     /// Returns the id of the replica.
     pub fn replica(&self) -> &str {
         &self.replica
@@ -359,7 +389,10 @@
         .await
         .map_err(|error| Error::not_connected(&error))?;
     let _ = stream.set_nodelay(true);
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (stream, allowance) = Bounded::new(stream);
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(Error::not_sent)?;
     let task = tokio::spawn(async move {
@@ -370,6 +403,7 @@
         replica: replica.to_owned(),
         address,
         sender,
+        allowance,
         _task: Task(task),
         fresh: true,
         had_long_body: false,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 
 pub mod backoff;
 pub mod board;
+mod bounded;
 pub mod caller;
 pub mod cli;
 pub mod config;
