Resume streams after a kill of all nodes where one version served

Cause: records of where streams began are in memory only, and a node that had just started took the only version it knew after 30 s, which is longer than the timeouts of the routes.

Change: nodes with a disk store the versions that have served and hand them to nodes that start. A stream without a record goes on at the only version that may have written anything within its lifetime, once the lists of half of the disks are read. Streams that may be resumed begin at a new version once a majority of the disks has stored it.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -17,3 +17,4 @@
 pub mod reach;
 pub mod retry;
 pub mod route;
+pub mod versions;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -59,6 +59,7 @@
 mod survival;
 mod suspects;
 pub mod upstream;
+mod versions;
 
 use std::sync::{
     Arc, Mutex, MutexGuard,
@@ -85,6 +86,7 @@
     quotas::Quotas,
     survival::UnprovenAnswers,
     upstream::Pool,
+    versions::Versions,
 };
 use crate::{
     board::Cell,
@@ -166,6 +168,7 @@
     crash_detector: CrashDetector,
     unproven_answers: UnprovenAnswers,
     origins: Origins,
+    versions: Versions,
     /// Requests that may have crashed replicas.
     quarantine: Mutex<Quarantine>,
     /// Parts of prompts that may have crashed replicas.
@@ -231,6 +234,7 @@
             crash_detector: CrashDetector::default(),
             unproven_answers: UnprovenAnswers::default(),
             origins: Origins::default(),
+            versions: Versions::default(),
             quarantine: Mutex::default(),
             part_quarantine: Mutex::new(Quarantine::of(Subject::Part)),
             rate_limits: Mutex::default(),
@@ -310,6 +314,7 @@
         let mut fleet = self.fleet();
         let mut table = mesh.table();
         self.record_entries(now, &mut table);
+        self.record_versions(now, &table);
         fleet.refresh(now, &table, plan.as_ref().as_ref());
         let backing_off = fleet.backing_off(now) as i64;
         self.metrics.backing_off_replicas.set(backing_off);
--- a/src/mesh/datagram.rs
+++ b/src/mesh/datagram.rs
@@ -98,6 +98,9 @@
             let node = &mut self.nodes[at];
             if node.peer.incarnation == incarnation {
                 node.clock_lead_ms = gossip.wall_ms - wall_ms;
+                if !gossip.stored_versions.is_empty() {
+                    node.stored_versions = gossip.stored_versions;
+                }
                 node.heard_directly_at = now;
                 let scope = Scope::of(gossip.scope);
                 if scope != Scope::Nothing {
@@ -174,6 +177,7 @@
                     node.under.clear();
                     node.spent.clear();
                     node.work.clear();
+                    node.stored_versions.clear();
                 }
                 node.peer = peer;
                 is_restarted
@@ -188,6 +192,7 @@
                     spent: Vec::new(),
                     work: Vec::new(),
                     unheard: Vec::new(),
+                    stored_versions: Vec::new(),
                     clock_lead_ms: 0,
                 };
                 self.nodes.insert(at, node);
@@ -273,6 +278,7 @@
             beats,
             wall_ms,
             left: self.next_departures(now),
+            stored_versions: self.stored_versions.clone(),
             ..Gossip::default()
         }
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -152,6 +152,9 @@
     plan_fetch: plan_fetch::State,
     /// Whether this node can tell other nodes what replicas have cached.
     knows_caches: AtomicBool,
+    /// Whether what this node saved before its start has been read, so that
+    /// it may be overwritten.
+    has_read_memory: AtomicBool,
     /// Time of the last log line about an unreadable heartbeat.
     unreadable_logged_at: Mutex<Option<Instant>>,
     stopping: AtomicBool,
@@ -199,8 +202,9 @@
     if !options.founds {
         gateway.start_joining();
     }
-    if !options.is_first_start {
-        gateway.restart_retries();
+    match options.is_first_start {
+        true => gateway.start_history(),
+        false => gateway.restart_retries(),
     }
     let port = options.peer_address.port();
     let seeds: Vec<SocketAddr> =
@@ -217,6 +221,7 @@
         plan_record: Mutex::new(None),
         plan_fetch: plan_fetch::State::default(),
         knows_caches: AtomicBool::new(false),
+        has_read_memory: AtomicBool::new(false),
         unreadable_logged_at: Mutex::new(None),
         stopping: AtomicBool::new(false),
         stop_peer_server: watch::Sender::new(false),
