Merge the versions that nodes with a disk remember

A stream without a record goes on at the only version that may have written anything within its lifetime, so that streams go on after a kill of all nodes.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -20,3 +20,4 @@
 pub mod rollout;
 pub mod route;
 pub mod speed;
+pub mod versions;
