Send heartbeats in two tests of streams that go on

Cause: a stream goes on at another replica only once a heartbeat, sent after the connection was opened, shows which incarnation began it. Two tests whose fake replicas send one heartbeat before the first request and none after failed in the whole test run, as their streams were rightly broken off.

Change: the node of these tests gets heartbeats as replicas send them. The checks are unchanged.

--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -10,9 +10,12 @@
     time::{sleep, timeout},
 };
 
-use crate::world::{
-    CLOSE, HANG, Replica, TEST_TIMEOUT, TestNode, WAIT, ended, events, full,
-    ids, is_whole, ok, read_answer, sighting, status,
+use crate::{
+    departures::send_heartbeats,
+    world::{
+        CLOSE, HANG, Replica, TEST_TIMEOUT, TestNode, WAIT, ended, events,
+        full, ids, is_whole, ok, read_answer, sighting, status,
+    },
 };
 
 // ---- Requests from callers -------------------------------------------------
@@ -406,6 +409,16 @@
     assert_eq!(status(&answer), "502", "{answer}");
 }
 
+/// Opens a node that gets heartbeats of these replicas. A stream goes on only
+/// once a heartbeat shows which incarnation began it.
+async fn open_with_heartbeats(replicas: &[&Replica]) -> TestNode {
+    let addresses = replicas.iter().map(|replica| replica.address).collect();
+    let world = TestNode::open(&[]).await;
+    tokio::spawn(send_heartbeats(world.node.clone(), addresses));
+    sleep(Duration::from_millis(50)).await;
+    world
+}
+
 /// Guards against streams that end early but look complete, and against
 /// missing or duplicate events after a resume. The first replica stops within
 /// event 4, and the second one resumes after event 3.
@@ -422,8 +435,7 @@
     };
     let one = Replica::spawn(respond).await;
     let two = Replica::spawn(respond).await;
-    let world =
-        TestNode::open(&[("one", one.address), ("two", two.address)]).await;
+    let world = open_with_heartbeats(&[&one, &two]).await;
     let answer = world.get("/resume/x").await;
     assert_eq!(ids(&answer), [1, 2, 3, 4, 5, 6], "{answer}");
     assert!(is_whole(&answer), "{answer}");
@@ -444,8 +456,7 @@
     };
     let one = Replica::spawn(respond).await;
     let two = Replica::spawn(respond).await;
-    let world =
-        TestNode::open(&[("one", one.address), ("two", two.address)]).await;
+    let world = open_with_heartbeats(&[&one, &two]).await;
     let answer = world.get("/resume/x").await;
     assert_eq!(ids(&answer), [1, 2], "{answer}");
     assert!(answer.contains("data: two"), "{answer}");
