Revert the versions that nodes with a disk remember

The likely cause, not traced, is that a node saves its memory as soon as it hears of a version, before it knows quotas and caches.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -20,4 +20,3 @@
 pub mod rollout;
 pub mod route;
 pub mod speed;
-pub mod versions;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -18,7 +18,7 @@
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Incoming};
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, timeout_at};
 use tracing::info;
 
 use super::{
@@ -74,11 +74,6 @@
 /// Retry delay sent to callers while all replicas are full, in ms. A replica's
 /// queue holds at most a second's worth of requests.
 const REPLICAS_FULL_RETRY_AFTER_MS: u64 = 400;
-/// Maximum time that a stream waits until nodes have stored the version of its
-/// replica: some writes to a disk, and the datagrams about them.
-const MAX_STORE_WAIT: Duration = Duration::from_millis(400);
-/// Interval between two checks for that.
-const STORE_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// The highest urgency value, which is the least urgent one.
 const MAX_URGENCY: u32 = 9;
 
@@ -358,13 +353,7 @@
             let is_unreachable = self.gateway.is_unreachable(&self.service);
             let target = match (is_unreachable, tried) {
                 (true, _) => self.pick_connected(),
-                (false, 0) => {
-                    let first = || self.pick();
-                    match self.gateway.wait_at_start(first).await {
-                        Some(target) => Some(target),
-                        None => self.pick_once_stored().await,
-                    }
-                }
+                (false, 0) => self.gateway.wait_at_start(|| self.pick()).await,
                 (false, _) => self.pick(),
             };
             let target = match target {
@@ -583,19 +572,9 @@
         match &self.version {
             // A stream that begins at a replica whose version is not certain
             // can't be resumed.
-            StreamVersion::Any if is_resumable => {
-                let target = self
-                    .pick_by(VersionRule::Certain)
-                    .or_else(|| self.pick_by(VersionRule::Any))?;
-                if self.gateway.is_version_stored(&self.service, &target) {
-                    return Some(target);
-                }
-                self.release(&target);
-                let versions = self.gateway.stored_versions(&self.service);
-                versions.iter().find_map(|version| {
-                    self.pick_by(VersionRule::Only(name_hash(version)))
-                })
-            }
+            StreamVersion::Any if is_resumable => self
+                .pick_by(VersionRule::Certain)
+                .or_else(|| self.pick_by(VersionRule::Any)),
             StreamVersion::Any => self.pick_by(VersionRule::Any),
             StreamVersion::Only(version) => {
                 self.pick_by(VersionRule::Only(name_hash(version)))
@@ -642,24 +621,6 @@
             && self.version == StreamVersion::Any
     }
 
-    /// Waits for a moment if the only replicas have a version that nodes are
-    /// about to store.
-    async fn pick_once_stored(&self) -> Option<Target> {
-        if self.route.retry_policy != RetryPolicy::Resumable {
-            return None;
-        }
-        let until = self.deadline.min(Instant::now() + MAX_STORE_WAIT);
-        while self.gateway.is_storing_version(&self.service)
-            && Instant::now() < until
-        {
-            sleep(STORE_POLL_INTERVAL).await;
-            if let Some(target) = self.pick() {
-                return Some(target);
-            }
-        }
-        None
-    }
-
     fn pick_by(&self, version: VersionRule) -> Option<Target> {
         let blocks = prompt_blocks(&self.request_info.parts);
         let tokens = self.request_info.tokens.map_or(0, |(prompt, _)| prompt);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -66,7 +66,6 @@
 mod survival;
 mod suspects;
 pub mod upstream;
-mod versions;
 
 use std::sync::{
     Arc, Mutex, MutexGuard,
@@ -97,7 +96,6 @@
     rollouts::Rollouts,
     survival::UnprovenAnswers,
     upstream::Pool,
-    versions::Versions,
 };
 use crate::{
     board::Cell,
@@ -188,7 +186,6 @@
     seals: Seals,
     unproven_answers: UnprovenAnswers,
     origins: Origins,
-    versions: Versions,
     /// Requests that may have crashed replicas.
     quarantine: Mutex<Quarantine>,
     /// Parts of prompts that may have crashed replicas.
@@ -258,7 +255,6 @@
             seals: Seals::default(),
             unproven_answers: UnprovenAnswers::default(),
             origins: Origins::default(),
-            versions: Versions::default(),
             quarantine: Mutex::default(),
             part_quarantine: Mutex::new(Quarantine::of(Subject::Part)),
             rate_limits: Mutex::default(),
@@ -340,7 +336,6 @@
         let mut fleet = self.fleet();
         let mut table = mesh.table();
         self.record_entries(now, &mut table);
-        self.record_versions(now, &table);
         fleet.refresh(now, &table, plan.as_ref().as_ref());
         let backing_off = fleet.backing_off(now) as i64;
         self.metrics.backing_off_replicas.set(backing_off);
--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -34,14 +34,15 @@
 const UNANSWERED_RETRY_AFTER_MS: u64 = 500;
 /// Retry delay sent to callers whose stream can't go on, in ms.
 const LOST_RETRY_AFTER_MS: u64 = 1000;
+/// Time since the start for which a node may not know all replicas that served
+/// before, in ms.
+const MIN_HISTORY_MS: u64 = 30_000;
+
 /// Maximum time for which a stream waits for the heartbeat that confirms its
 /// replica: one heartbeat interval, the time in which nodes learn of a
 /// heartbeat, and its possible lateness. Callers disconnect after two seconds
 /// without an event.
 const MAX_CONFIRMATION_WAIT: Duration = Duration::from_millis(1900);
-/// Time since its start for which a node waits for the state from before it.
-/// Replicas that are not heard until then are no longer used.
-const START_WAIT: Duration = Duration::from_millis(2000);
 /// Interval between two checks for such a heartbeat.
 const CONFIRMATION_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -194,7 +195,7 @@
             }
             Lookup::Unanswered => return Err(Obstacle::Unanswered),
             Lookup::Unknown => {
-                let origin = self.only_origin(route).await;
+                let origin = self.only_origin(route);
                 let origin = origin.ok_or(Obstacle::Unknown)?;
                 let source = "only version".to_owned();
                 Found { origin, source, age_ms: 0 }
@@ -213,32 +214,20 @@
 
     /// Returns where each stream of a route began, if all replicas that served
     /// it lately are of one service and version.
-    ///
-    /// A node that has just started waits for the versions that served before,
-    /// and for the heartbeats of the replicas that it knows from before.
-    async fn only_origin(&self, route: &Route) -> Option<Origin> {
+    fn only_origin(&self, route: &Route) -> Option<Origin> {
+        let now = self.timer.now();
         let mut split = route.split.iter().filter(|(_, weight)| *weight > 0);
         let (Some((service, _)), None) = (split.next(), split.next()) else {
             return None;
         };
-        let until = self.opened + START_WAIT;
-        while Instant::now() < until && self.awaits_state(service) {
-            sleep(CONFIRMATION_POLL_INTERVAL).await;
+        if now < MIN_HISTORY_MS {
+            return None;
         }
-        let lifetime_ms = retention_ms(route.timeout_ms);
-        let version = self.former_version(service, lifetime_ms)?;
+        let table = self.mesh.get()?.table();
+        let version = table.only_version(now, service)?.to_owned();
         Some(Origin { service: service.clone(), version })
     }
 
-    fn awaits_state(&self, service: &str) -> bool {
-        let now = self.timer.now();
-        let awaits_replicas = self
-            .mesh
-            .get()
-            .is_some_and(|mesh| mesh.table().awaits_remembered(now, service));
-        awaits_replicas || !self.knows_versions()
-    }
-
     fn latest_wait(&self) -> Instant {
         Instant::now() + MAX_CONFIRMATION_WAIT
     }
@@ -328,12 +317,11 @@
         if let Some(mesh) = self.gateway.mesh.get() {
             let now = self.now();
             let table = mesh.table();
-            let is_on_time = table.is_on_time(now, begun.replica);
-            drop(table);
-            let lifetime_ms = retention_ms(self.route.timeout_ms);
-            let only = self.gateway.only_version(&self.service, lifetime_ms);
-            let only = only.as_deref().map(StreamVersion::of);
-            if is_on_time && only.as_ref() == Some(&self.version) {
+            let only = table.only_version(now, &self.service);
+            let only = only.map(StreamVersion::of);
+            if only.as_ref() == Some(&self.version)
+                && table.is_on_time(now, begun.replica)
+            {
                 return true;
             }
         }
--- a/src/mesh/datagram.rs
+++ b/src/mesh/datagram.rs
@@ -103,9 +103,6 @@
             let node = &mut self.nodes[at];
             if node.peer.incarnation == incarnation {
                 node.clock_lead_ms = gossip.wall_ms - wall_ms;
-                if !gossip.stored_versions.is_empty() {
-                    node.stored_versions = gossip.stored_versions;
-                }
                 node.heard_directly_at = now;
                 let scope = Scope::of(gossip.scope);
                 if scope != Scope::Nothing {
@@ -184,7 +181,6 @@
                     node.spent.clear();
                     node.work.clear();
                     node.team_work = (0, Vec::new());
-                    node.stored_versions.clear();
                 }
                 node.peer = peer;
                 is_restarted
@@ -200,7 +196,6 @@
                     work: Vec::new(),
                     team_work: (0, Vec::new()),
                     unheard: Vec::new(),
-                    stored_versions: Vec::new(),
                     clock_lead_ms: 0,
                 };
                 self.nodes.insert(at, node);
@@ -287,7 +282,6 @@
             beats,
             wall_ms,
             left: self.next_departures(now),
-            stored_versions: self.stored_versions.clone(),
             ..Gossip::default()
         }
     }
--- a/src/mesh/table.rs
+++ b/src/mesh/table.rs
@@ -80,8 +80,6 @@
         pub(super) team_work: (u64, Vec<TeamWork>),
         /// Nodes that it does not hear.
         pub(super) unheard: Vec<u32>,
-        /// Keys of the versions that its disk has.
-        pub(super) stored_versions: Vec<u64>,
         /// Its clock's lead over this node's, in ms.
         pub(super) clock_lead_ms: i64,
     }
@@ -102,8 +100,6 @@
     pub(super) own_work: Vec<Work>,
     /// Ids of replicas of which datagrams have reported that they leave.
     pub(super) reported_departures: Vec<String>,
-    /// Keys of the versions that this node's disk has.
-    pub(super) stored_versions: Vec<u64>,
     pub(super) next_peer: usize,
     pub(super) next_replica: usize,
     pub(super) next_departure: usize,
@@ -174,7 +170,6 @@
             departures: Vec::new(),
             own_work: Vec::new(),
             reported_departures: Vec::new(),
-            stored_versions: Vec::new(),
             next_peer: 0,
             next_replica: 0,
             next_departure: 0,
@@ -409,34 +404,6 @@
         versions.all(|version| version == first).then_some(first)
     }
 
-    /// Sets the keys of the versions that this node's disk has.
-    /// Returns true if they have changed.
-    pub fn set_stored_versions(&mut self, keys: &[u64]) -> bool {
-        let has_changed = self.stored_versions != keys;
-        self.stored_versions = keys.to_vec();
-        has_changed
-    }
-
-    /// Returns the number of live nodes with a disk, including this one, and
-    /// how many of them have stored a version.
-    pub fn version_copies(&self, now: u64, key: u64) -> (usize, usize) {
-        let has = |keys: &[u64]| keys.binary_search(&key).is_ok();
-        let live = self.live(now).filter(|node| node.peer.has_disk);
-        let others = live.map(|node| has(&node.stored_versions));
-        let own = self.me.has_disk.then(|| has(&self.stored_versions));
-        let all: Vec<bool> = others.chain(own).collect();
-        (all.len(), all.iter().filter(|has| **has).count())
-    }
-
-    /// Returns true if a replica of a service has not been heard since this
-    /// node started, and may still be.
-    pub fn awaits_remembered(&self, now: u64, service: &str) -> bool {
-        self.replicas.iter().any(|replica| {
-            replica.sighting.service == service
-                && replica.remembered_until.is_some_and(|until| now < until)
-        })
-    }
-
     /// Returns this node's position in the order of the active nodes for
     /// `subject`, from 0, and the number of active nodes. Returns `None` if
     /// this node is not active.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -153,9 +153,6 @@
     /// Attempts to resume a stream whose events were not sent on, as no
     /// heartbeat showed the version.
     pub unconfirmed_replicas: Counter,
-    /// Software versions that were used before a majority of the disks had
-    /// stored them.
-    pub unstored_versions: Counter,
     /// Claims on the retry budgets, by service and outcome.
     pub retries: Family<Retry, Counter>,
     /// Retries in the window of the retry budget, by service.
@@ -240,7 +237,6 @@
             failed_attempts: Family::default(),
             resumptions: Family::default(),
             unconfirmed_replicas: Counter::default(),
-            unstored_versions: Counter::default(),
             retries: Family::default(),
             retry_budget_used: Family::default(),
             retry_budget_allowed: Family::default(),
@@ -355,11 +351,6 @@
             "Attempts to resume a stream without proof of the version",
             metrics.unconfirmed_replicas.clone(),
         );
-        registry.register(
-            "unstored_versions",
-            "Software versions used before a majority of the disks had them",
-            metrics.unstored_versions.clone(),
-        );
         registry.register(
             "retries",
             "Claims on the retry budgets, by service and outcome",
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -157,9 +157,6 @@
     rollout_fetch: rollouts::Fetching,
     /// Whether this node can tell other nodes what replicas have cached.
     knows_caches: AtomicBool,
-    /// Whether what this node saved before its start has been read, so that
-    /// it may be overwritten.
-    has_read_memory: AtomicBool,
     /// Time of the last log line about an unreadable heartbeat.
     unreadable_logged_at: Mutex<Option<Instant>>,
     stopping: AtomicBool,
@@ -207,9 +204,8 @@
     if !options.founds {
         gateway.start_joining();
     }
-    match options.is_first_start {
-        true => gateway.start_history(),
-        false => gateway.restart_retries(),
+    if !options.is_first_start {
+        gateway.restart_retries();
     }
     let port = options.peer_address.port();
     let seeds: Vec<SocketAddr> =
@@ -227,7 +223,6 @@
         plan_fetch: plan_fetch::State::default(),
         rollout_fetch: rollouts::Fetching::default(),
         knows_caches: AtomicBool::new(false),
-        has_read_memory: AtomicBool::new(false),
         unreadable_logged_at: Mutex::new(None),
         stopping: AtomicBool::new(false),
         stop_peer_server: watch::Sender::new(false),
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -93,17 +93,7 @@
         let crashes = self.node.gateway.repeated_crashes();
         let parts = Some(self.node.gateway.repeated_part_crashes());
         let limits = self.node.gateway.rate_limit_reports();
-        let (versions, sources, disks) = self.node.gateway.version_history();
-        let sightings = Sightings {
-            whole,
-            replicas,
-            crashes,
-            limits,
-            parts,
-            versions,
-            sources,
-            disks,
-        };
+        let sightings = Sightings { whole, replicas, crashes, limits, parts };
         Ok(Response::new(sightings))
     }
 
--- a/src/node/recall.rs
+++ b/src/node/recall.rs
@@ -74,7 +74,6 @@
             }
         }
     }
-    node.has_read_memory.store(true, Ordering::Relaxed);
     learn_initial_state(&node).await;
     for attempt in 0..MAX_CACHE_FETCHES {
         if attempt > 0 {
@@ -108,12 +107,6 @@
 /// Applies the memory that this node saved before it was restarted.
 fn apply_memory(node: &Node, memory: Memory) {
     apply_saved_crashes(node, &memory);
-    // A node of an earlier version saved no versions.
-    if memory.disks > 0 {
-        let sources = own_ip(node);
-        let (versions, disks) = (&memory.versions, memory.disks);
-        node.gateway.receive_versions(versions, &sources, disks);
-    }
     let levels = memory.levels.clone();
     let old_ms = wall_ms().abs_diff(memory.wall_ms);
     if old_ms > MAX_MEMORY_AGE_MS {
@@ -165,8 +158,7 @@
     let mut knows_levels = false;
     for attempt in 0..MAX_INITIAL_FETCHES {
         let knows_plan = node.gateway.plan_version() > 0;
-        let knows_versions = node.gateway.knows_versions();
-        if knows_replicas && knows_levels && knows_plan && knows_versions {
+        if knows_replicas && knows_levels && knows_plan {
             return;
         }
         sleep(INITIAL_FETCH_INTERVAL).await;
@@ -175,8 +167,8 @@
             let nodes = initial_plan_sources(node, from);
             tokio::spawn(plan_fetch::fetch_first(node.clone(), nodes));
         }
-        if !knows_replicas || !node.gateway.knows_versions() {
-            knows_replicas |= learn_replicas(node, from).await;
+        if !knows_replicas {
+            knows_replicas = learn_replicas(node, from).await;
         }
         if !knows_levels {
             knows_levels = learn_levels(node, from).await;
@@ -203,8 +195,6 @@
     let answer =
         timeout(INITIAL_FETCH_TIMEOUT, fetch_replicas(node, from)).await;
     let Some(known) = log_err(answer, "replicas", from) else { return false };
-    let (versions, sources) = (&known.versions, &known.sources);
-    node.gateway.receive_versions(versions, sources, known.disks);
     node.gateway.receive_crash_reports(&known.crashes, &[], false);
     if let Some(report) = &known.parts {
         node.gateway.receive_part_report(report, false);
@@ -255,12 +245,6 @@
     node.gateway.refresh();
 }
 
-/// Returns this node's address.
-fn own_ip(node: &Node) -> Vec<u32> {
-    let mesh = node.mesh.get();
-    mesh.iter().map(|mesh| mesh.table().own_peer().ip).collect()
-}
-
 fn apply_caches(node: &Node, caches: &Caches, from: &str) {
     let parts = caches.cached.len();
     info!(target: "node", parts, "Cache contents received from {from}.");
@@ -327,11 +311,10 @@
         // loss right after the crash.
         let suspects = node.gateway.suspects_changed.notified();
         let _ = timeout(SAVE_INTERVAL, suspects).await;
-        if !node.has_read_memory.load(Ordering::Relaxed) {
+        if !node.knows_caches.load(Ordering::Relaxed) {
             continue;
         }
         let memory = collect_memory(&node);
-        let versions = memory.versions.clone();
         let folder = folder.clone();
         // Written on another thread than requests are served on, because a
         // disk may hang for seconds.
@@ -343,19 +326,12 @@
             warn!(target: "node", "Memory file not written: {error}.");
         }
         has_failed = result.is_err();
-        if !has_failed {
-            node.gateway.record_stored_versions(&versions);
-        }
     }
 }
 
 fn collect_memory(node: &Node) -> Memory {
     let now = node.gateway.timer.now();
     let mesh = node.mesh.get();
-    let (versions, sources, disks) = node.gateway.version_history();
-    // The file must not count as a source if it lacks what it had before.
-    let is_source = node.gateway.knows_versions()
-        || own_ip(node).iter().all(|own| sources.contains(own));
     Memory {
         caches: Some(Caches { whole: true, cached: node.gateway.cached() }),
         replicas: mesh.map_or(Vec::new(), |mesh| mesh.table().usable(now)),
@@ -363,8 +339,6 @@
         crashes: node.gateway.repeated_crashes(),
         levels: Some(node.gateway.quota_levels()),
         parts: Some(node.gateway.repeated_part_crashes()),
-        versions,
-        disks: if is_source { disks.max(1) } else { 0 },
     }
 }
 
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -1133,26 +1133,6 @@
     pub limits: ::prost::alloc::vec::Vec<RateLimit>,
     #[prost(message, optional, tag = "5")]
     pub parts: ::core::option::Option<CrashReport>,
-    /// Versions that may have written a part of a stream.
-    #[prost(message, repeated, tag = "6")]
-    pub versions: ::prost::alloc::vec::Vec<SeenVersion>,
-    /// Nodes whose disks these include.
-    #[prost(fixed32, repeated, tag = "7")]
-    pub sources: ::prost::alloc::vec::Vec<u32>,
-    /// Nodes with a disk, as far as known.
-    #[prost(uint32, tag = "8")]
-    pub disks: u32,
-}
-/// A software version that served.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct SeenVersion {
-    #[prost(string, tag = "1")]
-    pub service: ::prost::alloc::string::String,
-    #[prost(string, tag = "2")]
-    pub version: ::prost::alloc::string::String,
-    /// Since one of its replicas was last used.
-    #[prost(uint64, tag = "3")]
-    pub age_ms: u64,
 }
 /// Requests of the sender that are under way at a replica.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -1221,12 +1201,6 @@
     pub levels: ::core::option::Option<Levels>,
     #[prost(message, optional, tag = "6")]
     pub parts: ::core::option::Option<CrashReport>,
-    #[prost(message, repeated, tag = "7")]
-    pub versions: ::prost::alloc::vec::Vec<SeenVersion>,
-    /// Nodes with a disk when it was written; 0 from an earlier version of the
-    /// software, which wrote no versions.
-    #[prost(uint32, tag = "8")]
-    pub disks: u32,
 }
 /// Requests that began at one incarnation of a node, by window.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -1309,9 +1283,6 @@
     /// has the bits.
     #[prost(fixed64, repeated, tag = "24")]
     pub speeds: ::prost::alloc::vec::Vec<u64>,
-    /// Versions that the sender's disk has, by hash, in ascending order.
-    #[prost(fixed64, repeated, tag = "25")]
-    pub stored_versions: ::prost::alloc::vec::Vec<u64>,
 }
 /// Answers of the replicas of a service to one node, since the order.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
