Log why a stream does not go on at another replica

The relay now names the obstacle, with the time since the replica last sent something, in one line and in a counter (azuremount_stream_moves_total), and logs attempts that fail while a stream is resumed. No decision changes.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -412,20 +412,7 @@
                 }
                 Ok(reply) => return Ok(reply),
                 Err(failed) => {
-                    info!(
-                        target: "gateway",
-                        request = id_text(self.request_info.id.as_ref()),
-                        fingerprint = fingerprint::shown(self.identity.fingerprint),
-                        parts = %self.request_info.shown_parts(),
-                        replica = target.replica,
-                        verdict = failed.verdict.as_str(),
-                        fault = failed.fault.as_str(),
-                        after_ms = self.began.elapsed().as_millis() as u64,
-                        "Attempt failed: {}.", failed.text
-                    );
-                    let fault = FailedAttempt { fault: failed.fault.as_str() };
-                    let failures = &self.gateway.metrics.failed_attempts;
-                    failures.get_or_create(&fault).inc();
+                    self.log_failed_attempt(&target, &failed);
                     let Error { verdict, sent, .. } = failed;
                     self.attempts.note(&target.replica, verdict, sent);
                     if !sent {
@@ -524,7 +511,12 @@
     pub fn allows_retry(&self) -> bool {
         let route = &self.route;
         self.attempts.allows_another(route.retry_policy, route.max_attempts)
-            && !self.gateway.is_quarantined(&self.identity, &self.service)
+            && !self.is_quarantined()
+    }
+
+    /// Returns true when the request or a part of its prompt is quarantined.
+    pub fn is_quarantined(&self) -> bool {
+        self.gateway.is_quarantined(&self.identity, &self.service)
     }
 
     /// Returns the router's choice among the replicas that have not been
@@ -997,6 +989,23 @@
         }
     }
 
+    /// Logs and counts an attempt that failed.
+    pub fn log_failed_attempt(&self, target: &Target, failed: &Error) {
+        info!(
+            target: "gateway",
+            request = id_text(self.request_info.id.as_ref()),
+            fingerprint = fingerprint::shown(self.identity.fingerprint),
+            parts = %self.request_info.shown_parts(),
+            replica = target.replica,
+            verdict = failed.verdict.as_str(),
+            fault = failed.fault.as_str(),
+            after_ms = self.began.elapsed().as_millis() as u64,
+            "Attempt failed: {}.", failed.text
+        );
+        let fault = FailedAttempt { fault: failed.fault.as_str() };
+        self.gateway.metrics.failed_attempts.get_or_create(&fault).inc();
+    }
+
     /// Logs the routing decision and its outcome in one line.
     fn log(&self, status: StatusCode, how: &'static str) {
         let chosen = self.chosen.as_ref();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -26,13 +26,52 @@
     server::{Body, BodyError},
     upstream::{Connection, Error},
 };
-use crate::{fingerprint, mesh::table::record_key, verdict::Verdict};
+use crate::{
+    fingerprint, mesh::table::record_key, metrics::StreamMove,
+    verdict::Verdict,
+};
 
 /// Silence after which a resumable stream moves to another replica. Callers
 /// disconnect after two seconds or more, and replicas under load pause for
 /// some tenths of a second.
 const MAX_STREAM_SILENCE: Duration = Duration::from_millis(1500);
 
+/// Why a stream does not go on at another replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Obstacle {
+    /// It is not certain which software version began it.
+    VersionUncertain,
+    /// Its replica may have restarted with another version before it began.
+    OriginUnconfirmed,
+    /// The route allows no further attempt.
+    AttemptsUsedUp,
+    /// The request or a part of its prompt is quarantined.
+    Quarantined,
+    /// The router has no replica for it.
+    NoReplica,
+    /// The retry budget is used up.
+    RetryDenied,
+    /// Neither this node nor another one reaches the replicas.
+    Unreachable,
+    /// The deadline has passed.
+    DeadlinePassed,
+}
+
+impl Obstacle {
+    fn as_str(self) -> &'static str {
+        match self {
+            Obstacle::VersionUncertain => "version_uncertain",
+            Obstacle::OriginUnconfirmed => "origin_unconfirmed",
+            Obstacle::AttemptsUsedUp => "attempts_used_up",
+            Obstacle::Quarantined => "quarantined",
+            Obstacle::NoReplica => "no_replica",
+            Obstacle::RetryDenied => "retry_denied",
+            Obstacle::Unreachable => "unreachable",
+            Obstacle::DeadlinePassed => "deadline_passed",
+        }
+    }
+}
+
 /// The replica's side of an answer that is being streamed.
 pub(super) struct Source {
     /// The part of the body that has already been read.
@@ -59,6 +98,8 @@
     is_event_stream: bool,
     /// True when the stream has ended, completely or with an error.
     has_ended: bool,
+    /// When the replica last sent something.
+    heard_at: Instant,
 }
 
 /// Returns an answer whose body forwards the source as the caller reads it.
@@ -73,6 +114,7 @@
         source: Some(source),
         is_event_stream,
         has_ended: false,
+        heard_at: Instant::now(),
         accepted,
     };
     let frames = stream::unfold(relay, |mut relay| async move {
@@ -112,6 +154,7 @@
             if !self.resume(reason).await {
                 return Some(Err(self.fail(reason)));
             }
+            self.heard_at = Instant::now();
         }
         None
     }
@@ -169,6 +212,7 @@
         };
         source.connection.grant(data.len());
         source.carrier.progress();
+        self.heard_at = Instant::now();
         if !self.is_event_stream {
             return Received::Data(data);
         }
@@ -234,41 +278,70 @@
         if self.accepted.route.retry_policy != RetryPolicy::Resumable {
             return false;
         }
+        let Err(obstacle) = self.find_replacement(reason).await else {
+            self.count_move("moved");
+            return true;
+        };
+        self.count_move(obstacle.as_str());
+        let attempts = &self.accepted.attempts;
+        info!(
+            target: "gateway",
+            request = self.request_id(),
+            service = self.accepted.service,
+            obstacle = obstacle.as_str(),
+            ran = attempts.ran,
+            max_attempts = self.accepted.route.max_attempts,
+            tried = attempts.avoid.len(),
+            last_event = self.splitter.last().unwrap_or(0),
+            silent_ms = self.heard_at.elapsed().as_millis() as u64,
+            "Stream does not go on at another replica: {reason}."
+        );
+        false
+    }
+
+    fn count_move(&self, outcome: &'static str) {
+        let label = StreamMove { outcome };
+        let moves = &self.accepted.gateway.metrics.stream_moves;
+        moves.get_or_create(&label).inc();
+    }
+
+    async fn find_replacement(
+        &mut self,
+        reason: &'static str,
+    ) -> Result<(), Obstacle> {
         if self.accepted.version == StreamVersion::Unknown {
-            info!(
-                target: "gateway",
-                request = self.request_id(),
-                "Stream can't be resumed: its software version is not certain."
-            );
-            return false;
+            return Err(Obstacle::VersionUncertain);
         }
         if !self.accepted.is_origin_confirmed().await {
-            info!(
-                target: "gateway",
-                request = self.request_id(),
-                "Stream can't be resumed: its replica may have restarted \
-                 before it began."
-            );
-            return false;
+            return Err(Obstacle::OriginUnconfirmed);
         }
-        while Instant::now() < self.accepted.deadline
-            && self.accepted.allows_retry()
-        {
+        while Instant::now() < self.accepted.deadline {
+            if !self.accepted.allows_retry() {
+                return Err(match self.accepted.is_quarantined() {
+                    true => Obstacle::Quarantined,
+                    false => Obstacle::AttemptsUsedUp,
+                });
+            }
             let last = self.splitter.last();
             let (gateway, service) =
                 (&self.accepted.gateway, &self.accepted.service);
             if gateway.is_unreachable(service) {
                 let is_disconnected = gateway.is_disconnected(service);
                 match self.resume_at_peer(last, reason).await {
-                    Some(resumed) => return resumed,
-                    None if is_disconnected => return false,
+                    Some(true) => return Ok(()),
+                    Some(false) => return Err(Obstacle::Unreachable),
+                    None if is_disconnected => {
+                        return Err(Obstacle::Unreachable);
+                    }
                     None => {}
                 }
             }
-            let Some(target) = self.accepted.pick() else { return false };
+            let Some(target) = self.accepted.pick() else {
+                return Err(Obstacle::NoReplica);
+            };
             if !self.accepted.claim_arrival() {
                 self.accepted.release(&target);
-                return false;
+                return Err(Obstacle::RetryDenied);
             }
             self.accepted.chosen = Some(target.clone());
             let version = StreamVersion::of(target.certain_version());
@@ -297,13 +370,14 @@
                     self.splitter = Splitter::open(last);
                     self.source = Some(*source);
                     self.accepted.gateway.metrics.moved.inc();
-                    return true;
+                    return Ok(());
                 }
                 Ok(Reply::Complete(_)) => {
                     let replica = &target.replica;
                     self.accepted.attempts.note(replica, Verdict::Ran, true);
                 }
                 Err(failed) => {
+                    self.accepted.log_failed_attempt(&target, &failed);
                     let replica = &target.replica;
                     let Error { verdict, sent, .. } = failed;
                     self.accepted.attempts.note(replica, verdict, sent);
@@ -314,7 +388,7 @@
                 }
             }
         }
-        false
+        Err(Obstacle::DeadlinePassed)
     }
 
     /// Resumes the stream through another node. Returns `None` if there is no
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -56,6 +56,13 @@
     pub fault: &'static str,
 }
 
+/// Label of an attempt to continue a stream at another replica.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StreamMove {
+    /// `moved`, or why the stream does not go on there.
+    pub outcome: &'static str,
+}
+
 /// Label of a request that resumes a stream.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct Resumption {
@@ -150,6 +157,8 @@
     pub failed_attempts: Family<FailedAttempt, Counter>,
     /// Streams that callers resume, by outcome.
     pub resumptions: Family<Resumption, Counter>,
+    /// Searches for another replica to continue a stream, by outcome.
+    pub stream_moves: Family<StreamMove, Counter>,
     /// Attempts to resume a stream whose events were not sent on, as no
     /// heartbeat showed the version.
     pub unconfirmed_replicas: Counter,
@@ -236,6 +245,7 @@
             leaving_answers: Counter::default(),
             failed_attempts: Family::default(),
             resumptions: Family::default(),
+            stream_moves: Family::default(),
             unconfirmed_replicas: Counter::default(),
             retries: Family::default(),
             retry_budget_used: Family::default(),
@@ -346,6 +356,11 @@
             "Streams that callers resume, by outcome",
             metrics.resumptions.clone(),
         );
+        registry.register(
+            "stream_moves",
+            "Searches for another replica to continue a stream, by outcome",
+            metrics.stream_moves.clone(),
+        );
         registry.register(
             "unconfirmed_replicas",
             "Attempts to resume a stream without proof of the version",
