--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -48,6 +48,7 @@
 mod rollout_judge;
 mod rollouts;
 mod scenario;
+mod silence;
 mod steps;
 mod version_changes;
 mod versions;
