--- a/src/decide/route/mod.rs
+++ b/src/decide/route/mod.rs
@@ -769,6 +769,20 @@
         }
     }
 
+    /// Records that a replica has long sent nothing for a request that is
+    /// still in flight there. That counts as a failure of the replica.
+    pub fn record_silence(&mut self, now: u64, ticket: Ticket) {
+        let Some(at) = self.position_of(ticket) else { return };
+        let replica = &mut self.replicas[at];
+        if !replica.is_in_flight(ticket) {
+            return;
+        }
+        replica.record_outcome(now, true);
+        if let Some(brittle) = &mut replica.brittle {
+            brittle.record_failed(now);
+        }
+    }
+
     /// Records that a request has ended for a reason that says nothing about
     /// the replica.
     pub fn abandon(&mut self, ticket: Ticket, now: u64, started: bool) {
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -598,6 +598,13 @@
         }
     }
 
+    /// Records that the replica of an attempt has been silent for long.
+    pub fn record_silence(&mut self, now: u64, service: &str, ticket: Ticket) {
+        if let Some(routed) = self.find(service) {
+            routed.pool.record_silence(now, ticket);
+        }
+    }
+
     /// Records that a replica of a service sent something.
     pub fn record_heard(&mut self, now: u64, service: &str) {
         if let Some(routed) = self.find(service) {
--- a/src/gateway/flight.rs
+++ b/src/gateway/flight.rs
@@ -80,6 +80,13 @@
         }
     }
 
+    /// Notes that the replica has been silent for long.
+    pub fn suspect(&mut self) {
+        if let Carrier::Replica(flight) = self {
+            flight.suspect();
+        }
+    }
+
     /// Returns the pool that the connection belongs to.
     pub fn pool<'a>(&self, gateway: &'a Gateway) -> &'a Pool {
         match self {
@@ -100,6 +107,10 @@
     /// When data of the answer last arrived, or the attempt began, in ms.
     heard_at: u64,
     has_started: bool,
+    /// True while the replica counts as failed because of its silence.
+    is_suspected: bool,
+    /// True when it was asked whether the replica has crashed.
+    is_investigated: bool,
     /// When the answer began, in ms.
     started_at: u64,
     /// Pieces of the answer that have arrived since.
@@ -129,6 +140,8 @@
             began_at: accepted.now(),
             heard_at: accepted.now(),
             has_started: false,
+            is_suspected: false,
+            is_investigated: false,
             started_at: 0,
             pieces: 0,
             sample: None,
@@ -144,6 +157,8 @@
     /// Notes that the answer has begun. `proof` is what its end will show.
     pub fn began(&mut self, answer_info: &AnswerInfo, proof: Proof) {
         self.has_started = true;
+        self.is_suspected = false;
+        self.is_investigated = false;
         self.proof = proof;
         let now = self.gateway.timer.now();
         self.heard_at = now;
@@ -223,6 +238,8 @@
     pub fn progress(&mut self) {
         let now = self.gateway.timer.now();
         self.heard_at = now;
+        self.is_suspected = false;
+        self.is_investigated = false;
         let ticket = self.target.ticket;
         self.gateway.fleet().record_progress(now, &self.service, ticket);
         self.pieces += 1;
@@ -231,6 +248,48 @@
         }
     }
 
+    /// Notes that the replica has been silent for long, and returns for how
+    /// long, in ms. The router avoids the replica from now on, while the
+    /// attempt is still in flight there.
+    pub fn suspect(&mut self) -> u64 {
+        let now = self.gateway.timer.now();
+        if !self.is_suspected {
+            self.is_suspected = true;
+            let ticket = self.target.ticket;
+            let mut fleet = self.gateway.fleet();
+            fleet.record_silence(now, &self.service, ticket);
+            drop(fleet);
+            self.investigate_silence(now);
+        }
+        now.saturating_sub(self.heard_at)
+    }
+
+    /// Finds out whether the replica has crashed if it has long been silent.
+    fn investigate_silence(&mut self, now: u64) {
+        if now >= self.heard_at + CRASH_SUSPICION_SILENCE_MS {
+            self.investigate(now, Symptom::Unresponsive);
+        }
+    }
+
+    fn investigate(&mut self, now: u64, symptom: Symptom) {
+        let version = &self.target.version;
+        let is_known =
+            self.is_investigated && symptom == Symptom::Unresponsive;
+        if is_known || self.gateway.is_version_on_trial(&self.service, version)
+        {
+            return;
+        }
+        self.is_investigated = true;
+        let attempt = Attempt {
+            identity: self.identity.clone(),
+            sent_at: self.began_at,
+            heard_at: self.heard_at,
+            ended_at: now,
+            symptom,
+        };
+        self.gateway.investigate_crash(&self.service, &self.target, attempt);
+    }
+
     /// Returns when the attempt began, in ms.
     pub fn began_at(&self) -> u64 {
         self.began_at
@@ -297,39 +356,30 @@
         let now = self.gateway.timer.now();
         self.record_evidence(now);
         let ticket = self.target.ticket;
+        let outcome = match self.end {
+            // The failure has been counted.
+            Outcome::Failed if self.is_suspected => Outcome::Abandoned,
+            outcome => outcome,
+        };
         let mut fleet = self.gateway.fleet();
         fleet.record_end(
             now,
             &self.service,
             ticket,
             self.has_started,
-            self.end,
+            outcome,
         );
         drop(fleet);
-        if self.end == Outcome::Disconnected {
-            let replica = &self.target.replica;
-            self.gateway.record_connection_failure(&self.service, replica);
-        }
-        let symptom = match self.end {
-            Outcome::Disconnected => Symptom::Broken,
-            Outcome::Failed | Outcome::Abandoned
-                if now >= self.heard_at + CRASH_SUSPICION_SILENCE_MS =>
-            {
-                Symptom::Unresponsive
+        match self.end {
+            Outcome::Disconnected => {
+                let replica = &self.target.replica;
+                self.gateway.record_connection_failure(&self.service, replica);
+                self.investigate(now, Symptom::Broken);
             }
-            _ => return,
-        };
-        let version = &self.target.version;
-        if self.gateway.is_version_on_trial(&self.service, version) {
-            return;
+            Outcome::Failed | Outcome::Abandoned => {
+                self.investigate_silence(now);
+            }
+            _ => {}
         }
-        let attempt = Attempt {
-            identity: self.identity.clone(),
-            sent_at: self.began_at,
-            heard_at: self.heard_at,
-            ended_at: now,
-            symptom,
-        };
-        self.gateway.investigate_crash(&self.service, &self.target, attempt);
     }
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -9,31 +9,25 @@
 //! attempts, the retry budget and the deadline limit this further. `Attempts`
 //! implements the rule.
 
-use std::{
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::sync::{Arc, atomic::Ordering};
 
-use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Body as _, Incoming};
-use tokio::time::{Instant, timeout_at};
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use tokio::time::Instant;
 use tracing::info;
 
 use super::{
     Gateway,
-    accept::{accept, cost_of, remove_hop_by_hop_headers},
+    accept::{accept, cost_of},
     admission::Admitted,
     bodies::Reservation,
-    dialect::{AnswerInfo, AttemptInfo, RequestInfo},
+    dialect::RequestInfo,
     fleet::{Outcome, Target},
-    flight::{Carrier, Flight},
     origins::Recording,
     parts::{block_ends, prompt_blocks},
     peer_call::{
-        self, ForwardedGuard, accept_forwarded, mark_departure, mark_outcome,
-        mark_version, remove_internal_headers,
+        ForwardedGuard, accept_forwarded, mark_outcome, mark_version,
     },
     plan::{RetryPolicy, Route, Team},
     refusal::{Refusal, Tried, id_text},
@@ -41,8 +35,6 @@
     resume::Begun,
     rollouts::Guide,
     server::{Body, full},
-    survival::Proof,
-    upstream::{Connection, Error, Fault},
 };
 use crate::{
     decide::{
@@ -50,33 +42,14 @@
         route::{RouteRequest, VersionRule},
     },
     fingerprint,
-    mesh::table::record_key,
-    metrics::{FailedAttempt, Labels, Running},
+    metrics::{Labels, Running},
     util::name_hash,
     verdict::Verdict,
 };
 
-/// Maximum size of an answer that is read to its end before any of it is
-/// forwarded, in bytes. If such an answer breaks off, the request can still be
-/// retried at another replica.
-const MAX_BUFFERED_ANSWER_BYTES: u64 = 256 * 1024;
-/// Silence of a replica after which a repeatable request is retried at another
-/// replica, as a multiple of the route's target.
-const MAX_SILENCE_TARGETS: u32 = 3;
-/// Minimum silence that counts as a fault, in ms.
-const MIN_SILENCE_MS: u64 = 400;
 /// Maximum number of retries after replicas that did not run the request.
 /// Replicas that may have run it are limited separately.
-const MAX_NOT_RUN_RETRIES: u32 = 2;
-/// Retry delay sent to callers while no replica can be reached, in ms: about
-/// the time until all nodes know of a replica's failure or return.
-const NO_REPLICA_RETRY_AFTER_MS: u64 = 500;
-/// Retry delay sent to callers while all replicas are full, in ms. A replica's
-/// queue holds at most a second's worth of requests.
-const REPLICAS_FULL_RETRY_AFTER_MS: u64 = 400;
-/// The highest urgency value, which is the least urgent one.
-const MAX_URGENCY: u32 = 9;
-
+pub(super) const MAX_NOT_RUN_RETRIES: u32 = 2;
 /// An accepted request, and the state of its attempts.
 pub(super) struct AcceptedRequest {
     pub gateway: Arc<Gateway>,
@@ -265,20 +238,6 @@
     }
 }
 
-/// What follows while this node does not reach the replicas.
-enum Next {
-    /// An attempt at a replica, which may be only slow.
-    Attempt(Target),
-    /// The answer that came through another node.
-    Reply(Reply),
-    /// No answer, and no point in another attempt.
-    Refused(Refusal),
-    /// Another attempt, if the request may be retried.
-    Retry(Refusal),
-    /// No further attempt, as the retry budget is used up.
-    Denied,
-}
-
 async fn run(
     mut accepted: AcceptedRequest,
 ) -> Result<Response<Body>, Refusal> {
@@ -286,7 +245,9 @@
     let id = accepted.request_info.id.clone();
     let route = accepted.route.name.clone();
     let began = accepted.began;
-    let result = match accepted.run().await {
+    let last_event = accepted.request_info.last_event;
+    let result = accepted.ask(last_event).await;
+    let result = match result.map_err(|exhausted| exhausted.refusal) {
         Ok(reply) if reply.promises_not_run() => Err(Refusal::unproven()),
         Ok(Reply::Streaming(source, head)) if accepted.forwarded.is_some() => {
             // The other node is told the version in the head.
@@ -336,168 +297,9 @@
         self.gateway.timer.now()
     }
 
-    async fn run(&mut self) -> Result<Reply, Refusal> {
-        let text = match self.version {
-            StreamVersion::Any => "no replica is there",
-            _ => "no replica of the stream's software version is there",
-        };
-        let mut last = Refusal::retryable(text, NO_REPLICA_RETRY_AFTER_MS);
-        let mut answer = None;
-        loop {
-            if Instant::now() >= self.deadline {
-                let verdict = last.verdict;
-                return self
-                    .answer_or_refuse(answer, Refusal::timed_out(verdict));
-            }
-            let tried = self.attempts.ran + self.attempts.not_run;
-            let is_unreachable = self.gateway.is_unreachable(&self.service);
-            let target = match (is_unreachable, tried) {
-                (true, _) => self.pick_connected(),
-                (false, 0) => self.gateway.wait_at_start(|| self.pick()).await,
-                (false, _) => self.pick(),
-            };
-            let target = match target {
-                Some(target) => target,
-                None if is_unreachable => match self.forward().await {
-                    Next::Attempt(target) => target,
-                    Next::Reply(reply) => return Ok(reply),
-                    Next::Refused(refusal) => {
-                        return self.answer_or_refuse(answer, refusal);
-                    }
-                    Next::Retry(refusal) => {
-                        last = refusal;
-                        if !self.allows_retry() {
-                            return self.answer_or_refuse(answer, last);
-                        }
-                        continue;
-                    }
-                    Next::Denied => {
-                        return self.answer_or_refuse(answer, last);
-                    }
-                },
-                None => {
-                    let refusal = self.refuse_without_replica(last);
-                    return self.answer_or_refuse(answer, refusal);
-                }
-            };
-            let refusal = self.check_quarantine_again(tried);
-            if let Some(refusal) =
-                refusal.or_else(|| self.check_capacity(&target, tried))
-            {
-                self.release(&target);
-                return self.answer_or_refuse(answer, refusal);
-            }
-            if !self.claim_arrival() {
-                self.release(&target);
-                let refusal = self.refuse_without_replica(last);
-                return self.answer_or_refuse(answer, refusal);
-            }
-            self.count_first_attempt();
-            self.gateway.fleet().record_sent_parts(
-                self.now(),
-                &self.service,
-                &target,
-                &self.request_info.parts,
-            );
-            self.chosen = Some(target.clone());
-            self.record_origin(
-                &StreamVersion::of(target.certain_version()),
-                record_key(&target.replica),
-                None,
-            );
-            match self.attempt(&target, self.request_info.last_event).await {
-                Ok(Reply::Complete(failure)) if is_failure(&failure) => {
-                    self.attempts.note(&target.replica, Verdict::Ran, true);
-                    answer = Some(failure);
-                }
-                Ok(reply) => return Ok(reply),
-                Err(failed) => {
-                    self.log_failed_attempt(&target, &failed);
-                    let Error { verdict, sent, .. } = failed;
-                    self.attempts.note(&target.replica, verdict, sent);
-                    if !sent {
-                        self.return_claim();
-                        self.return_exposure(&target);
-                    }
-                    last = match (failed.verdict, failed.sent) {
-                        (Verdict::NotRun, true) => Refusal::retryable(
-                            "the replicas are full",
-                            REPLICAS_FULL_RETRY_AFTER_MS,
-                        ),
-                        (Verdict::NotRun, false) => Refusal::retryable(
-                            "no replica can be reached",
-                            NO_REPLICA_RETRY_AFTER_MS,
-                        ),
-                        _ => {
-                            Refusal::may_have_run("the replica did not answer")
-                        }
-                    };
-                    if self.attempts.ran > 0 {
-                        last.verdict = Verdict::MayHaveRun;
-                    }
-                    if self.attempts.ran > 0
-                        && failed.verdict == Verdict::NotRun
-                    {
-                        last = Refusal::may_have_run("no replica answered");
-                    }
-                    if Instant::now() >= self.deadline {
-                        last = Refusal::timed_out(last.verdict);
-                    }
-                }
-            }
-            if !self.is_first_elsewhere() && !self.allows_retry() {
-                let refusal = self.refuse_without_replica(last);
-                return self.answer_or_refuse(answer, refusal);
-            }
-        }
-    }
-
-    /// Forwards the request through another node, as this one does not reach
-    /// the replicas.
-    async fn forward(&mut self) -> Next {
-        match self.call_peers(self.request_info.last_event).await {
-            peer_call::Outcome::Reply(reply) => return Next::Reply(reply),
-            peer_call::Outcome::Refused(refusal) => {
-                return Next::Refused(refusal);
-            }
-            peer_call::Outcome::Failed(failed) => {
-                self.attempts.note("", failed.verdict, true);
-                let text = "another node did not answer";
-                return Next::Retry(Refusal::may_have_run(text));
-            }
-            peer_call::Outcome::Denied => return Next::Denied,
-            peer_call::Outcome::NoPeer => {}
-        }
-        // Where no node reaches the replicas, they may be only too slow for
-        // probes.
-        let may_be_slow = !self.gateway.is_disconnected(&self.service);
-        match may_be_slow.then(|| self.pick()).flatten() {
-            Some(target) => Next::Attempt(target),
-            None => Next::Refused(peer_call::unreachable()),
-        }
-    }
-
-    /// Returns true if no replica may have run the request and the next
-    /// attempt goes through another node.
-    fn is_first_elsewhere(&self) -> bool {
-        self.attempts.ran == 0
-            && self.attempts.not_run <= MAX_NOT_RUN_RETRIES + 1
-            && self.gateway.is_unreachable(&self.service)
-    }
-
-    /// Returns a replica's error answer if there is one, otherwise the
-    /// refusal.
-    fn answer_or_refuse(
-        &self,
-        answer: Option<Response<Bytes>>,
-        refusal: Refusal,
-    ) -> Result<Reply, Refusal> {
-        answer.map(Reply::Complete).ok_or(refusal)
-    }
-
     /// Refuses a request that became quarantined while it waited for its first
     /// attempt.
-    fn check_quarantine_again(&self, tried: u32) -> Option<Refusal> {
+    pub fn check_quarantine_again(&self, tried: u32) -> Option<Refusal> {
         if tried > 0 || self.is_trial {
             return None;
         }
@@ -642,7 +444,7 @@
 
     /// Returns a replica to which an open connection works, while no new one
     /// opens to any replica of the service.
-    fn pick_connected(&self) -> Option<Target> {
+    pub fn pick_connected(&self) -> Option<Target> {
         let since = self.gateway.open_connections_work_since(&self.service)?;
         let target = self.pick()?;
         if self.gateway.connections.has_idle_since(&target.replica, since) {
@@ -672,7 +474,7 @@
         self.gateway.return_exposure(service, route, &target.version);
     }
 
-    fn release_slot(&self, target: &Target) {
+    pub fn release_slot(&self, target: &Target) {
         let now = self.now();
         let mut fleet = self.gateway.fleet();
         fleet.record_end(
@@ -690,272 +492,6 @@
         team.unwrap_or(self.route.priority)
     }
 
-    /// Sends the request to one replica and reads its answer.
-    pub async fn attempt(
-        &self,
-        target: &Target,
-        last_event: Option<u64>,
-    ) -> Result<Reply, Error> {
-        let mut flight = Flight::begin(self, target);
-        let connections = &self.gateway.connections;
-        let taken = connections
-            .take(&target.replica, target.address, self.deadline)
-            .await;
-        let mut connection = taken.inspect_err(|_| {
-            flight.end = Outcome::Failed;
-            flight.is_judged = false;
-            self.gateway
-                .record_connection_failure(&self.service, &target.replica);
-        })?;
-        let request = self.request(target, last_event)?;
-        let max_silence = self.max_silence(target);
-        let may_repeat = self.may_repeat();
-        let sent = tokio::select! {
-            sent = connection.send(request, self.body.len(), max_silence) => {
-                sent
-            }
-            () = self.gateway.wait_until_lost(&self.service), if may_repeat => {
-                Err(Error::may_have_run("all paths to the replicas are lost"))
-            }
-        };
-        let mut response = sent.inspect_err(|failed| {
-            if !failed.sent {
-                self.gateway
-                    .record_connection_failure(&self.service, &target.replica);
-            }
-            flight.is_judged &= failed.sent;
-            let due = Instant::now() < self.deadline;
-            if due || failed.verdict != Verdict::MayHaveRun {
-                flight.end = match failed.fault {
-                    Fault::Broken => Outcome::Disconnected,
-                    _ => Outcome::Failed,
-                };
-            }
-        })?;
-        self.gateway.fleet().record_heard(self.now(), &self.service);
-        let answer_info = self.gateway.dialect.parse_answer(
-            self.request_info.id.as_ref(),
-            response.status(),
-            response.headers(),
-        );
-        let proof = self.gateway.check_proof(
-            &target.replica,
-            response.status(),
-            &answer_info,
-        );
-        if let Err(text) = proof {
-            flight.end = Outcome::Failed;
-            return Err(Error::unproven(text));
-        }
-        self.gateway.record_rate_limit(
-            &target.replica,
-            flight.began_at(),
-            &answer_info,
-        );
-        let retry_after = response.headers().get(header::RETRY_AFTER);
-        self.record_notices(&target.replica, &answer_info, retry_after);
-        remove_internal_headers(response.headers_mut());
-        if answer_info.is_leaving && self.forwarded.is_some() {
-            mark_departure(response.headers_mut(), &target.replica);
-        }
-        if answer_info.not_run || answer_info.wrong_replica {
-            flight.is_judged = false;
-        }
-        if answer_info.not_run {
-            let mut fleet = self.gateway.fleet();
-            fleet.record_rejected(self.now(), &self.service, target.ticket);
-        }
-        self.check_answer(&answer_info, &mut flight)?;
-        let proof = match response.status().is_success() {
-            true if is_framed(&response) => Proof::Complete,
-            true => Proof::WhenHeard,
-            false => Proof::None,
-        };
-        flight.began(&answer_info, proof);
-        self.gateway.count_began(self.team.as_ref());
-        let streams = self.route.retry_policy.is_stream();
-        if streams && response.status().is_success() {
-            let is_framed = is_framed(&response);
-            let (head, body) = response.into_parts();
-            let keep_ms = answer_info.keep_ms;
-            let read = Bytes::new();
-            let carrier = Carrier::Replica(flight);
-            let version = StreamVersion::of(target.certain_version());
-            let age = connection.opened_at().elapsed().as_millis() as u64;
-            let begun = Some(Begun {
-                replica: record_key(&target.replica),
-                opened_at: self.now().saturating_sub(age),
-            });
-            let source = relay::Source {
-                read,
-                body,
-                is_framed,
-                connection,
-                carrier,
-                keep_ms,
-                version,
-                begun,
-            };
-            let head = answer_head(head, &Method::GET);
-            return Ok(Reply::Streaming(Box::new(source), head));
-        }
-        let carrier = Carrier::Replica(flight);
-        self.read_answer(response, connection, carrier, answer_info.keep_ms)
-            .await
-    }
-
-    fn check_answer(
-        &self,
-        answer_info: &AnswerInfo,
-        flight: &mut Flight,
-    ) -> Result<(), Error> {
-        let failed = |verdict, text: &str| {
-            let text = text.to_owned();
-            Err(Error { verdict, sent: true, fault: Fault::Other, text })
-        };
-        if answer_info.wrong_replica {
-            flight.end = Outcome::Failed;
-            return failed(Verdict::NotRun, "another replica has the address");
-        }
-        if answer_info.not_run {
-            flight.end = match answer_info.backoff.replaces_penalty() {
-                true => Outcome::BackedOff,
-                false => Outcome::Failed,
-            };
-            return failed(Verdict::NotRun, "the replica rejected it");
-        }
-        Ok(())
-    }
-
-    /// Reads an answer to its end, or returns a long one to be streamed.
-    pub async fn read_answer(
-        &self,
-        response: Response<Incoming>,
-        connection: Connection,
-        mut carrier: Carrier,
-        keep_ms: Option<u64>,
-    ) -> Result<Reply, Error> {
-        let is_framed = is_framed(&response);
-        let (head, mut body) = response.into_parts();
-        let failure = head.status.is_server_error();
-        let mut read = BytesMut::new();
-        loop {
-            // The length of a chunked answer is not known in advance.
-            let length = read.len() as u64 + body.size_hint().lower();
-            if length > MAX_BUFFERED_ANSWER_BYTES {
-                let read = read.freeze();
-                let version = StreamVersion::Any;
-                let source = relay::Source {
-                    read,
-                    body,
-                    is_framed,
-                    connection,
-                    carrier,
-                    keep_ms,
-                    version,
-                    begun: None,
-                };
-                let head = answer_head(head, &self.method);
-                return Ok(Reply::Streaming(Box::new(source), head));
-            }
-            match timeout_at(self.deadline, body.frame()).await {
-                Ok(Some(Ok(frame))) => {
-                    if let Ok(data) = frame.into_data() {
-                        connection.grant(data.len());
-                        read.extend_from_slice(&data);
-                    }
-                }
-                Ok(None) => break,
-                Ok(Some(Err(error))) => {
-                    let fault = if connection.is_oversized() {
-                        carrier.fail();
-                        Fault::Oversized
-                    } else {
-                        carrier.disconnect();
-                        Fault::Broken
-                    };
-                    return Err(Error {
-                        verdict: Verdict::Ran,
-                        sent: true,
-                        fault,
-                        text: format!("the answer broke off: {error}"),
-                    });
-                }
-                Err(_) => {
-                    return Err(Error {
-                        verdict: Verdict::Ran,
-                        sent: true,
-                        fault: Fault::Other,
-                        text: "the answer was not complete in time".to_owned(),
-                    });
-                }
-            }
-        }
-        carrier.finish(failure);
-        let pool = carrier.pool(&self.gateway);
-        pool.put_back(connection, keep_ms.map(Duration::from_millis));
-        let head = answer_head(head, &self.method);
-        Ok(Reply::Complete(head.map(|()| read.freeze())))
-    }
-
-    fn request(
-        &self,
-        target: &Target,
-        last_event: Option<u64>,
-    ) -> Result<Request<Full<Bytes>>, Error> {
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        let mut headers = self.headers.clone();
-        let team = self.team.as_ref();
-        // Doubling leaves a value between two priorities, for requests that go
-        // first within one of them.
-        let urgency = (2 * self.priority()).min(MAX_URGENCY) as u8;
-        let attempt_info = AttemptInfo {
-            replica: &target.replica,
-            team: team.map(|team| team.name.as_str()),
-            deadline_ms: left.as_millis() as u64,
-            urgency: self.route.retry_policy.is_stream().then_some(urgency),
-            fetch_from: target.fetch_from,
-            last_event,
-        };
-        self.gateway.dialect.set_headers(&mut headers, &attempt_info);
-        self.request_with(headers)
-    }
-
-    /// Returns the request with these headers.
-    pub fn request_with(
-        &self,
-        headers: HeaderMap,
-    ) -> Result<Request<Full<Bytes>>, Error> {
-        let mut request = Request::builder()
-            .method(self.method.clone())
-            .uri(self.path.as_str())
-            .body(Full::new(self.body.clone()))
-            .map_err(Error::not_sent)?;
-        *request.headers_mut() = headers;
-        Ok(request)
-    }
-
-    /// Returns how long a replica may be silent before its answer begins.
-    ///
-    /// A replica that answers other requests is working. Another replica would
-    /// only make the request wait again, and what the first one has read of
-    /// the prompt would be wasted.
-    fn max_silence(&self, target: &Target) -> Duration {
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        if !self.may_repeat() {
-            return left;
-        }
-        let target_time = Duration::from_millis(self.route.target_ms);
-        let min_silence = Duration::from_millis(MIN_SILENCE_MS);
-        let short_silence =
-            (target_time * MAX_SILENCE_TARGETS).max(min_silence);
-        let fleet = self.gateway.fleet();
-        match fleet.is_answering(self.now(), &self.service, &target.replica) {
-            true => left.min(short_silence.max(left / 2)),
-            false => left.min(short_silence),
-        }
-    }
-
     fn refund_quota(&self) {
         if let Some(team) = &self.team
             && let Some(quota) = team.quota
@@ -989,21 +525,9 @@
         }
     }
 
-    /// Logs and counts an attempt that failed.
-    pub fn log_failed_attempt(&self, target: &Target, failed: &Error) {
-        info!(
-            target: "gateway",
-            request = id_text(self.request_info.id.as_ref()),
-            fingerprint = fingerprint::shown(self.identity.fingerprint),
-            parts = %self.request_info.shown_parts(),
-            replica = target.replica,
-            verdict = failed.verdict.as_str(),
-            fault = failed.fault.as_str(),
-            after_ms = self.began.elapsed().as_millis() as u64,
-            "Attempt failed: {}.", failed.text
-        );
-        let fault = FailedAttempt { fault: failed.fault.as_str() };
-        self.gateway.metrics.failed_attempts.get_or_create(&fault).inc();
+    /// Returns the id of the request for the log.
+    pub fn request_id(&self) -> &str {
+        id_text(self.request_info.id.as_ref())
     }
 
     /// Logs the routing decision and its outcome in one line.
@@ -1041,31 +565,3 @@
         );
     }
 }
-
-/// Returns true for a server error, after which another replica may succeed.
-fn is_failure(answer: &Response<Bytes>) -> bool {
-    answer.status().is_server_error()
-}
-
-/// Returns true if the end of the answer can be told from a broken connection.
-fn is_framed(answer: &Response<Incoming>) -> bool {
-    let headers = answer.headers();
-    headers.contains_key(header::CONTENT_LENGTH)
-        || headers.contains_key(header::TRANSFER_ENCODING)
-}
-
-/// Returns the head of an answer for the caller.
-pub(super) fn answer_head(
-    head: http::response::Parts,
-    method: &Method,
-) -> Response<()> {
-    let length = head.headers.get(header::CONTENT_LENGTH).cloned();
-    let mut headers = remove_hop_by_hop_headers(head.headers);
-    if let (Some(length), &Method::HEAD) = (length, method) {
-        headers.insert(header::CONTENT_LENGTH, length);
-    }
-    let mut answer = Response::new(());
-    *answer.status_mut() = head.status;
-    *answer.headers_mut() = headers;
-    answer
-}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,7 +9,9 @@
 //! | `admission` | shares the capacity of the replicas between teams |
 //! | `bodies` | limits the memory that request bodies take together |
 //! | `accept` | checks a request before it is sent to a replica |
-//! | [`forward`] | sends a request to replicas and retries it |
+//! | [`forward`] | serves one request from its head to its answer |
+//! | `dispatch` | sends a request to replicas until one answers |
+//! | `attempt` | attempts of one request in flight at several replicas |
 //! | `flight` | tracks an attempt in flight for the router |
 //! | `relay` | streams answers to callers |
 //! | `ending` | tells crashed replicas from broken connections |
@@ -37,8 +39,10 @@
 
 mod accept;
 mod admission;
+mod attempt;
 mod bodies;
 pub mod dialect;
+mod dispatch;
 mod ending;
 pub mod events;
 pub mod fleet;
--- a/src/gateway/peer_call.rs
+++ b/src/gateway/peer_call.rs
@@ -48,9 +48,10 @@
 use super::{
     Gateway,
     accept::{Resolved, receive},
+    attempt::answer_head,
     dialect::RequestInfo,
     flight::Carrier,
-    forward::{AcceptedRequest, Attempts, Reply, StreamVersion, answer_head},
+    forward::{AcceptedRequest, Attempts, Reply, StreamVersion},
     plan::{RetryPolicy, Route, Team},
     refusal::{Refusal, Tried, id_text},
     relay,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -5,6 +5,11 @@
 //! the same answer. A stream that can't be resumed ends with an error. The
 //! error closes the caller's connection within the body, so that the caller
 //! can't take the partial answer for a complete one.
+//!
+//! A replica that is silent may be slow, gone, or well. Another replica is
+//! asked for the rest of its stream, and both have the request until one of
+//! them sends a whole event. The other one is left then, so that no two
+//! replicas write the same stream.
 
 use std::time::Duration;
 
@@ -13,64 +18,27 @@
 use http::Response;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 use tracing::{info, warn};
 
 use super::{
+    dispatch::{Exhausted, Obstacle},
     events::Splitter,
     flight::Carrier,
     forward::{AcceptedRequest, Reply, StreamVersion},
-    peer_call::Outcome,
     plan::RetryPolicy,
     resume::Begun,
     server::{Body, BodyError},
-    upstream::{Connection, Error},
-};
-use crate::{
-    fingerprint, mesh::table::record_key, metrics::StreamMove,
-    verdict::Verdict,
+    upstream::Connection,
 };
+use crate::{fingerprint, metrics::StreamMove, verdict::Verdict};
 
-/// Silence after which a resumable stream moves to another replica. Callers
-/// disconnect after two seconds or more, and replicas under load pause for
-/// some tenths of a second.
+/// Silence after which another replica is asked for the rest of a resumable
+/// stream. Callers disconnect after two seconds or more, and replicas under
+/// load pause for some tenths of a second.
 const MAX_STREAM_SILENCE: Duration = Duration::from_millis(1500);
-
-/// Why a stream does not go on at another replica.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Obstacle {
-    /// It is not certain which software version began it.
-    VersionUncertain,
-    /// Its replica may have restarted with another version before it began.
-    OriginUnconfirmed,
-    /// The route allows no further attempt.
-    AttemptsUsedUp,
-    /// The request or a part of its prompt is quarantined.
-    Quarantined,
-    /// The router has no replica for it.
-    NoReplica,
-    /// The retry budget is used up.
-    RetryDenied,
-    /// Neither this node nor another one reaches the replicas.
-    Unreachable,
-    /// The deadline has passed.
-    DeadlinePassed,
-}
-
-impl Obstacle {
-    fn as_str(self) -> &'static str {
-        match self {
-            Obstacle::VersionUncertain => "version_uncertain",
-            Obstacle::OriginUnconfirmed => "origin_unconfirmed",
-            Obstacle::AttemptsUsedUp => "attempts_used_up",
-            Obstacle::Quarantined => "quarantined",
-            Obstacle::NoReplica => "no_replica",
-            Obstacle::RetryDenied => "retry_denied",
-            Obstacle::Unreachable => "unreachable",
-            Obstacle::DeadlinePassed => "deadline_passed",
-        }
-    }
-}
+/// Why another replica is asked for the rest of a stream.
+const SILENT: &str = "the replica is silent";
 
 /// The replica's side of an answer that is being streamed.
 pub(super) struct Source {
@@ -90,16 +58,118 @@
     pub begun: Option<Begun>,
 }
 
-struct Relay {
-    accepted: AcceptedRequest,
-    source: Option<Source>,
+/// The next part of an answer from a replica, or why there is none.
+enum Received {
+    /// Data for the caller; of an event stream, whole events.
+    Data(Bytes),
+    End,
+    Broken(&'static str),
+}
+
+/// Reads the answer of one replica.
+struct Reader {
+    source: Source,
     splitter: Splitter,
     /// True when the body is an event stream.
     is_event_stream: bool,
-    /// True when the stream has ended, completely or with an error.
-    has_ended: bool,
     /// When the replica last sent something.
     heard_at: Instant,
+    /// True when the attempt counts as one that has run.
+    is_noted: bool,
+}
+
+impl Reader {
+    /// Reads what follows the event `last`, if any.
+    fn open(
+        source: Source,
+        last: Option<u64>,
+        is_event_stream: bool,
+    ) -> Reader {
+        let splitter = Splitter::open(last);
+        let heard_at = Instant::now();
+        let is_noted = false;
+        Reader { source, splitter, is_event_stream, heard_at, is_noted }
+    }
+
+    /// Waits for data or the end. Nothing is lost if the wait is given up.
+    async fn next(&mut self) -> Received {
+        loop {
+            match self.next_part().await {
+                Received::Data(bytes) if bytes.is_empty() => {}
+                received => return received,
+            }
+        }
+    }
+
+    async fn next_part(&mut self) -> Received {
+        let source = &mut self.source;
+        if !source.read.is_empty() {
+            return Received::Data(std::mem::take(&mut source.read));
+        }
+        let frame = match source.body.frame().await {
+            Some(Ok(frame)) => frame,
+            Some(Err(_)) if source.connection.is_oversized() => {
+                source.carrier.fail();
+                return Received::Broken("the answer exceeds its bound");
+            }
+            Some(Err(_)) => {
+                source.carrier.disconnect();
+                return Received::Broken("the replica's connection broke");
+            }
+            None if !self.is_event_stream => return Received::End,
+            None if !self.splitter.is_between_events() => {
+                source.carrier.disconnect();
+                return Received::Broken("the answer ended within an event");
+            }
+            None if !source.is_framed && !self.splitter.has_events() => {
+                source.carrier.disconnect();
+                return Received::Broken("the answer ended without an event");
+            }
+            None => return Received::End,
+        };
+        let Ok(data) = frame.into_data() else {
+            return Received::Data(Bytes::new());
+        };
+        source.connection.grant(data.len());
+        source.carrier.progress();
+        self.heard_at = Instant::now();
+        if !self.is_event_stream {
+            return Received::Data(data);
+        }
+        match self.splitter.push(&data) {
+            Ok(whole) => Received::Data(whole),
+            Err(_) => Received::Broken("an event is too long or out of order"),
+        }
+    }
+
+    /// Counts the attempt as one that has run, once.
+    fn note(&mut self, accepted: &mut AcceptedRequest) {
+        if !self.is_noted {
+            self.is_noted = true;
+            let replica = self.source.carrier.name();
+            accepted.attempts.note(&replica, Verdict::Ran, true);
+        }
+    }
+}
+
+/// A replica that goes on with a stream, and what it has sent first.
+struct Replacement {
+    reader: Reader,
+    first: Received,
+}
+
+struct Relay {
+    accepted: AcceptedRequest,
+    /// `None` after the replica has broken the stream off.
+    reader: Option<Reader>,
+    /// The last event that was received from any replica.
+    last: Option<u64>,
+    /// When the replica last sent something.
+    heard_at: Instant,
+    /// When another replica was last asked in vain.
+    asked_at: Option<Instant>,
+    /// True when the stream has ended, completely or with an error.
+    has_ended: bool,
 }
 
 /// Returns an answer whose body forwards the source as the caller reads it.
@@ -109,12 +179,13 @@
     head: Response<()>,
 ) -> Response<Body> {
     let is_event_stream = accepted.route.retry_policy.is_stream();
+    let last = accepted.request_info.last_event;
     let relay = Relay {
-        splitter: Splitter::open(accepted.request_info.last_event),
-        source: Some(source),
-        is_event_stream,
-        has_ended: false,
+        reader: Some(Reader::open(source, last, is_event_stream)),
+        last,
         heard_at: Instant::now(),
+        asked_at: None,
+        has_ended: false,
         accepted,
     };
     let frames = stream::unfold(relay, |mut relay| async move {
@@ -124,45 +195,40 @@
     head.map(|()| StreamBody::new(frames).boxed_unsync())
 }
 
-/// The next part of an answer from a replica, or why there is none.
-enum Received {
-    Data(Bytes),
-    End,
-    Broken(&'static str),
-    Timeout,
-}
-
 impl Relay {
     /// Returns the next bytes for the caller, `None` after a complete answer.
     async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
-        while !self.has_ended {
-            let reason = match self.receive().await {
-                Received::Data(bytes) if bytes.is_empty() => continue,
-                Received::Data(bytes) => {
-                    return Some(match self.settle_version().await {
-                        Ok(()) => Ok(bytes),
-                        Err(reason) => Err(self.fail(reason)),
-                    });
-                }
-                Received::End => {
-                    self.finish();
-                    return None;
+        if self.has_ended {
+            return None;
+        }
+        let deadline = self.accepted.deadline;
+        let received = match timeout_at(deadline, self.receive()).await {
+            Ok(received) => received,
+            Err(_) => Received::Broken("timed out"),
+        };
+        match received {
+            Received::Data(bytes) => {
+                if let Some(reader) = &self.reader {
+                    self.last = reader.splitter.last();
+                    self.heard_at = reader.heard_at;
                 }
-                Received::Timeout => return Some(Err(self.fail("timed out"))),
-                Received::Broken(reason) => reason,
-            };
-            if !self.resume(reason).await {
-                return Some(Err(self.fail(reason)));
+                Some(match self.settle_version().await {
+                    Ok(()) => Ok(bytes),
+                    Err(reason) => Err(self.fail(reason)),
+                })
+            }
+            Received::End => {
+                self.finish();
+                None
             }
-            self.heard_at = Instant::now();
+            Received::Broken(reason) => Some(Err(self.fail(reason))),
         }
-        None
     }
 
     /// Settles the software version before the first event is sent.
     async fn settle_version(&mut self) -> Result<(), &'static str> {
-        match &self.source {
-            Some(source) => {
+        match &self.reader {
+            Some(Reader { source, .. }) => {
                 let (version, begun) = (&source.version, source.begun);
                 self.accepted.settle_version(version, begun).await
             }
@@ -170,56 +236,121 @@
         }
     }
 
+    /// Receives from the replica, or from another one that goes on with the
+    /// stream.
     async fn receive(&mut self) -> Received {
-        let deadline = self.accepted.deadline;
-        let resumable =
+        let is_resumable =
             self.accepted.route.retry_policy == RetryPolicy::Resumable;
-        let Some(source) = &mut self.source else {
-            return Received::Broken("there is no replica to read from");
-        };
-        if !source.read.is_empty() {
-            return Received::Data(std::mem::take(&mut source.read));
-        }
-        let until = match resumable {
-            true => deadline.min(Instant::now() + MAX_STREAM_SILENCE),
-            false => deadline,
-        };
-        let frame = match timeout_at(until, source.body.frame()).await {
-            Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(_))) if source.connection.is_oversized() => {
-                source.carrier.fail();
-                return Received::Broken("the answer exceeds its bound");
-            }
-            Ok(Some(Err(_))) => {
-                source.carrier.disconnect();
-                return Received::Broken("the replica's connection broke");
+        loop {
+            let Some(reader) = &mut self.reader else {
+                return Received::Broken("there is no replica to read from");
+            };
+            if !is_resumable {
+                return reader.next().await;
             }
-            Ok(None) if !self.is_event_stream => return Received::End,
-            Ok(None) if !self.splitter.is_between_events() => {
-                source.carrier.disconnect();
-                return Received::Broken("the answer ended within an event");
+            let since = self.asked_at.unwrap_or(reader.heard_at);
+            let silent_at = since.max(reader.heard_at) + MAX_STREAM_SILENCE;
+            let received = match timeout_at(silent_at, reader.next()).await {
+                Ok(received) => received,
+                Err(_) => match self.ask_in_silence().await {
+                    Some(received) => received,
+                    None => continue,
+                },
+            };
+            let Received::Broken(reason) = received else { return received };
+            match self.replace_broken(reason).await {
+                Some(received) => return received,
+                None => return Received::Broken(reason),
             }
-            Ok(None) if !source.is_framed && !self.splitter.has_events() => {
-                source.carrier.disconnect();
-                return Received::Broken("the answer ended without an event");
+        }
+    }
+
+    /// Asks another replica while the present one is silent. Returns what
+    /// either of them sends, or `None` if the other one does not serve.
+    async fn ask_in_silence(&mut self) -> Option<Received> {
+        self.asked_at = Some(Instant::now());
+        let reader = self.reader.as_mut()?;
+        reader.source.carrier.suspect();
+        reader.note(&mut self.accepted);
+        let last = reader.splitter.last();
+        let found = tokio::select! {
+            biased;
+            received = reader.next() => {
+                let silent_ms = self.heard_at.elapsed().as_millis() as u64;
+                self.count_move("went_on");
+                info!(
+                    target: "gateway",
+                    request = self.request_id(),
+                    silent_ms,
+                    "Silent replica goes on with the stream."
+                );
+                return Some(received);
             }
-            Ok(None) => return Received::End,
-            Err(_) if Instant::now() >= deadline => return Received::Timeout,
-            Err(_) => return Received::Broken("the replica timed out"),
-        };
-        let Ok(data) = frame.into_data() else {
-            return Received::Data(Bytes::new());
+            found = find_replacement(&mut self.accepted, last, SILENT) => found,
         };
-        source.connection.grant(data.len());
-        source.carrier.progress();
-        self.heard_at = Instant::now();
-        if !self.is_event_stream {
-            return Received::Data(data);
+        self.asked_at = Some(Instant::now());
+        match found {
+            Ok(replacement) => Some(self.move_to(replacement)),
+            Err(obstacle) => {
+                self.log_obstacle(obstacle, SILENT);
+                None
+            }
         }
-        match self.splitter.push(&data) {
-            Ok(whole) => Received::Data(whole),
-            Err(_) => Received::Broken("an event is too long or out of order"),
+    }
+
+    /// Finds a replica that goes on with a stream that its replica has broken
+    /// off. Returns what it sends, or `None` if there is none.
+    async fn replace_broken(
+        &mut self,
+        reason: &'static str,
+    ) -> Option<Received> {
+        let mut reader = self.reader.take()?;
+        reader.source.carrier.fail();
+        reader.note(&mut self.accepted);
+        self.last = reader.splitter.last();
+        drop(reader);
+        match find_replacement(&mut self.accepted, self.last, reason).await {
+            Ok(replacement) => Some(self.move_to(replacement)),
+            Err(obstacle) => {
+                self.log_obstacle(obstacle, reason);
+                None
+            }
+        }
+    }
+
+    /// Leaves the replica of the stream, if there is still one, for another.
+    fn move_to(&mut self, replacement: Replacement) -> Received {
+        let Replacement { reader, first } = replacement;
+        if let Some(mut former) = self.reader.replace(reader) {
+            former.source.carrier.fail();
         }
+        self.asked_at = None;
+        self.accepted.gateway.metrics.moved.inc();
+        self.count_move("moved");
+        first
+    }
+
+    fn log_obstacle(&self, obstacle: Obstacle, reason: &'static str) {
+        self.count_move(obstacle.as_str());
+        let attempts = &self.accepted.attempts;
+        info!(
+            target: "gateway",
+            request = self.request_id(),
+            service = self.accepted.service,
+            obstacle = obstacle.as_str(),
+            ran = attempts.ran,
+            max_attempts = self.accepted.route.max_attempts,
+            tried = attempts.avoid.len(),
+            last_event = self.last.unwrap_or(0),
+            silent_ms = self.heard_at.elapsed().as_millis() as u64,
+            "Stream does not go on at another replica: {reason}."
+        );
+    }
+
+    fn count_move(&self, outcome: &'static str) {
+        let label = StreamMove { outcome };
+        let moves = &self.accepted.gateway.metrics.stream_moves;
+        moves.get_or_create(&label).inc();
     }
 
     fn finish(&mut self) {
@@ -228,11 +359,11 @@
         info!(
             target: "gateway",
             request = self.request_id(),
-            last_event = self.splitter.last().unwrap_or(0),
+            last_event = self.last.unwrap_or(0),
             after_ms = self.accepted.began.elapsed().as_millis() as u64,
             "Stream ended."
         );
-        if let Some(mut source) = self.source.take() {
+        if let Some(Reader { mut source, .. }) = self.reader.take() {
             source.carrier.finish(false);
             let keep = source.keep_ms.map(Duration::from_millis);
             let pool = source.carrier.pool(&self.accepted.gateway);
@@ -242,15 +373,17 @@
 
     fn fail(&mut self, text: &'static str) -> BodyError {
         self.has_ended = true;
-        self.source = None;
+        let reader = self.reader.take();
+        let replica = reader.map(|reader| reader.source.carrier.name());
         warn!(
             target: "gateway",
             request = self.request_id(),
             fingerprint = fingerprint::shown(self.accepted.identity.fingerprint),
             parts = %self.accepted.request_info.shown_parts(),
             route = self.accepted.route.name,
-            replica = self.replica(),
-            last_event = self.splitter.last().unwrap_or(0),
+            replica = replica.as_deref().unwrap_or(self.replica()),
+            last_event = self.last.unwrap_or(0),
+            silent_ms = self.heard_at.elapsed().as_millis() as u64,
             after_ms = self.accepted.began.elapsed().as_millis() as u64,
             "Stream failed: {text}."
         );
@@ -263,159 +396,63 @@
     }
 
     fn request_id(&self) -> &str {
-        let id = self.accepted.request_info.id.as_ref();
-        id.and_then(|id| id.to_str().ok()).unwrap_or("-")
+        self.accepted.request_id()
     }
+}
 
-    /// Resumes the stream at another replica. Returns false when that is not
-    /// possible.
-    async fn resume(&mut self, reason: &'static str) -> bool {
-        if let Some(mut source) = self.source.take() {
-            source.carrier.fail();
-            let replica = source.carrier.name();
-            self.accepted.attempts.note(&replica, Verdict::Ran, true);
-        }
-        if self.accepted.route.retry_policy != RetryPolicy::Resumable {
-            return false;
-        }
-        let Err(obstacle) = self.find_replacement(reason).await else {
-            self.count_move("moved");
-            return true;
-        };
-        self.count_move(obstacle.as_str());
-        let attempts = &self.accepted.attempts;
-        info!(
-            target: "gateway",
-            request = self.request_id(),
-            service = self.accepted.service,
-            obstacle = obstacle.as_str(),
-            ran = attempts.ran,
-            max_attempts = self.accepted.route.max_attempts,
-            tried = attempts.avoid.len(),
-            last_event = self.splitter.last().unwrap_or(0),
-            silent_ms = self.heard_at.elapsed().as_millis() as u64,
-            "Stream does not go on at another replica: {reason}."
-        );
-        false
+/// Finds a replica that goes on with a stream after the event `last`, and
+/// waits until it has sent a whole event.
+async fn find_replacement(
+    accepted: &mut AcceptedRequest,
+    last: Option<u64>,
+    reason: &'static str,
+) -> Result<Replacement, Obstacle> {
+    if accepted.route.retry_policy != RetryPolicy::Resumable {
+        return Err(Obstacle::AttemptsUsedUp);
     }
-
-    fn count_move(&self, outcome: &'static str) {
-        let label = StreamMove { outcome };
-        let moves = &self.accepted.gateway.metrics.stream_moves;
-        moves.get_or_create(&label).inc();
+    if accepted.version == StreamVersion::Unknown {
+        return Err(Obstacle::VersionUncertain);
     }
-
-    async fn find_replacement(
-        &mut self,
-        reason: &'static str,
-    ) -> Result<(), Obstacle> {
-        if self.accepted.version == StreamVersion::Unknown {
-            return Err(Obstacle::VersionUncertain);
-        }
-        if !self.accepted.is_origin_confirmed().await {
-            return Err(Obstacle::OriginUnconfirmed);
-        }
-        while Instant::now() < self.accepted.deadline {
-            if !self.accepted.allows_retry() {
-                return Err(match self.accepted.is_quarantined() {
-                    true => Obstacle::Quarantined,
-                    false => Obstacle::AttemptsUsedUp,
-                });
-            }
-            let last = self.splitter.last();
-            let (gateway, service) =
-                (&self.accepted.gateway, &self.accepted.service);
-            if gateway.is_unreachable(service) {
-                let is_disconnected = gateway.is_disconnected(service);
-                match self.resume_at_peer(last, reason).await {
-                    Some(true) => return Ok(()),
-                    Some(false) => return Err(Obstacle::Unreachable),
-                    None if is_disconnected => {
-                        return Err(Obstacle::Unreachable);
-                    }
-                    None => {}
-                }
-            }
-            let Some(target) = self.accepted.pick() else {
-                return Err(Obstacle::NoReplica);
-            };
-            if !self.accepted.claim_arrival() {
-                self.accepted.release(&target);
-                return Err(Obstacle::RetryDenied);
-            }
-            self.accepted.chosen = Some(target.clone());
-            let version = StreamVersion::of(target.certain_version());
-            let replica = record_key(&target.replica);
-            self.accepted.record_origin(&version, replica, None);
-            info!(
-                target: "gateway",
-                request = self.request_id(),
-                parts = %self.accepted.request_info.shown_parts(),
-                replica = target.replica,
-                version = target.version,
-                last_event = last.unwrap_or(0),
-                "Stream resumes at another replica: {reason}."
-            );
-            match self.accepted.attempt(&target, last).await {
-                Ok(Reply::Streaming(source, _)) => {
-                    if self.accepted.is_settled
-                        && !self.accepted.is_confirmed(source.begun).await
-                    {
-                        let replica = &target.replica;
-                        self.accepted.log_unconfirmed(replica);
-                        let verdict = Verdict::Ran;
-                        self.accepted.attempts.note(replica, verdict, true);
-                        continue;
-                    }
-                    self.splitter = Splitter::open(last);
-                    self.source = Some(*source);
-                    self.accepted.gateway.metrics.moved.inc();
-                    return Ok(());
-                }
-                Ok(Reply::Complete(_)) => {
-                    let replica = &target.replica;
-                    self.accepted.attempts.note(replica, Verdict::Ran, true);
-                }
-                Err(failed) => {
-                    self.accepted.log_failed_attempt(&target, &failed);
-                    let replica = &target.replica;
-                    let Error { verdict, sent, .. } = failed;
-                    self.accepted.attempts.note(replica, verdict, sent);
-                    if !sent {
-                        self.accepted.return_claim();
-                        self.accepted.return_exposure(&target);
-                    }
-                }
-            }
-        }
-        Err(Obstacle::DeadlinePassed)
+    if !accepted.is_origin_confirmed().await {
+        return Err(Obstacle::OriginUnconfirmed);
     }
-
-    /// Resumes the stream through another node. Returns `None` if there is no
-    /// node that reaches the replicas.
-    async fn resume_at_peer(
-        &mut self,
-        last: Option<u64>,
-        reason: &'static str,
-    ) -> Option<bool> {
+    loop {
         info!(
             target: "gateway",
-            request = self.request_id(),
+            request = accepted.request_id(),
             last_event = last.unwrap_or(0),
-            "Stream resumes through another node: {reason}."
+            "Asking another replica for the rest of the stream: {reason}."
         );
-        match self.accepted.call_peers(last).await {
-            Outcome::Reply(Reply::Streaming(source, _))
-                if !self.accepted.is_settled
-                    || source.version == self.accepted.version =>
-            {
-                self.splitter = Splitter::open(last);
-                self.source = Some(*source);
-                self.accepted.gateway.metrics.moved.inc();
-                Some(true)
+        let source = match accepted.ask(last).await {
+            Ok(Reply::Streaming(source, _)) => *source,
+            // An error answer of the replica.
+            Ok(Reply::Complete(_)) => return Err(Obstacle::Refused),
+            Err(Exhausted { obstacle, .. }) => return Err(obstacle),
+        };
+        let mut reader = Reader::open(source, last, true);
+        let (version, begun) = (&reader.source.version, reader.source.begun);
+        let is_same = !accepted.is_settled || *version == accepted.version;
+        let is_confirmed = is_same
+            && (!accepted.is_settled || accepted.is_confirmed(begun).await);
+        if !is_confirmed {
+            accepted.log_unconfirmed(&reader.source.carrier.name());
+            reader.note(accepted);
+            continue;
+        }
+        let silent_at = match accepted.may_repeat() {
+            true => Instant::now() + MAX_STREAM_SILENCE,
+            false => accepted.deadline,
+        };
+        tokio::select! {
+            biased;
+            received = reader.next() => match received {
+                Received::Broken(_) => reader.source.carrier.fail(),
+                first => return Ok(Replacement { reader, first }),
+            },
+            () = sleep_until(silent_at) => {
+                reader.source.carrier.fail();
             }
-            Outcome::NoPeer => None,
-            _ => Some(false),
         }
+        reader.note(accepted);
     }
 }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -337,29 +337,40 @@
         request: Request<Full<Bytes>>,
         body_bytes: usize,
         max_silence: Duration,
+    ) -> Result<Response<Incoming>, Error> {
+        let exchange = self.exchange(request, body_bytes);
+        let Ok(response) = timeout(max_silence, exchange).await else {
+            let text = "the replica did not answer in time";
+            return Err(Error::may_have_run(text));
+        };
+        response
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`Connection::send`], without its timeout.
+    pub async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        body_bytes: usize,
     ) -> Result<Response<Incoming>, Error> {
         self.allowance.reset();
         self.had_long_body = body_bytes > MAX_REUSE_BODY_BYTES;
-        let sent = self.sender.try_send_request(request);
-        match timeout(max_silence, sent).await {
-            Ok(Ok(response)) => Ok(response),
-            Ok(Err(mut failed)) => match failed.take_message() {
-                Some(_) => Err(Error::not_sent(failed.error())),
-                None if self.is_oversized()
-                    || failed.error().is_parse_too_large() =>
-                {
-                    let fault = Fault::Oversized;
-                    Err(Error {
-                        fault,
-                        ..Error::may_have_run("the answer exceeds its bound")
-                    })
-                }
-                None => Err(Error::connection_broken(failed.error())),
-            },
-            Err(_) => {
-                Err(Error::may_have_run("the replica did not answer in time"))
-            }
+        let mut failed = match self.sender.try_send_request(request).await {
+            Ok(response) => return Ok(response),
+            Err(failed) => failed,
+        };
+        if failed.take_message().is_some() {
+            return Err(Error::not_sent(failed.error()));
+        }
+        if self.is_oversized() || failed.error().is_parse_too_large() {
+            let fault = Fault::Oversized;
+            let failed = Error::may_have_run("the answer exceeds its bound");
+            return Err(Error { fault, ..failed });
         }
+        Err(Error::connection_broken(failed.error()))
     }
 
     /// Allows the answer more bytes after `count` bytes of its data were read.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -157,6 +157,8 @@
     pub failed_attempts: Family<FailedAttempt, Counter>,
     /// Streams that callers resume, by outcome.
     pub resumptions: Family<Resumption, Counter>,
+    /// Attempts whose replica was silent so long that another one was asked.
+    pub silent_attempts: Counter,
     /// Searches for another replica to continue a stream, by outcome.
     pub stream_moves: Family<StreamMove, Counter>,
     /// Attempts to resume a stream whose events were not sent on, as no
@@ -245,6 +247,7 @@
             leaving_answers: Counter::default(),
             failed_attempts: Family::default(),
             resumptions: Family::default(),
+            silent_attempts: Counter::default(),
             stream_moves: Family::default(),
             unconfirmed_replicas: Counter::default(),
             retries: Family::default(),
@@ -356,6 +359,11 @@
             "Streams that callers resume, by outcome",
             metrics.resumptions.clone(),
         );
+        registry.register(
+            "silent_attempts",
+            "Attempts beside which another replica was asked, for silence",
+            metrics.silent_attempts.clone(),
+        );
         registry.register(
             "stream_moves",
             "Searches for another replica to continue a stream, by outcome",
