Test quotas of added teams, and of nodes that stall

A team that is added by a plan and floods the nodes from the first moment gets up to 1.32 of what a window allows (86 nodes, six times its quota; 1.04 with ten nodes at most). Where each of 86 nodes stalls for 1.5 s of every 3 s, a team that has long been known gets 1.25 to 1.30; with shorter or rarer stalls, and with ten nodes, the bound holds.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -35,6 +35,7 @@
 mod proof;
 mod quarantine;
 mod quota;
+mod quota_changes;
 mod raft;
 mod rate_limits;
 mod reach;
