Deduct what others admitted of a team that is new

Users saw a customer get more than its limit.

Cause: a bucket that a node opened for a new team took the first total of each other node for old use and did not deduct it in the first 1.5 s or more, as a node that starts has to. For a new team that is all that the nodes admitted before their first reports, and each node that learned of the team later opened a full bucket besides. Only a node that joins, or was on standby, can't know when such units were used.

Change: the bucket of a team that is new deducts first totals, and those that are known when it opens as far as it covers them. (A team that was removed and added again has old use in its totals, which must leave no debt.) The table is read under the one lock that each request has taken so far.

Suspected, not shown, to be what the users saw: their record is cut short.

--- a/src/decide/quota/mod.rs
+++ b/src/decide/quota/mod.rs
@@ -63,7 +63,7 @@
 mod pace;
 
 use self::pace::{PACING_MS, Pace};
-use crate::util::{common, position};
+use crate::util::{common, position, upsert};
 
 /// Time after the start of a node in which the first total from each other
 /// node is not deducted, in ms: the starting node can't know when those units
@@ -121,6 +121,9 @@
     level: f64,
     filled_at: u64,
     opened_at: u64,
+    /// Whether the first total of each other node is deducted only some time
+    /// after the bucket was opened, as it may contain old use until then.
+    skips_first_totals: bool,
     /// Mean propagation delay of reports in ms, as of the last request.
     propagation_delay_ms: f64,
     /// Whether the use before this bucket was opened is unknown.
@@ -251,12 +254,13 @@
 }
 
 impl Meter {
-    /// Creates a full bucket.
+    /// Creates a full bucket, for a team that is new to all nodes.
     pub fn open(now: u64, allowance: Allowance) -> Meter {
         Meter {
             level: allowance.burst,
             filled_at: now,
             opened_at: now,
+            skips_first_totals: false,
             propagation_delay_ms: allowance.propagation_delay_ms,
             is_joining: false,
             learned_rate: None,
@@ -283,11 +287,33 @@
         Meter {
             level: 0.0,
             is_joining: true,
+            skips_first_totals: true,
             pace: Pace::join(allowance),
             ..Meter::open(now, allowance)
         }
     }
 
+    /// Deducts what other nodes have admitted before this node learned of the
+    /// team, as far as the bucket covers it.
+    ///
+    /// Nodes learn of a new team at different moments. If each of them opened
+    /// a full bucket, they would give out the burst several times. A total of a
+    /// team that was removed and added again contains old use, which must not
+    /// leave a debt.
+    pub fn deduct_first_totals(
+        &mut self,
+        totals: impl Iterator<Item = (u64, u64)>,
+    ) {
+        let mut sum = 0.0;
+        for (node, total) in totals {
+            sum += total as f64;
+            let (silent, is_stale) = (false, false);
+            let peer = Peer { node, accounted: total, silent, is_stale };
+            upsert(&mut self.peers, peer, |peer| &peer.node);
+        }
+        self.level = (self.level - sum).max(0.0);
+    }
+
     /// Returns what this node knows of the bucket, if it knows enough.
     pub fn level(&mut self, now: u64, allowance: Allowance) -> Option<Level> {
         self.fill(now, allowance);
@@ -327,6 +353,9 @@
     }
 
     fn settled_at(&self) -> u64 {
+        if !self.skips_first_totals {
+            return self.opened_at;
+        }
         let delays_ms = (self.propagation_delay_ms * SETTLING_DELAYS) as u64;
         self.opened_at + SETTLING_MS.max(delays_ms)
     }
@@ -345,6 +374,7 @@
     /// for as long.
     pub fn skip_next_totals(&mut self, now: u64) {
         self.opened_at = now;
+        self.skips_first_totals = true;
         for peer in &mut self.peers {
             peer.is_stale = true;
         }
--- a/src/gateway/quotas.rs
+++ b/src/gateway/quotas.rs
@@ -56,13 +56,16 @@
     /// Returns the meter of a team's bucket, which is created if it is
     /// missing.
     ///
-    /// `joins` is set if other nodes may have used some of the quota already.
+    /// `joins` is set if other nodes may have used some of the quota before
+    /// this node started. Otherwise the team is new, and `table` has what
+    /// nodes that learned of it earlier have admitted.
     fn open(
         &mut self,
         now: u64,
         team: &str,
         allowance: Allowance,
         joins: bool,
+        table: Option<&Table>,
     ) -> &mut Meter {
         let found =
             position(&self.buckets, team, |bucket| bucket.team.as_str());
@@ -70,7 +73,13 @@
             let hash = name_hash(team);
             let mut meter = match joins {
                 true => Meter::join(now, allowance),
-                false => Meter::open(now, allowance),
+                false => {
+                    let mut meter = Meter::open(now, allowance);
+                    if let Some(table) = table {
+                        meter.deduct_first_totals(totals_of(table, now, hash));
+                    }
+                    meter
+                }
             };
             let received =
                 self.received.iter().find(|level| level.team == hash);
@@ -99,6 +108,18 @@
     }
 }
 
+/// Returns what each other node has admitted of a team's requests.
+fn totals_of(
+    table: &Table,
+    now: u64,
+    team: u64,
+) -> impl Iterator<Item = (u64, u64)> {
+    table.spent(now).filter_map(move |(node, spent, _)| {
+        let spent = spent.iter().find(|spent| spent.team == team)?;
+        Some((node, spent.tokens))
+    })
+}
+
 fn from_wire(level: &wire::Level) -> Level {
     Level { units: level.units, used: level.used, is_paced: level.paced }
 }
@@ -123,7 +144,8 @@
         for team in plan.map_or(&[][..], Plan::teams) {
             if let Some(quota) = team.quota {
                 let allowance = self.allowance(quota, reach);
-                quotas.open(now, &team.name, allowance, joins);
+                let table = Some(table);
+                quotas.open(now, &team.name, allowance, joins, table);
             }
         }
         for (entry, spent, heard) in table.spent(now) {
@@ -263,9 +285,13 @@
     ) -> Result<(), Refusal> {
         let now = self.timer.now();
         self.detect_stall(now);
-        let allowance = self.allowance(quota, self.reach());
+        let table = self.mesh.get().map(|mesh| mesh.table());
+        let reach = table.as_ref().map(|table| table.entry_counts(now));
+        let allowance = self.allowance(quota, reach.unwrap_or((1, 0)));
         let mut quotas = self.quotas();
-        let meter = quotas.open(now, team, allowance, self.is_joining(now));
+        let joins = self.is_joining(now);
+        let meter = quotas.open(now, team, allowance, joins, table.as_deref());
+        drop(table);
         meter.admit(now, allowance, cost, urgent).map_err(|shortage| {
             let cause = Cause::Quota {
                 team: team.to_owned(),
--- a/tests/all/quota_changes.rs
+++ b/tests/all/quota_changes.rs
@@ -81,19 +81,20 @@
         for now in 0..PLAY_MS {
             for node in 0..self.nodes {
                 let is_stalled = self.is_stalled(now, node);
-                if was_stalled[node] && !is_stalled {
-                    if let Some(meter) = &mut meters[node] {
-                        meter.record_stall(now, self.stall_ms);
-                    }
+                if was_stalled[node]
+                    && !is_stalled
+                    && let Some(meter) = &mut meters[node]
+                {
+                    meter.record_stall(now, self.stall_ms);
                 }
                 was_stalled[node] = is_stalled;
                 if meters[node].is_none() && now >= opens[node] {
                     let mut meter = Meter::open(now, allowance);
-                    for (from, total) in reported[node].iter().enumerate() {
-                        if *total > 0 {
-                            meter.record_total(now, from as u64, *total, true);
-                        }
-                    }
+                    let totals = reported[node].iter().enumerate();
+                    let totals = totals.filter(|(_, total)| **total > 0);
+                    meter.deduct_first_totals(
+                        totals.map(|(from, total)| (from as u64, *total)),
+                    );
                     meters[node] = Some(meter);
                 }
             }
