Bound the wait for a stream's origin by the deadline

Callers that resumed a stream on a route with a timeout of 1 s were answered after 1.9 s: beyond the timeout by more than half a second, which the rule on time-outs allows for few. Cause: the wait for a heartbeat that confirms the stream's replica had a bound of its own and no regard for the deadline. While replicas are silent, that heartbeat does not come.

Change: the wait ends with the deadline as well. The refusal is as before.

--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -68,7 +68,9 @@
     let limit = Duration::from_millis(
         request_info.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms),
     );
-    let origin = gateway.origin_of(route, team, &request_info).await?;
+    let deadline = began + limit;
+    let origin =
+        gateway.origin_of(route, team, &request_info, deadline).await?;
     let (service, version) = match origin {
         Some(origin) => (origin.service, StreamVersion::Only(origin.version)),
         None => (gateway.draw_service(route), StreamVersion::Any),
@@ -78,7 +80,7 @@
         version,
         route: route.clone(),
         team: team.cloned(),
-        deadline: began + limit,
+        deadline,
     };
     let accepted = receive(gateway, request, request_info, began, resolved);
     let accepted = accepted.await?;
--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -127,6 +127,7 @@
         route: &Route,
         team: Option<&Team>,
         request_info: &RequestInfo,
+        deadline: Instant,
     ) -> Result<Option<Origin>, Refusal> {
         let resumes = request_info.resumes.as_deref();
         let is_resumed =
@@ -136,7 +137,8 @@
         }
         let team = team.map_or("", |team| &team.name);
         let request = id_text(request_info.id.as_ref());
-        let found = self.locate(route, team, resumes.unwrap_or("")).await;
+        let resumes_id = resumes.unwrap_or("");
+        let found = self.locate(route, team, resumes_id, deadline).await;
         match found {
             Ok(Found { origin, source, age_ms }) => {
                 info!(
@@ -166,6 +168,7 @@
         route: &Route,
         team: &str,
         resumes: &str,
+        deadline: Instant,
     ) -> Result<Found, Obstacle> {
         let lookup = match resumes {
             "" => Lookup::Unknown,
@@ -178,8 +181,9 @@
                     opened_at: latest_opening(record.recorded_at),
                 };
                 let version = &record.origin.version;
+                let until = deadline.min(self.latest_wait());
                 if !version.is_empty()
-                    && !self.confirm(begun, version, self.latest_wait()).await
+                    && !self.confirm(begun, version, until).await
                 {
                     return Err(Obstacle::Unconfirmed);
                 }
--- a/tests/all/silence.rs
+++ b/tests/all/silence.rs
@@ -14,6 +14,7 @@
     node,
     wire::Sighting,
 };
+use futures_util::future::join_all;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -44,14 +45,25 @@
 /// Time in which a replica stops work that goes on at another one.
 const MAX_OVERLAP: Duration = Duration::from_millis(400);
 
-/// A plan with a low latency target and, from version 10 on, a short timeout.
+/// Version of the plan that adds a route.
+const ADDS_ROUTE: u64 = 2;
+/// Version of the plan whose routes have a short timeout.
+const SHORT_TIMEOUT: u64 = 10;
+
+/// Parses a plan with a low latency target.
 fn read_plan(bytes: &[u8]) -> Result<Draft, Invalid> {
     let text = std::str::from_utf8(bytes).map_err(Invalid::unreadable)?;
     let version = text.parse().map_err(Invalid::unreadable)?;
     let mut draft = draft(version);
+    if version == ADDS_ROUTE {
+        let mut added = draft.routes[0].clone();
+        added.name = "/added/".to_owned();
+        added.prefix = "/added/".to_owned();
+        draft.routes.push(added);
+    }
     for route in &mut draft.routes {
         route.target_ms = TARGET_MS;
-        if version >= 10 {
+        if version == SHORT_TIMEOUT {
             route.timeout_ms = SHORT_TIMEOUT_MS;
         }
     }
@@ -291,7 +303,7 @@
         pieces
     })
     .await;
-    let world = World::open(10, 20.0, &[&replica]).await;
+    let world = World::open(SHORT_TIMEOUT, 20.0, &[&replica]).await;
     // The caller leaves after the first event.
     let mut caller = TcpStream::connect(world.front).await.unwrap();
     let request = "POST /resume/x HTTP/1.1\r\nHost: here\r\nId: 7\r\n\
@@ -318,3 +330,29 @@
     let took = began.elapsed();
     assert!(took < limit, "answered after {took:?}: {answer}");
 }
+
+/// Requests that are sent on an added route.
+const REQUESTS: usize = 20;
+/// Smallest share of them that is served, relative to requests on routes that
+/// have long been there and are all served.
+const MIN_SERVED_SHARE: f64 = 0.25;
+
+/// Guards against a route whose first requests all fail as its replicas are
+/// silent when it is added.
+#[tokio::test]
+async fn a_route_that_is_added_in_a_silence_is_served() {
+    let replicas = [Replica::spawn(late).await, Replica::spawn(late).await];
+    let world = World::open(1, 0.0, &[&replicas[0], &replicas[1]]).await;
+    let answer = post(world.front, "/added/x", 1, "x").await;
+    assert_eq!(status(&answer), "404", "{answer}");
+    apply_plan(&world.node, ADDS_ROUTE).await;
+    let requests = (0..REQUESTS).map(|number| {
+        let front = world.front;
+        let body = number.to_string();
+        async move { post(front, "/added/x", 100 + number, &body).await }
+    });
+    let answers = join_all(requests).await;
+    let served = answers.iter().filter(|answer| status(answer) == "200");
+    let share = served.count() as f64 / REQUESTS as f64;
+    assert!(share >= MIN_SERVED_SHARE, "{share} were served: {answers:?}");
+}
