Let heartbeats be on time soon after a silence

Cause: a heartbeat that arrives late counts as sent when it was due, and those after it as late until they have caught up. A replica that was silent for a while never catches up, as it goes on at its usual interval: each silence added its length to the lateness, which then fell by some 100 ms a heartbeat.

Change: after two heartbeats in a row that were acknowledged and on time, the lateness is over. A replica whose heartbeats are long on their way is not acknowledged within a second and repeats them sooner, so they are not on time in this sense. The test of late heartbeats is unchanged and passes.

heartbeats_are_on_time_soon_after_a_silence failed before (after the second of four silences) and passes.

The soak learns silences: all or half of the replicas are silent for 0.8 to 1.8 s beside all other faults, and a check after the last fault sends 48 requests, streams with gaps of up to 400 ms among them, two silences and two changes of the configuration.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -13,6 +13,7 @@
 mod promise;
 mod proxy;
 mod replica;
+mod silence;
 mod site;
 mod streams;
 
@@ -101,6 +102,8 @@
     notices: notice::AllNotices,
     /// Streams that callers resume.
     streams: streams::Streams,
+    /// Replicas that are silent for a moment.
+    silences: silence::Silences,
     /// When the run started.
     started: Instant,
     running: AtomicBool,
@@ -217,6 +220,7 @@
         limits: limit::Limits::default(),
         notices: notice::AllNotices::default(),
         streams: streams::Streams::default(),
+        silences: silence::Silences::default(),
         started: Instant::now(),
         running: AtomicBool::new(true),
         final_check: AtomicBool::new(false),
@@ -264,6 +268,7 @@
     }
     tasks.push(tokio::spawn(limit::vary_rate_limits(shared.clone())));
     tasks.push(tokio::spawn(notice::vary(shared.clone())));
+    tasks.push(tokio::spawn(silence::vary(shared.clone())));
     let mut faults = Faults::new(shared.clone(), site, replicas, cloud);
     let until = Instant::now() + Duration::from_secs(arguments.seconds);
     faults.inject_until(until).await?;
@@ -271,6 +276,7 @@
     // Callers keep sending requests while the nodes recover.
     recover(&shared, &mut faults).await;
     fatal::check_quarantine(&shared, &mut faults).await?;
+    silence::check(&shared).await;
     shared.final_check.store(true, Ordering::Relaxed);
     tokio::join!(limit::check_compliance(&shared), notice::check(&shared));
     shared.running.store(false, Ordering::Relaxed);
--- a/soak/src/replica.rs
+++ b/soak/src/replica.rs
@@ -33,11 +33,13 @@
     notice::{self, Notices, Reaction},
     promise::Kind,
     proxy::Proxy,
-    streams,
+    silence, streams,
 };
 
 /// Number of events in a stream.
 pub const STREAM_EVENTS: u64 = 12;
+/// Interval between two events of a stream.
+const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval between two heartbeats of a replica.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1200);
 /// Time for which a replica keeps serving after it has announced its
@@ -95,6 +97,7 @@
         let leaving = Arc::new(Mutex::new(false));
         let runner = Runner {
             id: id.clone(),
+            number,
             version,
             shared: shared.clone(),
             rng: Arc::new(Mutex::new(rng)),
@@ -110,7 +113,7 @@
         };
         let born = now_ms();
         let address = proxy.address;
-        let incarnation = Incarnation { id, born, address, version };
+        let incarnation = Incarnation { id, number, born, address, version };
         let heartbeats = send_heartbeats(shared, incarnation, leaving.clone());
         let mut tasks =
             vec![serve(listener, handler), tokio::spawn(heartbeats)];
@@ -146,6 +149,7 @@
         self.crash();
         let former = Incarnation {
             id: format!("i-{}", self.number),
+            number: self.number,
             born: self.born,
             address: self.proxy.address,
             version: self.version,
@@ -200,6 +204,7 @@
 /// The incarnation on whose behalf a heartbeat is sent.
 struct Incarnation {
     id: String,
+    number: u64,
     born: u64,
     address: SocketAddrV4,
     version: &'static str,
@@ -212,6 +217,7 @@
 ) {
     let mut sequence = 0;
     loop {
+        shared.silences.wait(incarnation.number).await;
         sequence += 1;
         let leaves = *lock(&leaving);
         let state = if leaves { "draining" } else { "ready" };
@@ -233,7 +239,7 @@
     state: Option<&str>,
     sequence: u64,
 ) {
-    let Incarnation { id, born, address, version } = incarnation;
+    let Incarnation { id, born, address, version, .. } = incarnation;
     let (path, mut body) =
         wire::heartbeat(id, *born, SERVICE, *address, state, sequence);
     if state.is_some() {
@@ -269,6 +275,7 @@
 #[derive(Clone)]
 struct Runner {
     id: String,
+    number: u64,
     version: &'static str,
     shared: Arc<Shared>,
     rng: Arc<Mutex<StdRng>>,
@@ -289,6 +296,7 @@
         &self,
         request: Request<Incoming>,
     ) -> Result<Response<Body>, Failed> {
+        self.shared.silences.wait(self.number).await;
         let per_s = self.limit.record_arrival();
         let reaction = self.react(&request);
         let mut leaves = *lock(&self.leaving);
@@ -357,7 +365,10 @@
         if text(wire::REPLICA).as_deref() != Some(&self.id) {
             return Ok(reject(StatusCode::MISDIRECTED_REQUEST)?);
         }
-        if self.happens(REJECTED_SHARE) {
+        let gap = text(silence::GAP).and_then(|ms| ms.parse().ok());
+        // Requests of the check of silences meet no other fault.
+        let is_sound = gap.is_some();
+        if !is_sound && self.happens(REJECTED_SHARE) {
             return Ok(reject(StatusCode::SERVICE_UNAVAILABLE)?);
         }
         if text("authorization").is_some() {
@@ -379,7 +390,7 @@
         let kind = Kind::ALL.iter().find(|one| path.starts_with(one.prefix()));
         let kind = kind.copied().unwrap_or(Kind::Again);
         ledger.record_run(kind, &id);
-        if self.happens(LOST_ANSWER_SHARE) {
+        if !is_sound && self.happens(LOST_ANSWER_SHARE) {
             return Err(Failed("answer dropped on purpose".to_owned()));
         }
         let answer = Response::builder()
@@ -388,11 +399,13 @@
         if matches!(kind, Kind::Again | Kind::Once) {
             let work = lock(&self.rng).random_range(5..40);
             sleep(Duration::from_millis(work)).await;
+            self.shared.silences.wait(self.number).await;
             return Ok(answer.body(full(body(&id)))?);
         }
         let last = text(wire::LAST_EVENT).and_then(|one| one.parse().ok());
         let from = last.unwrap_or(0) + 1;
-        let until = match self.happens(BROKEN_STREAM_SHARE) {
+        let is_broken = !is_sound && self.happens(BROKEN_STREAM_SHARE);
+        let until = match is_broken {
             true => lock(&self.rng).random_range(from..=STREAM_EVENTS),
             false => STREAM_EVENTS + 1,
         };
@@ -401,23 +414,34 @@
             Kind::Resume => streams::event(number, version),
             _ => event(&id, number),
         };
-        Ok(answer.body(events(event, from, until))?)
+        let gap = gap.map_or(EVENT_INTERVAL, Duration::from_millis);
+        let (shared, replica) = (self.shared.clone(), self.number);
+        let pause = move || {
+            let shared = shared.clone();
+            async move {
+                sleep(gap).await;
+                shared.silences.wait(replica).await;
+            }
+        };
+        Ok(answer.body(events(event, pause, from, until))?)
     }
 }
 
-/// Returns the events from `from` on. The stream breaks off before `until`.
-fn events(
+/// Returns the events from `from` on, each after a pause. The stream breaks off
+/// before `until`.
+fn events<P: Future<Output = ()> + Send + Sync + 'static>(
     event: impl Fn(u64) -> String + Clone + Send + Sync + 'static,
+    pause: impl Fn() -> P + Clone + Send + Sync + 'static,
     from: u64,
     until: u64,
 ) -> Body {
     let frames = stream::unfold(from, move |number| {
-        let event = event.clone();
+        let (event, pause) = (event.clone(), pause.clone());
         async move {
             if number > STREAM_EVENTS {
                 return None;
             }
-            sleep(Duration::from_millis(20)).await;
+            pause().await;
             if number == until {
                 let broken =
                     std::io::Error::other("stream broken off on purpose");
--- a/src/mesh/replica.rs
+++ b/src/mesh/replica.rs
@@ -14,6 +14,13 @@
 /// Longest time between two heartbeats that are on time, in ms: the interval
 /// of 1,200 ms and the time that a call takes.
 const ON_TIME_INTERVAL_MS: u64 = 1300;
+/// Shortest time between two heartbeats of which the first was acknowledged in
+/// time, in ms. A replica repeats a heartbeat that is not acknowledged within
+/// a second.
+const MIN_ACKNOWLEDGED_INTERVAL_MS: u64 = 1100;
+/// Number of heartbeats in a row, each acknowledged and on time, after which
+/// earlier lateness was a pause of the replica.
+const MIN_STEADY_HEARTBEATS: u64 = 2;
 
 common! {
     copy
@@ -50,6 +57,8 @@
         pub heard_at: u64,
         /// Time by which its last heartbeat may have been late, in ms.
         pub lateness_ms: u64,
+        /// Number of heartbeats in a row that were acknowledged and on time.
+        pub steady_heartbeats: u64,
         /// When this node first learnt of it.
         pub first_seen_at: u64,
         /// When this node first learnt that it was leaving.
@@ -164,7 +173,10 @@
     /// Records when a heartbeat was received.
     ///
     /// A heartbeat that arrives late was sent when it was due, perhaps before
-    /// a crash. Those after it count as late too until they have caught up.
+    /// a crash. Those after it count as late too until they have caught up, or
+    /// until several were steady: a replica whose heartbeats are long on their
+    /// way is not acknowledged in time and repeats them sooner, and a replica
+    /// that was silent for a while never catches up.
     fn record_heard(&mut self, sequence: u64, heard_at: u64) {
         let steps = sequence.saturating_sub(self.sighting.sequence);
         let due_ms = ON_TIME_INTERVAL_MS.saturating_mul(steps);
@@ -173,6 +185,15 @@
             Some(_) => 0,
             None => (self.lateness_ms + gap_ms).saturating_sub(due_ms),
         };
+        let min_gap_ms = MIN_ACKNOWLEDGED_INTERVAL_MS.saturating_mul(steps);
+        self.steady_heartbeats = match (min_gap_ms..=due_ms).contains(&gap_ms)
+        {
+            true => self.steady_heartbeats + steps,
+            false => 0,
+        };
+        if self.steady_heartbeats >= MIN_STEADY_HEARTBEATS {
+            self.lateness_ms = 0;
+        }
         self.heard_at = self.heard_at.max(heard_at);
     }
 
--- a/tests/all/silence.rs
+++ b/tests/all/silence.rs
@@ -11,8 +11,9 @@
 
 use azuremount::{
     gateway::plan::{Draft, Invalid},
+    mesh::table::{Liveness, Table, incarnation_id, record_key},
     node,
-    wire::Sighting,
+    wire::{Peer, Sighting},
 };
 use futures_util::future::join_all;
 use tokio::{
@@ -356,3 +357,45 @@
     let share = served.count() as f64 / REQUESTS as f64;
     assert!(share >= MIN_SERVED_SHARE, "{share} were served: {answers:?}");
 }
+
+/// Interval between two heartbeats of a replica that waits for each to be
+/// acknowledged, in ms.
+const SPACING_MS: u64 = 1210;
+/// Heartbeats that are on time between two silences.
+const ON_TIME_BEATS: u64 = 4;
+
+/// Guards against heartbeats that count as late for half a minute after each
+/// silence of their replica, so that no stream can be resumed meanwhile.
+#[test]
+fn heartbeats_are_on_time_soon_after_a_silence() {
+    let mut table = Table::open(Peer { ip: 1, ..Peer::default() });
+    let address = SocketAddr::from(([127, 0, 0, 1], 80));
+    let id = incarnation_id("r", 1);
+    let key = record_key(&id);
+    let mut now = 10_000;
+    let mut sequence = 0;
+    let mut beat = |table: &mut Table, now: u64| {
+        sequence += 1;
+        let says = sighting(&id, address, 0);
+        table.apply_sighting(
+            now,
+            Sighting { born: 1, sequence, ..says },
+            true,
+        );
+    };
+    beat(&mut table, now);
+    for silence_ms in [800, 1300, 1800, 1700] {
+        now += SPACING_MS + silence_ms;
+        beat(&mut table, now);
+        for _ in 0..ON_TIME_BEATS {
+            now += SPACING_MS;
+            beat(&mut table, now);
+        }
+        let opened_at = now - SPACING_MS / 2;
+        assert_eq!(
+            table.liveness(key, opened_at),
+            Liveness::Confirmed,
+            "after a silence of {silence_ms} ms"
+        );
+    }
+}
