Await the other replica when the silent one breaks off

Cause, of: the end of the silent replica's connection dropped the attempt that was under way at another one, uncounted, and began one more.

Change: the attempt under way goes on when the silent replica breaks off, and an attempt that is dropped counts as one that may have run. A replica that was asked in a silence and is silent itself is suspected after the usual time, also if no third one may be asked.

a_silent_replica_that_breaks_off_is_replaced_once lands with it.

--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -166,6 +166,7 @@
         began,
         deadline,
         attempts: Attempts::default(),
+        pending: None,
         is_counted: false,
         claimed_at: None,
         forwarded: None,
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -112,11 +112,6 @@
         self.0.last_mut()
     }
 
-    /// Returns the attempts that do not count yet.
-    pub fn unnoted(&self) -> impl Iterator<Item = &Exchange> {
-        self.0.iter().filter(|exchange| !exchange.is_noted)
-    }
-
     /// Waits for the first answer, forever if no attempt is in flight.
     pub async fn next_answer(&mut self) -> Box<Finished> {
         let (at, answered) = poll_fn(|context| {
@@ -163,7 +158,7 @@
     /// Reads the answer to an attempt, to its end if it is not a stream.
     pub async fn read(&self, finished: Finished) -> Result<Reply, Error> {
         let Finished { exchange, answered } = finished;
-        let Exchange { target, mut flight, .. } = exchange;
+        let Exchange { target, mut flight, is_noted, .. } = exchange;
         let (connection, mut response) = answered.inspect_err(|failed| {
             if !failed.sent {
                 self.gateway
@@ -241,6 +236,7 @@
                 keep_ms,
                 version,
                 begun,
+                is_noted,
             };
             let head = answer_head(head, &Method::GET);
             return Ok(Reply::Streaming(Box::new(source), head));
@@ -300,6 +296,7 @@
                     keep_ms,
                     version,
                     begun: None,
+                    is_noted: false,
                 };
                 let head = answer_head(head, &self.method);
                 return Ok(Reply::Streaming(Box::new(source), head));
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -150,6 +150,9 @@
                 Event::Answered(finished) => {
                     let is_noted = finished.exchange.is_noted();
                     let target = finished.exchange.target().clone();
+                    if !is_noted {
+                        self.pending = None;
+                    }
                     self.chosen = Some(target.clone());
                     match self.read(*finished).await {
                         Ok(Reply::Complete(failure))
@@ -162,7 +165,11 @@
                             }
                             answer = Some(failure);
                         }
-                        Ok(reply) => return Ok(reply),
+                        Ok(reply) => {
+                            // The attempts that are still in flight end here.
+                            self.note_pending();
+                            return Ok(reply);
+                        }
                         Err(failed) => {
                             self.log_failed_attempt(&target, &failed);
                             if !is_noted {
@@ -178,11 +185,7 @@
                     last = Refusal::may_have_run(text);
                 }
                 Event::DeadlinePassed => {
-                    for exchange in in_flight.unnoted() {
-                        let replica = &exchange.target().replica;
-                        let verdict = Verdict::MayHaveRun;
-                        self.attempts.note(replica, verdict, true);
-                    }
+                    self.note_pending();
                     let refusal = Refusal::timed_out(self.attempts.verdict());
                     let obstacle = Obstacle::DeadlinePassed;
                     let exhausted = Exhausted { obstacle, refusal };
@@ -251,6 +254,7 @@
             record_key(&target.replica),
             None,
         );
+        self.pending = Some(target.replica.clone());
         Next::Attempt(Box::new(self.begin(&target, last_event)))
     }
 
@@ -281,8 +285,8 @@
     fn suspect_newest(&mut self, in_flight: &mut InFlight) {
         let Some(newest) = in_flight.newest_mut() else { return };
         let silent_ms = newest.suspect();
-        let replica = newest.target().replica.clone();
-        self.attempts.note(&replica, Verdict::MayHaveRun, true);
+        let replica = &newest.target().replica;
+        self.note_pending();
         self.gateway.metrics.silent_attempts.inc();
         info!(
             target: "gateway",
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -79,6 +79,9 @@
     pub began: Instant,
     pub deadline: Instant,
     pub attempts: Attempts,
+    /// The replica of the newest attempt, as long as `attempts` does not
+    /// include it. The attempt may be dropped at any moment.
+    pub pending: Option<String>,
     /// True when a node has counted the first attempt for its retry budget.
     pub is_counted: bool,
     /// When the latest attempt was charged to the retry budget, if it was.
@@ -462,6 +465,13 @@
         next.allows_another(self.route.retry_policy, self.route.max_attempts)
     }
 
+    /// Counts the newest attempt, which was dropped, as one that may have run.
+    pub fn note_pending(&mut self) {
+        if let Some(replica) = self.pending.take() {
+            self.attempts.note(&replica, Verdict::MayHaveRun, true);
+        }
+    }
+
     /// Releases a chosen replica without sending the request to it.
     pub fn release(&self, target: &Target) {
         self.return_exposure(target);
--- a/src/gateway/peer_call.rs
+++ b/src/gateway/peer_call.rs
@@ -506,6 +506,7 @@
                 keep_ms: None,
                 version,
                 begun,
+                is_noted: false,
             };
             let head = answer_head(head, &self.method);
             let reply = Reply::Streaming(Box::new(source), head);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -18,7 +18,7 @@
 use http::Response;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, timeout_at};
 use tracing::{info, warn};
 
 use super::{
@@ -56,6 +56,8 @@
     /// The incarnation that they come from; `None` if another node has
     /// confirmed it.
     pub begun: Option<Begun>,
+    /// True when the attempt already counts as one that has run.
+    pub is_noted: bool,
 }
 
 /// The next part of an answer from a replica, or why there is none.
@@ -74,8 +76,6 @@
     is_event_stream: bool,
     /// When the replica last sent something.
     heard_at: Instant,
-    /// True when the attempt counts as one that has run.
-    is_noted: bool,
 }
 
 impl Reader {
@@ -87,8 +87,7 @@
     ) -> Reader {
         let splitter = Splitter::open(last);
         let heard_at = Instant::now();
-        let is_noted = false;
-        Reader { source, splitter, is_event_stream, heard_at, is_noted }
+        Reader { source, splitter, is_event_stream, heard_at }
     }
 
     /// Waits for data or the end. Nothing is lost if the wait is given up.
@@ -142,11 +141,32 @@
         }
     }
 
+    /// Waits for the first event of a replacement. Returns `None` if it breaks
+    /// off, or if it is silent for long and another replica may be asked.
+    async fn first(&mut self, accepted: &AcceptedRequest) -> Option<Received> {
+        let silent_at = Instant::now() + MAX_STREAM_SILENCE;
+        let received = match timeout_at(silent_at, self.next()).await {
+            Ok(received) => received,
+            Err(_) => {
+                self.source.carrier.suspect();
+                if accepted.may_repeat() {
+                    return None;
+                }
+                self.next().await
+            }
+        };
+        match received {
+            Received::Broken(_) => None,
+            received => Some(received),
+        }
+    }
+
     /// Counts the attempt as one that has run, once.
     fn note(&mut self, accepted: &mut AcceptedRequest) {
-        if !self.is_noted {
-            self.is_noted = true;
+        if !self.source.is_noted {
+            self.source.is_noted = true;
             let replica = self.source.carrier.name();
+            accepted.pending = None;
             accepted.attempts.note(&replica, Verdict::Ran, true);
         }
     }
@@ -273,31 +293,50 @@
         reader.source.carrier.suspect();
         reader.note(&mut self.accepted);
         let last = reader.splitter.last();
-        let found = tokio::select! {
-            biased;
-            received = reader.next() => {
-                let silent_ms = self.heard_at.elapsed().as_millis() as u64;
-                self.count_move("went_on");
-                info!(
-                    target: "gateway",
-                    request = self.request_id(),
-                    silent_ms,
-                    "Silent replica goes on with the stream."
-                );
-                return Some(received);
+        let mut reason = SILENT;
+        let found = {
+            let mut search =
+                Box::pin(find_replacement(&mut self.accepted, last, reason));
+            tokio::select! {
+                biased;
+                received = reader.next() => match received {
+                    Received::Broken(broken) => {
+                        reason = broken;
+                        reader.source.carrier.fail();
+                        self.reader = None;
+                        search.await
+                    }
+                    received => {
+                        drop(search);
+                        self.accepted.note_pending();
+                        self.log_return();
+                        return Some(received);
+                    }
+                },
+                found = &mut search => found,
             }
-            found = find_replacement(&mut self.accepted, last, SILENT) => found,
         };
         self.asked_at = Some(Instant::now());
         match found {
             Ok(replacement) => Some(self.move_to(replacement)),
             Err(obstacle) => {
-                self.log_obstacle(obstacle, SILENT);
-                None
+                self.log_obstacle(obstacle, reason);
+                let is_gone = self.reader.is_none();
+                is_gone.then_some(Received::Broken(reason))
             }
         }
     }
 
+    fn log_return(&self) {
+        self.count_move("went_on");
+        info!(
+            target: "gateway",
+            request = self.request_id(),
+            silent_ms = self.heard_at.elapsed().as_millis() as u64,
+            "Silent replica goes on with the stream."
+        );
+    }
+
     /// Finds a replica that goes on with a stream that its replica has broken
     /// off. Returns what it sends, or `None` if there is none.
     async fn replace_broken(
@@ -430,6 +469,9 @@
             Err(Exhausted { obstacle, .. }) => return Err(obstacle),
         };
         let mut reader = Reader::open(source, last, true);
+        if !reader.source.is_noted {
+            accepted.pending = Some(reader.source.carrier.name());
+        }
         let (version, begun) = (&reader.source.version, reader.source.begun);
         let is_same = !accepted.is_settled || *version == accepted.version;
         let is_confirmed = is_same
@@ -439,19 +481,12 @@
             reader.note(accepted);
             continue;
         }
-        let silent_at = match accepted.may_repeat() {
-            true => Instant::now() + MAX_STREAM_SILENCE,
-            false => accepted.deadline,
-        };
-        tokio::select! {
-            biased;
-            received = reader.next() => match received {
-                Received::Broken(_) => reader.source.carrier.fail(),
-                first => return Ok(Replacement { reader, first }),
-            },
-            () = sleep_until(silent_at) => {
-                reader.source.carrier.fail();
+        match reader.first(accepted).await {
+            Some(first) => {
+                accepted.pending = None;
+                return Ok(Replacement { reader, first });
             }
+            None => reader.source.carrier.fail(),
         }
         reader.note(accepted);
     }
--- a/tests/all/silence.rs
+++ b/tests/all/silence.rs
@@ -23,8 +23,8 @@
 };
 
 use crate::world::{
-    HANG, Replica, TEST_TIMEOUT, TempFolder, WAIT, apply_plan, draft, ended,
-    events, ids, ok, options, post, sighting, status,
+    CLOSE, HANG, Replica, TEST_TIMEOUT, TempFolder, WAIT, apply_plan, draft,
+    ended, events, ids, ok, options, post, sighting, status,
 };
 
 /// Number of events in a whole stream.
@@ -43,6 +43,8 @@
 const SHORT_TIMEOUT_MS: u64 = 1000;
 /// Time after its timeout within which a request has its final answer.
 const FINAL_ANSWER_SLACK: Duration = Duration::from_millis(500);
+/// Attempts that the routes allow.
+const MAX_ATTEMPTS: usize = 2;
 /// Time in which a replica stops work that goes on at another one.
 const MAX_OVERLAP: Duration = Duration::from_millis(400);
 
@@ -399,3 +401,28 @@
         );
     }
 }
+
+/// Returns a stream that is silent for 1.8 s after its head, and breaks off.
+fn silent_then_broken(_: &str) -> Vec<String> {
+    let mut pieces = events(1..=1);
+    pieces.truncate(1);
+    pieces.extend(std::iter::repeat_n(WAIT.to_owned(), SILENCE));
+    pieces.push(CLOSE.to_owned());
+    pieces
+}
+
+/// Guards against a request that runs at more replicas than its route allows,
+/// as its silent replica breaks off while another one has it.
+#[tokio::test]
+async fn a_silent_replica_that_breaks_off_is_replaced_once() {
+    let mut replicas = Vec::new();
+    for _ in 0..4 {
+        replicas.push(Replica::spawn(silent_then_broken).await);
+    }
+    let all: Vec<&Replica> = replicas.iter().collect();
+    let world = World::open(1, 20.0, &all).await;
+    world.send_heartbeats(&replicas);
+    world.stream().await;
+    let ran: usize = replicas.iter_mut().map(|one| one.seen().len()).sum();
+    assert_eq!(ran, MAX_ATTEMPTS, "replicas that ran the request");
+}
