--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -117,6 +117,14 @@
             version => StreamVersion::Only(version.to_owned()),
         }
     }
+
+    /// Returns the version, or an empty text if there is no certain one.
+    pub fn certain(&self) -> &str {
+        match self {
+            StreamVersion::Only(version) => version,
+            StreamVersion::Any | StreamVersion::Unknown => "",
+        }
+    }
 }
 
 /// The failed attempts of a request, which decide whether there may be
--- a/src/gateway/peer_call.rs
+++ b/src/gateway/peer_call.rs
@@ -580,12 +580,8 @@
     if let Some(begun) = begun {
         head.headers_mut().insert(REPLICA, begun.replica.into());
     }
-    let text = match version {
-        StreamVersion::Only(version) => version.as_str(),
-        StreamVersion::Any | StreamVersion::Unknown => "",
-    };
     // Versions are plain text, as heartbeats are checked for it.
-    if let Ok(value) = HeaderValue::from_str(text) {
+    if let Ok(value) = HeaderValue::from_str(version.certain()) {
         head.headers_mut().insert(VERSION, value);
     }
     head
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -268,8 +268,9 @@
             if !is_resumable {
                 return reader.next().await;
             }
-            let since = self.asked_at.unwrap_or(reader.heard_at);
-            let silent_at = since.max(reader.heard_at) + MAX_STREAM_SILENCE;
+            let heard_at = reader.heard_at;
+            let since = self.asked_at.map_or(heard_at, |at| at.max(heard_at));
+            let silent_at = since + MAX_STREAM_SILENCE;
             let received = match timeout_at(silent_at, reader.next()).await {
                 Ok(received) => received,
                 Err(_) => match self.ask_in_silence().await {
@@ -318,7 +319,7 @@
         };
         self.asked_at = Some(Instant::now());
         match found {
-            Ok(replacement) => Some(self.move_to(replacement)),
+            Ok(replacement) => Some(self.move_to(replacement, reason)),
             Err(obstacle) => {
                 self.log_obstacle(obstacle, reason);
                 let is_gone = self.reader.is_none();
@@ -349,7 +350,7 @@
         self.last = reader.splitter.last();
         drop(reader);
         match find_replacement(&mut self.accepted, self.last, reason).await {
-            Ok(replacement) => Some(self.move_to(replacement)),
+            Ok(replacement) => Some(self.move_to(replacement, reason)),
             Err(obstacle) => {
                 self.log_obstacle(obstacle, reason);
                 None
@@ -358,8 +359,22 @@
     }
 
     /// Leaves the replica of the stream, if there is still one, for another.
-    fn move_to(&mut self, replacement: Replacement) -> Received {
+    fn move_to(
+        &mut self,
+        replacement: Replacement,
+        reason: &'static str,
+    ) -> Received {
         let Replacement { reader, first } = replacement;
+        info!(
+            target: "gateway",
+            request = self.request_id(),
+            parts = %self.accepted.request_info.shown_parts(),
+            replica = reader.source.carrier.name(),
+            version = reader.source.version.certain(),
+            last_event = self.last.unwrap_or(0),
+            silent_ms = self.heard_at.elapsed().as_millis() as u64,
+            "Stream resumes at another replica: {reason}."
+        );
         if let Some(mut former) = self.reader.replace(reader) {
             former.source.carrier.fail();
         }
@@ -464,8 +479,14 @@
         );
         let source = match accepted.ask(last).await {
             Ok(Reply::Streaming(source, _)) => *source,
-            // An error answer of the replica.
-            Ok(Reply::Complete(_)) => return Err(Obstacle::Refused),
+            // The replica has answered with something else than a stream.
+            Ok(Reply::Complete(_)) => {
+                let replica = accepted.chosen.as_ref();
+                let replica = replica.map_or("", |target| &target.replica);
+                let replica = replica.to_owned();
+                accepted.attempts.note(&replica, Verdict::Ran, true);
+                return Err(Obstacle::Refused);
+            }
             Err(Exhausted { obstacle, .. }) => return Err(obstacle),
         };
         let mut reader = Reader::open(source, last, true);
--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -289,10 +289,7 @@
         });
         let origin = Origin {
             service: self.service.clone(),
-            version: match version {
-                StreamVersion::Only(version) => version.clone(),
-                StreamVersion::Any | StreamVersion::Unknown => String::new(),
-            },
+            version: version.certain().to_owned(),
         };
         recording.record(origin, replica, opened_at);
     }
