--- a/soak/src/fatal.rs
+++ b/soak/src/fatal.rs
@@ -82,6 +82,9 @@
     let mut number = 0;
     while shared.is_running() {
         sleep(Duration::from_millis(rng.random_range(100..900))).await;
+        if shared.silences.is_checked() {
+            continue;
+        }
         let proxy = shared.fronts().choose(&mut rng);
         let Some(front) = proxy.map(|proxy| proxy.address) else { continue };
         number += 1;
--- a/soak/src/silence.rs
+++ b/soak/src/silence.rs
@@ -72,6 +72,12 @@
         is_silent.then_some(until)
     }
 
+    /// Returns true once silences are checked, and nothing else may end a
+    /// request.
+    pub fn is_checked(&self) -> bool {
+        self.is_checked.load(Ordering::Relaxed)
+    }
+
     /// Silences all replicas, or only those with an even number.
     fn begin(&self, all: bool, ms: u64) {
         let modulus = if all { 1 } else { 2 };
@@ -90,7 +96,7 @@
     while shared.is_running() {
         sleep(Duration::from_millis(rng.random_range(PAUSE_MS))).await;
         let (all, ms) = (rng.random_bool(0.5), rng.random_range(SILENCE_MS));
-        if !shared.silences.is_checked.load(Ordering::Relaxed) {
+        if !shared.silences.is_checked() {
             shared.silences.begin(all, ms);
         }
     }
