Skip first totals unless a team is known to be new

Change: an opened bucket skips first totals again; deducting those that are known, as the gateway does for a team that is new to all nodes, ends that.

--- a/src/decide/quota/mod.rs
+++ b/src/decide/quota/mod.rs
@@ -254,13 +254,13 @@
 }
 
 impl Meter {
-    /// Creates a full bucket, for a team that is new to all nodes.
+    /// Creates a full bucket.
     pub fn open(now: u64, allowance: Allowance) -> Meter {
         Meter {
             level: allowance.burst,
             filled_at: now,
             opened_at: now,
-            skips_first_totals: false,
+            skips_first_totals: true,
             propagation_delay_ms: allowance.propagation_delay_ms,
             is_joining: false,
             learned_rate: None,
@@ -287,14 +287,14 @@
         Meter {
             level: 0.0,
             is_joining: true,
-            skips_first_totals: true,
             pace: Pace::join(allowance),
             ..Meter::open(now, allowance)
         }
     }
 
-    /// Deducts what other nodes have admitted before this node learned of the
-    /// team, as far as the bucket covers it.
+    /// Deducts what other nodes have admitted before this node learned of a
+    /// team that is new to all of them, as far as the bucket covers it. From
+    /// then on, the first total of each further node is deducted as well.
     ///
     /// Nodes learn of a new team at different moments. If each of them opened
     /// a full bucket, they would give out the burst several times. A total of a
@@ -312,6 +312,7 @@
             upsert(&mut self.peers, peer, |peer| &peer.node);
         }
         self.level = (self.level - sum).max(0.0);
+        self.skips_first_totals = false;
     }
 
     /// Returns what this node knows of the bucket, if it knows enough.
