--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -51,6 +51,7 @@
 mod scenario;
 mod silence;
 mod steps;
+mod stream_records;
 mod version_changes;
 mod versions;
 mod world;
--- a/tests/all/silence.rs
+++ b/tests/all/silence.rs
@@ -28,7 +28,7 @@
 };
 
 /// Number of events in a whole stream.
-const EVENTS: u64 = 6;
+pub const EVENTS: u64 = 6;
 /// Events that a replica sends before it falls silent.
 const BEFORE_SILENCE: u64 = 2;
 /// A silence of 1.8 s, in pauses of the replicas' scripts.
@@ -36,7 +36,7 @@
 /// Time in which a node is starting.
 const START_PERIOD: Duration = Duration::from_millis(1100);
 /// Interval between two heartbeats of a replica.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
+pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 /// Latency target of the routes in these tests, in ms.
 const TARGET_MS: u64 = 100;
 /// Timeout of the route whose requests must not wait for long, in ms.
@@ -48,10 +48,12 @@
 /// Time in which a replica stops work that goes on at another one.
 const MAX_OVERLAP: Duration = Duration::from_millis(400);
 
+/// The port for traffic between nodes.
+pub const PORT: u16 = 7700;
 /// Version of the plan that adds a route.
 const ADDS_ROUTE: u64 = 2;
 /// Version of the plan whose routes have a short timeout.
-const SHORT_TIMEOUT: u64 = 10;
+pub const SHORT_TIMEOUT: u64 = 10;
 
 /// Parses a plan with a low latency target.
 fn read_plan(bytes: &[u8]) -> Result<Draft, Invalid> {
@@ -74,14 +76,15 @@
 }
 
 /// A node before replicas that send one heartbeat each.
-struct World {
-    node: node::Handle,
-    front: SocketAddr,
+pub struct World {
+    pub node: node::Handle,
+    pub ip: Ipv4Addr,
+    pub front: SocketAddr,
     _folder: TempFolder,
 }
 
 impl World {
-    async fn open(plan: u64, slack: f32, replicas: &[&Replica]) -> World {
+    pub async fn open(plan: u64, slack: f32, replicas: &[&Replica]) -> World {
         static NEXT: AtomicU32 = AtomicU32::new(1);
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
         let ip = Ipv4Addr::from(0x7f51_0000 + number);
@@ -91,7 +94,7 @@
             founds: true,
             is_first_start: true,
             read_plan,
-            ..options(ip, 7700, &[ip])
+            ..options(ip, PORT, &[ip])
         };
         options.gateway.retry_bound.slack = slack;
         let node = node::spawn(options).await.unwrap();
@@ -106,11 +109,11 @@
             node.apply_heartbeat(sighting(&id, replica.address, 0));
         }
         let front = node.front().unwrap();
-        World { node, front, _folder: folder }
+        World { node, ip, front, _folder: folder }
     }
 
     /// Sends heartbeats of all replicas for as long as the test runs.
-    fn send_heartbeats(&self, replicas: &[Replica]) {
+    pub fn send_heartbeats(&self, replicas: &[Replica]) {
         let node = self.node.clone();
         let addresses = replicas.iter().map(|replica| replica.address);
         let addresses: Vec<SocketAddr> = addresses.collect();
@@ -125,7 +128,7 @@
         });
     }
 
-    async fn stream(&self) -> String {
+    pub async fn stream(&self) -> String {
         post(self.front, "/resume/x", 1, "x").await
     }
 }
@@ -150,7 +153,7 @@
     pieces
 }
 
-fn assert_whole(answer: &str) {
+pub fn assert_whole(answer: &str) {
     assert!(answer.ends_with("0\r\n\r\n"), "broken off: {answer}");
     let all: Vec<u64> = (1..=EVENTS).collect();
     assert_eq!(ids(answer), all);
--- /dev/null
+++ b/tests/all/stream_records.rs
@@ -0,0 +1,132 @@
+//! Records of where streams began, while the nodes that keep them send no
+//! receipt.
+
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use azuremount::wire::Sighting;
+use tokio::time::sleep;
+
+use crate::{
+    silence::{
+        EVENTS, HEARTBEAT_INTERVAL, PORT, SHORT_TIMEOUT, World, assert_whole,
+    },
+    world::{
+        CLOSE, HANG, Replica, WAIT, ended, events, ids, report_node, sighting,
+        status,
+    },
+};
+
+/// Nodes that may be asked to keep a record.
+const HOLDERS: u32 = 4;
+/// Distance of a holder's address from that of its node.
+const HOLDER_OFFSET: u32 = 0x0001_0000;
+/// Time in which a node hears of the holders.
+const DISCOVERY_TIME: Duration = Duration::from_millis(700);
+
+/// Starts nodes that serve and report to the node, but send no receipts.
+async fn add_silent_holders(world: &World) {
+    for number in 0..HOLDERS {
+        let ip = u32::from(world.ip) + HOLDER_OFFSET * (number + 1);
+        let at = SocketAddrV4::new(Ipv4Addr::from(ip), PORT);
+        tokio::spawn(report_node(at, world.ip, || 1));
+    }
+    sleep(DISCOVERY_TIME).await;
+}
+
+/// Returns two replicas: the one that is asked first answers with the pieces
+/// `first`, and both with the pieces `later` afterwards.
+async fn replicas(first: Vec<String>, later: Vec<String>) -> [Replica; 2] {
+    let asked = Arc::new(AtomicUsize::new(0));
+    let respond = move |_: &str| match asked.fetch_add(1, Ordering::Relaxed) {
+        0 => first.clone(),
+        _ => later.clone(),
+    };
+    let respond = Arc::new(respond);
+    let (one, two) = (respond.clone(), respond);
+    [
+        Replica::spawn(move |head| one(head)).await,
+        Replica::spawn(move |head| two(head)).await,
+    ]
+}
+
+fn whole_stream() -> Vec<String> {
+    ended(events(1..=EVENTS))
+}
+
+/// Guards against a stream that is cut as its replica begins to answer while
+/// another one of the same version is asked too, and no node confirms in time
+/// that it has replaced its record.
+#[tokio::test]
+async fn a_stream_begins_although_no_node_replaces_its_record() {
+    // Begins after 0.9 s.
+    let mut late = vec![WAIT.to_owned(); 3];
+    late.extend(whole_stream());
+    let replicas = replicas(late, vec![HANG.to_owned()]).await;
+    let world = World::open(1, 20.0, &[&replicas[0], &replicas[1]]).await;
+    world.send_heartbeats(&replicas);
+    add_silent_holders(&world).await;
+    assert_whole(&world.stream().await);
+}
+
+/// Guards against a stream that is cut as its first replica closes the
+/// connection and no node confirms in time that it has replaced its record.
+#[tokio::test]
+async fn a_stream_begins_at_the_next_replica_without_receipts() {
+    let first = vec![CLOSE.to_owned()];
+    let replicas = replicas(first, whole_stream()).await;
+    let world = World::open(1, 20.0, &[&replicas[0], &replicas[1]]).await;
+    world.send_heartbeats(&replicas);
+    add_silent_holders(&world).await;
+    assert_whole(&world.stream().await);
+}
+
+/// Sends heartbeats of replicas, each of a software version of its own.
+fn send_heartbeats_of_versions(world: &World, replicas: &[Replica]) {
+    let node = world.node.clone();
+    let addresses: Vec<_> = replicas.iter().map(|one| one.address).collect();
+    tokio::spawn(async move {
+        for sequence in 2.. {
+            for (number, address) in addresses.iter().enumerate() {
+                let says = sighting(&format!("r{number}"), *address, 0);
+                let version = format!("v{number}");
+                node.apply_heartbeat(Sighting { sequence, version, ..says });
+            }
+            sleep(HEARTBEAT_INTERVAL).await;
+        }
+    });
+}
+
+/// Guards against a stream whose caller could resume it at another version, as
+/// a node may still have a record that names the first replica's version.
+#[tokio::test]
+async fn another_version_is_not_asked_while_the_record_may_name_the_first() {
+    let first = vec![HANG.to_owned()];
+    let mut replicas = replicas(first, whole_stream()).await;
+    let world = World::open(SHORT_TIMEOUT, 20.0, &[]).await;
+    send_heartbeats_of_versions(&world, &replicas);
+    add_silent_holders(&world).await;
+    let answer = world.stream().await;
+    assert_ne!(status(&answer), "200", "{answer}");
+    assert_eq!(ids(&answer), [0; 0]);
+    let seen: usize = replicas.iter_mut().map(|one| one.seen().len()).sum();
+    assert_eq!(seen, 1, "replicas that were asked");
+}
+
+/// Guards against a request that fails although a replica of another version
+/// is there, and nothing else is on record.
+#[tokio::test]
+async fn another_version_is_asked_where_no_node_has_a_record() {
+    let first = vec![HANG.to_owned()];
+    let replicas = replicas(first, whole_stream()).await;
+    let world = World::open(1, 20.0, &[]).await;
+    send_heartbeats_of_versions(&world, &replicas);
+    sleep(DISCOVERY_TIME).await;
+    assert_whole(&world.stream().await);
+}
