Begin streams whose record is late if the version is known

Callers saw answers (200) that ended before their first event, 100 ms after the head. Each had a second attempt, or a connection that broke first, so its record of origin had changed, and the answer was ended unless every node that had been sent any version of the record had confirmed the change within 100 ms. The rule kept streams of two versions apart where most often one version served, and one node that was slow to reply ended the answer. Since a silent replica is kept while another one is asked, records change far more often.

A record that is out of date does harm only if a caller can resume at another software version by it. So a stream now begins at once where all versions of its record name the same software version and a heartbeat shows that the replica that answers has it. If neither that nor the receipts are there, the first event waits for them, until the deadline. So that different versions don't get on record, attempts after the first one stay at the version on record. A replica of another version is asked only once each node that may have the record has confirmed one that names no version; an attempt in flight is kept meanwhile. A record without a receipt is sent on until one arrives, and the line of the log names the nodes, the sequence number and the age. stream_records_total and late_receipts_total tell nodes that are gone from receipts that are slow.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -216,6 +216,10 @@
             (false, 0) => self.gateway.wait_at_start(|| self.pick()).await,
             (false, _) => self.pick(),
         };
+        let target = match target {
+            None if !is_unreachable => self.pick_other_version().await,
+            target => target,
+        };
         let target = match target {
             Some(target) => target,
             None if is_unreachable => {
@@ -350,6 +354,9 @@
         last_event: Option<u64>,
         last: &Refusal,
     ) -> Forwarded {
+        // Without the limit, the other node need not wait for the heartbeat
+        // that shows the replica's version.
+        self.lift_version_limit().await;
         let next = match self.call_peers(last_event).await {
             peer_call::Outcome::Reply(reply) => Next::Reply(reply),
             peer_call::Outcome::Refused(refusal) => {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -338,6 +338,12 @@
     /// While a roll-out of the service runs, a share of the attempts goes to
     /// the new version; the choice is counted as an attempt.
     pub fn pick(&self) -> Option<Target> {
+        self.pick_for(&self.attempt_version())
+    }
+
+    /// Returns the router's choice for a stream whose events may come from
+    /// this version.
+    fn pick_for(&self, limit: &StreamVersion) -> Option<Target> {
         let (gateway, service) = (&self.gateway, &self.service);
         let route = &self.route.name;
         let may_try = match &self.version {
@@ -349,12 +355,12 @@
         };
         let guide = gateway.guide(service, route, may_try);
         let target = match guide {
-            Guide::Free => self.pick_freely(),
+            Guide::Free => self.pick_freely(limit),
             Guide::Wait => None,
-            Guide::Avoid(to) => self.pick_without(to),
-            Guide::Move(to) => self.pick_version(to),
+            Guide::Avoid(to) => self.pick_without(limit, to),
+            Guide::Move(to) => self.pick_version(limit, to),
             Guide::Try(to) => {
-                if let Some(target) = self.pick_version(to) {
+                if let Some(target) = self.pick_version(limit, to) {
                     // An attempt at a new version that would begin late says
                     // nothing about the version.
                     let is_late =
@@ -365,16 +371,16 @@
                     self.release_slot(&target);
                 }
                 gateway.return_try(service, route);
-                self.pick_without(to)
+                self.pick_without(limit, to)
             }
         }?;
         gateway.record_exposure(service, route, &target.version);
         Some(target)
     }
 
-    fn pick_freely(&self) -> Option<Target> {
+    fn pick_freely(&self, limit: &StreamVersion) -> Option<Target> {
         let is_resumable = self.route.retry_policy == RetryPolicy::Resumable;
-        match &self.version {
+        match limit {
             // A stream that begins at a replica whose version is not certain
             // can't be resumed.
             StreamVersion::Any if is_resumable => self
@@ -389,9 +395,9 @@
     }
 
     /// Like [`AcceptedRequest::pick_freely`], with one version only.
-    fn pick_version(&self, to: u64) -> Option<Target> {
+    fn pick_version(&self, limit: &StreamVersion, to: u64) -> Option<Target> {
         let is_resumable = self.route.retry_policy == RetryPolicy::Resumable;
-        match &self.version {
+        match limit {
             StreamVersion::Any if is_resumable => self
                 .pick_by(VersionRule::Only(to))
                 .or_else(|| self.pick_by(VersionRule::Of(to))),
@@ -404,9 +410,9 @@
     }
 
     /// Like [`AcceptedRequest::pick_freely`], without one version.
-    fn pick_without(&self, to: u64) -> Option<Target> {
+    fn pick_without(&self, limit: &StreamVersion, to: u64) -> Option<Target> {
         let is_resumable = self.route.retry_policy == RetryPolicy::Resumable;
-        match &self.version {
+        match limit {
             StreamVersion::Any if is_resumable => self
                 .pick_by(VersionRule::CertainExcept(to))
                 .or_else(|| self.pick_by(VersionRule::Except(to))),
@@ -426,6 +432,22 @@
             && self.version == StreamVersion::Any
     }
 
+    /// Returns a replica of another version than the one that other nodes may
+    /// have on record, once they have confirmed that they no longer have it.
+    ///
+    /// The replica that is looked up first is not reserved meanwhile.
+    pub async fn pick_other_version(&mut self) -> Option<Target> {
+        if self.attempt_version() == self.version {
+            return None;
+        }
+        let target = self.pick_for(&StreamVersion::Any)?;
+        self.release(&target);
+        match self.lift_version_limit().await {
+            true => self.pick(),
+            false => None,
+        }
+    }
+
     fn pick_by(&self, version: VersionRule) -> Option<Target> {
         let blocks = prompt_blocks(&self.request_info.parts);
         let tokens = self.request_info.tokens.map_or(0, |(prompt, _)| prompt);
--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -2,9 +2,16 @@
 //!
 //! While a replica computes the first event of a stream, the node that answers
 //! the request sends the record to two other nodes, which follow from a hash
-//! of the request's id. The answer waits until one of them has sent a receipt,
-//! so that the record is there before the caller has seen an event. A node at
-//! which a caller resumes a stream asks the nodes that may have the record.
+//! of the request's id. The answer waits for a short time until one of them
+//! has sent a receipt, so that the record is there before the caller has seen
+//! an event. A node at which a caller resumes a stream asks the nodes that may
+//! have the record.
+//!
+//! Another attempt changes the record. A node that has sent no receipt for the
+//! change may still name the earlier attempt. That does no harm where both
+//! have the same software version and a heartbeat shows that the replica that
+//! answers has it. A replica of another version is asked only once all nodes
+//! that may have the record have sent a receipt for one that names no version.
 //!
 //! Records and receipts are datagrams, as an exchange takes no connection. Lost
 //! ones are sent again.
@@ -25,6 +32,7 @@
 use crate::{
     decide::origin::{Origin, Record, Store},
     fingerprint,
+    metrics::StreamRecord,
     wire::{self, Gossip, Receipt, StreamOrigin},
 };
 
@@ -35,8 +43,11 @@
 const ASKED_NODES: usize = 4;
 /// Time after which a datagram without a reply is sent again.
 const RESEND_INTERVAL: Duration = Duration::from_millis(25);
+/// The same once the receipts are late. A heartbeat may end the wait as well.
+const LATE_RESEND_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum time that an answer waits for the receipt of its record. Without a
-/// receipt the stream begins all the same: only this node can resume it.
+/// receipt the stream begins all the same, unless another node may have an
+/// earlier version of the record that is wrong.
 const MAX_RECEIPT_WAIT: Duration = Duration::from_millis(100);
 /// Maximum time of a lookup: two round trips between regions.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(150);
@@ -99,15 +110,25 @@
         self.store().expire(now);
     }
 
-    fn deliver(&self, from: Ipv4Addr, stream: u64, kind: ReplyKind) {
+    /// Delivers a reply. Returns false if nothing waits for it any longer.
+    fn deliver(&self, from: Ipv4Addr, stream: u64, kind: ReplyKind) -> bool {
         let waiting = lock(&self.waiting);
+        let mut is_awaited = false;
         for mailbox in waiting.iter().filter(|one| one.stream == stream) {
+            is_awaited = true;
             let mut replies = lock(&mailbox.replies);
-            if replies.len() < MAX_REPLIES {
+            let is_repeated = match kind {
+                ReplyKind::Kept(sequence) => {
+                    replies.iter().any(|one| one.is_receipt(from, sequence))
+                }
+                ReplyKind::Found(_) | ReplyKind::Unknown => false,
+            };
+            if replies.len() < MAX_REPLIES && !is_repeated {
                 replies.push(Reply { from, kind: kind.clone() });
             }
             mailbox.arrived.notify_one();
         }
+        is_awaited
     }
 }
 
@@ -149,6 +170,34 @@
     }
 }
 
+/// What other nodes may have on record from before the last change.
+#[derive(Clone, Debug, Default)]
+enum Former {
+    /// Nothing that names a version.
+    #[default]
+    None,
+    /// Records that name this origin.
+    One(Origin),
+    /// Records that name different origins.
+    Several,
+}
+
+impl Former {
+    /// Adds a record that is replaced.
+    fn add(&mut self, record: &Record) {
+        let origin = &record.origin;
+        // A stream whose version is not certain is never resumed.
+        if origin.version.is_empty() {
+            return;
+        }
+        *self = match std::mem::take(self) {
+            Former::None => Former::One(origin.clone()),
+            Former::One(former) if former == *origin => Former::One(former),
+            Former::One(_) | Former::Several => Former::Several,
+        };
+    }
+}
+
 /// The record of one request's stream, until its first event is sent.
 pub(super) struct Recording {
     waiter: Waiter,
@@ -156,8 +205,9 @@
     keep_ms: u64,
     /// Nodes that were sent any version of the record.
     holders: Vec<Ipv4Addr>,
-    /// True when an earlier version of the record names another origin.
-    is_changed: bool,
+    former: Former,
+    /// Nodes that were sent a record that is part of `former`.
+    former_holders: Vec<Ipv4Addr>,
 }
 
 impl Recording {
@@ -166,9 +216,14 @@
         stream: u64,
         keep_ms: u64,
     ) -> Recording {
-        let waiter = Waiter::open(gateway, stream);
-        let holders = Vec::new();
-        Recording { waiter, record: None, keep_ms, holders, is_changed: false }
+        Recording {
+            waiter: Waiter::open(gateway, stream),
+            record: None,
+            keep_ms,
+            holders: Vec::new(),
+            former: Former::None,
+            former_holders: Vec::new(),
+        }
     }
 
     /// Records where the stream begins, if the next attempt succeeds:
@@ -183,26 +238,31 @@
         replica: u32,
         opened_at: Option<u64>,
     ) {
-        let former = self.record.take();
-        let sequence = former.as_ref().map_or(0, |record| record.sequence);
-        if let Some(former) = former {
+        if let Some(record) = &self.record {
             let is_timely = opened_at
-                .is_none_or(|at| at <= latest_opening(former.recorded_at));
-            if former.origin == origin
-                && former.replica == replica
+                .is_none_or(|at| at <= latest_opening(record.recorded_at));
+            if record.origin == origin
+                && record.replica == replica
                 && is_timely
             {
-                self.record = Some(former);
                 return;
             }
-            self.is_changed = true;
+        }
+        self.replace(origin, replica);
+    }
+
+    fn replace(&mut self, origin: Origin, replica: u32) {
+        let former = self.record.take();
+        if let Some(former) = &former {
+            self.former.add(former);
+            self.former_holders.clone_from(&self.holders);
         }
         let gateway = &self.waiter.gateway;
         let record = Record {
             stream: self.waiter.mailbox.stream,
             origin,
             replica,
-            sequence: sequence + 1,
+            sequence: former.map_or(0, |record| record.sequence) + 1,
             recorded_at: gateway.timer.now(),
             keep_ms: self.keep_ms,
         };
@@ -214,6 +274,42 @@
         self.send(&self.holders);
     }
 
+    /// Returns the version that nodes may have on record, if there is one.
+    pub fn version(&self) -> Option<&str> {
+        let current = self.record.as_ref().map(|record| &record.origin);
+        let version = current.map_or("", |origin| &origin.version);
+        match &self.former {
+            Former::None if version.is_empty() => None,
+            Former::None => Some(version),
+            Former::One(former) => Some(&former.version),
+            Former::Several => Some(""),
+        }
+    }
+
+    /// Replaces the record by one that names no version. Returns false if a
+    /// node may still have one that does.
+    pub async fn withdraw(&mut self) -> bool {
+        let Some(record) = &self.record else { return true };
+        if !record.origin.version.is_empty() {
+            let service = record.origin.service.clone();
+            self.replace(Origin { service, version: String::new() }, 0);
+        }
+        let until = Instant::now() + MAX_RECEIPT_WAIT;
+        while !self.is_replaced() {
+            let resend_at = Instant::now() + RESEND_INTERVAL;
+            if self.waiter.next(until.min(resend_at)).await {
+                continue;
+            }
+            if Instant::now() >= until {
+                self.log_unkept("Record of a stream not withdrawn in time.");
+                return false;
+            }
+            self.send(&self.holders_without_receipt());
+        }
+        self.former = Former::None;
+        true
+    }
+
     fn send(&self, to: &[Ipv4Addr]) {
         let Some(record) = &self.record else { return };
         let recorded = vec![to_wire(record, record.recorded_at)];
@@ -221,40 +317,105 @@
         self.waiter.gateway.send_origins(to, message);
     }
 
-    /// Waits until the record is kept elsewhere, for a limited time.
+    /// Waits for a limited time until the record is kept elsewhere, and until
+    /// the deadline where another node may have an earlier version of it that
+    /// is wrong. `is_confirmed` returns whether the replica that answers is
+    /// known to have the version on record.
     ///
-    /// Returns false if a node may still have an earlier version of the record
-    /// that names another origin. The stream must not begin then.
-    pub async fn wait_until_kept(&mut self) -> bool {
+    /// Returns false if the stream must not begin.
+    pub async fn wait_until_kept(
+        &mut self,
+        deadline: Instant,
+        is_confirmed: impl Fn() -> bool,
+    ) -> bool {
         let until = Instant::now() + MAX_RECEIPT_WAIT;
+        let mut is_late = false;
         loop {
-            let missing = self.holders_without_receipt();
-            let is_kept = match self.is_changed {
-                true => missing.is_empty(),
-                false => missing.len() < self.holders.len(),
-            };
-            if is_kept || self.holders.is_empty() {
+            let is_safe = self.is_safe(&is_confirmed);
+            if self.has_receipt() && is_safe {
+                self.count("kept");
                 return true;
             }
-            let resend_at = Instant::now() + RESEND_INTERVAL;
-            if self.waiter.next(until.min(resend_at)).await {
-                continue;
+            if !is_late && Instant::now() >= until {
+                is_late = true;
+                self.log_unkept("Record of a stream not kept in time.");
             }
-            if Instant::now() >= until {
-                info!(
-                    target: "gateway",
-                    stream = fingerprint::shown(self.waiter.mailbox.stream),
-                    holders = self.holders.len(),
-                    missing = missing.len(),
-                    "Record of a stream not kept elsewhere in time."
-                );
-                return !self.is_changed;
+            if is_late && is_safe {
+                self.count("unkept");
+                return true;
+            }
+            if Instant::now() >= deadline {
+                self.count("wrong");
+                return false;
+            }
+            let interval = match is_late {
+                false => RESEND_INTERVAL,
+                true => LATE_RESEND_INTERVAL,
+            };
+            let resend_at = Instant::now() + interval;
+            if self.waiter.next(deadline.min(resend_at)).await {
+                continue;
             }
             self.add_holder();
             self.send(&self.holders_without_receipt());
         }
     }
 
+    /// Returns true if a node that has an earlier version of the record can't
+    /// let the stream go on at another software version.
+    fn is_safe(&self, is_confirmed: impl Fn() -> bool) -> bool {
+        let is_same_version = match (&self.former, &self.record) {
+            (Former::None, _) => return true,
+            (Former::One(former), Some(record)) => *former == record.origin,
+            (Former::One(_) | Former::Several, _) => false,
+        };
+        is_same_version && is_confirmed() || self.is_replaced()
+    }
+
+    /// Sends the record until another node keeps it, or until `until`.
+    pub async fn send_until_kept(mut self, until: Instant) {
+        while !self.has_receipt() && Instant::now() < until {
+            let resend_at = Instant::now() + LATE_RESEND_INTERVAL;
+            if !self.waiter.next(until.min(resend_at)).await {
+                self.add_holder();
+                self.send(&self.holders_without_receipt());
+            }
+        }
+    }
+
+    /// Returns true if another node has sent a receipt, or if there is none
+    /// that could.
+    pub fn has_receipt(&self) -> bool {
+        let missing = self.holders_without_receipt().len();
+        missing < self.holders.len() || missing == 0
+    }
+
+    /// Returns true if no other node has an earlier version of the record.
+    fn is_replaced(&self) -> bool {
+        let missing = self.holders_without_receipt();
+        !self.former_holders.iter().any(|holder| missing.contains(holder))
+    }
+
+    fn count(&self, outcome: &'static str) {
+        let records = &self.waiter.gateway.metrics.stream_records;
+        records.get_or_create(&StreamRecord { outcome }).inc();
+    }
+
+    fn log_unkept(&self, text: &'static str) {
+        let missing = self.holders_without_receipt();
+        let now = self.waiter.gateway.timer.now();
+        let record = self.record.as_ref();
+        info!(
+            target: "gateway",
+            stream = fingerprint::shown(self.waiter.mailbox.stream),
+            sequence = record.map_or(0, |record| record.sequence),
+            age_ms = record.map_or(0, |record| now - record.recorded_at),
+            holders = self.holders.len(),
+            missing = ?missing,
+            "{text}"
+        );
+    }
+
     fn holders_without_receipt(&self) -> Vec<Ipv4Addr> {
         let sequence = self.record.as_ref().map_or(0, |one| one.sequence);
         let replies = self.waiter.replies();
@@ -376,7 +537,9 @@
         }
         for receipt in message.receipts.into_iter().take(most) {
             let kind = ReplyKind::Kept(receipt.sequence);
-            origins.deliver(from, receipt.stream, kind);
+            if !origins.deliver(from, receipt.stream, kind) {
+                self.metrics.late_receipts.inc();
+            }
         }
         for found in message.found.into_iter().take(most) {
             let record = from_wire(now, found);
--- a/src/gateway/peer_call.rs
+++ b/src/gateway/peer_call.rs
@@ -314,7 +314,7 @@
         {
             let picked = self.gateway.pick_peer(
                 &self.service,
-                &self.version,
+                &self.attempt_version(),
                 &self.peers_tried,
             );
             let Some((peer, report_age_ms)) = picked else {
@@ -415,8 +415,8 @@
             team: self.team.as_ref().map(|team| team.name.clone()),
             ran: self.attempts.ran,
             last_event,
-            version: match &self.version {
-                StreamVersion::Only(version) => Some(version.clone()),
+            version: match self.attempt_version() {
+                StreamVersion::Only(version) => Some(version),
                 StreamVersion::Any | StreamVersion::Unknown => None,
             },
             is_counted: self.is_counted,
--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -245,14 +245,9 @@
         version: &str,
         until: Instant,
     ) -> bool {
-        let Some(mesh) = self.mesh.get() else { return false };
         loop {
-            let Begun { replica, opened_at } = begun;
-            match mesh.table().liveness(replica, opened_at) {
-                Liveness::Confirmed => return true,
-                Liveness::Superseded(later) => return later == version,
-                // A node that has just started hears of replicas soon.
-                Liveness::Open | Liveness::Unknown => {}
+            if let Some(is_confirmed) = self.confirmation(begun, version) {
+                return is_confirmed;
             }
             if Instant::now() >= until {
                 return false;
@@ -261,6 +256,18 @@
         }
     }
 
+    /// Returns whether heartbeats show that the incarnation that accepted a
+    /// connection has the version, or `None` as long as they show nothing.
+    fn confirmation(&self, begun: Begun, version: &str) -> Option<bool> {
+        let table = self.mesh.get()?.table();
+        match table.liveness(begun.replica, begun.opened_at) {
+            Liveness::Confirmed => Some(true),
+            Liveness::Superseded(later) => Some(later == version),
+            // A node that has just started hears of replicas soon.
+            Liveness::Open | Liveness::Unknown => None,
+        }
+    }
+
     fn count_resumption(&self, outcome: &'static str) {
         let label = Resumption { outcome };
         self.metrics.resumptions.get_or_create(&label).inc();
@@ -348,6 +355,28 @@
         }
     }
 
+    /// Returns the version to which the next attempt is limited: the one that
+    /// the stream's events come from, or the one that other nodes may have on
+    /// record from an earlier attempt.
+    pub fn attempt_version(&self) -> StreamVersion {
+        let recorded = self.recording.as_ref().and_then(Recording::version);
+        match (&self.version, recorded) {
+            (StreamVersion::Any, Some(version)) => StreamVersion::of(version),
+            (version, _) => version.clone(),
+        }
+    }
+
+    /// Lets the next attempt be at any version, if no other node has a record
+    /// any longer that names the version of an earlier one.
+    pub async fn lift_version_limit(&mut self) -> bool {
+        match &mut self.recording {
+            Some(recording) if self.version == StreamVersion::Any => {
+                recording.withdraw().await
+            }
+            _ => true,
+        }
+    }
+
     /// Settles the version that the events of the answer come from, before its
     /// caller sees the first one.
     ///
@@ -377,10 +406,22 @@
         let replica = begun.map_or(0, |begun| begun.replica);
         let opened_at = begun.map(|begun| begun.opened_at);
         self.record_origin(version, replica, opened_at);
-        if let Some(mut recording) = self.recording.take()
-            && !recording.wait_until_kept().await
-        {
-            return Err("the stream's software version can't be recorded");
+        if let Some(mut recording) = self.recording.take() {
+            let gateway = &self.gateway;
+            let is_confirmed = || match begun {
+                // The node that forwarded the answer has confirmed it.
+                None => true,
+                Some(begun) => gateway
+                    .confirmation(begun, version.certain())
+                    .unwrap_or(false),
+            };
+            let kept = recording.wait_until_kept(self.deadline, is_confirmed);
+            if !kept.await {
+                return Err("the stream's software version can't be recorded");
+            }
+            if !recording.has_receipt() {
+                tokio::spawn(recording.send_until_kept(self.deadline));
+            }
         }
         if is_resumed && self.forwarded.is_none() {
             self.gateway.count_resumption("resumed");
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -70,6 +70,14 @@
     pub outcome: &'static str,
 }
 
+/// Label of the record of where a stream begins.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StreamRecord {
+    /// `kept` by another node, `unkept`, or `wrong` as another node may have
+    /// an earlier version that names another origin.
+    pub outcome: &'static str,
+}
+
 /// Label of a gauge for each service.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct Service {
@@ -157,6 +165,10 @@
     pub failed_attempts: Family<FailedAttempt, Counter>,
     /// Streams that callers resume, by outcome.
     pub resumptions: Family<Resumption, Counter>,
+    /// Records of where streams begin, by outcome when the stream begins.
+    pub stream_records: Family<StreamRecord, Counter>,
+    /// Receipts of records that arrived after their streams had begun.
+    pub late_receipts: Counter,
     /// Attempts whose replica was silent so long that another one was asked.
     pub silent_attempts: Counter,
     /// Searches for another replica to continue a stream, by outcome.
@@ -247,6 +259,8 @@
             leaving_answers: Counter::default(),
             failed_attempts: Family::default(),
             resumptions: Family::default(),
+            stream_records: Family::default(),
+            late_receipts: Counter::default(),
             silent_attempts: Counter::default(),
             stream_moves: Family::default(),
             unconfirmed_replicas: Counter::default(),
@@ -359,6 +373,16 @@
             "Streams that callers resume, by outcome",
             metrics.resumptions.clone(),
         );
+        registry.register(
+            "stream_records",
+            "Records of where streams begin, by outcome",
+            metrics.stream_records.clone(),
+        );
+        registry.register(
+            "late_receipts",
+            "Receipts of records after their streams had begun",
+            metrics.late_receipts.clone(),
+        );
         registry.register(
             "silent_attempts",
             "Attempts beside which another replica was asked, for silence",
