Test that a withdrawn record lets another version be asked

Five real nodes confirm that the record is withdrawn, so the request whose first replica closed the connection is answered at a replica of another version.

--- a/tests/all/stream_records.rs
+++ b/tests/all/stream_records.rs
@@ -10,16 +10,17 @@
     time::Duration,
 };
 
-use azuremount::wire::Sighting;
+use azuremount::{node, wire::Sighting};
 use tokio::time::sleep;
 
 use crate::{
+    nodes::Site,
     silence::{
         EVENTS, HEARTBEAT_INTERVAL, PORT, SHORT_TIMEOUT, World, assert_whole,
     },
     world::{
-        CLOSE, HANG, Replica, WAIT, ended, events, ids, report_node, sighting,
-        status,
+        CLOSE, HANG, Replica, WAIT, apply_plan, ended, events, ids, post,
+        report_node, sighting, status,
     },
 };
 
@@ -88,8 +89,8 @@
 }
 
 /// Sends heartbeats of replicas, each of a software version of its own.
-fn send_heartbeats_of_versions(world: &World, replicas: &[Replica]) {
-    let node = world.node.clone();
+fn send_heartbeats_of_versions(node: &node::Handle, replicas: &[Replica]) {
+    let node = node.clone();
     let addresses: Vec<_> = replicas.iter().map(|one| one.address).collect();
     tokio::spawn(async move {
         for sequence in 2.. {
@@ -110,7 +111,7 @@
     let first = vec![HANG.to_owned()];
     let mut replicas = replicas(first, whole_stream()).await;
     let world = World::open(SHORT_TIMEOUT, 20.0, &[]).await;
-    send_heartbeats_of_versions(&world, &replicas);
+    send_heartbeats_of_versions(&world.node, &replicas);
     add_silent_holders(&world).await;
     let answer = world.stream().await;
     assert_ne!(status(&answer), "200", "{answer}");
@@ -126,7 +127,22 @@
     let first = vec![HANG.to_owned()];
     let replicas = replicas(first, whole_stream()).await;
     let world = World::open(1, 20.0, &[]).await;
-    send_heartbeats_of_versions(&world, &replicas);
+    send_heartbeats_of_versions(&world.node, &replicas);
     sleep(DISCOVERY_TIME).await;
     assert_whole(&world.stream().await);
 }
+
+/// Guards against a request that fails although a replica of another version
+/// is there, and the nodes that keep its record confirm that it is withdrawn.
+#[tokio::test]
+async fn another_version_is_asked_once_the_record_is_withdrawn() {
+    let first = vec![CLOSE.to_owned()];
+    let replicas = replicas(first, whole_stream()).await;
+    let site = Site::open(3, 2).await;
+    apply_plan(site.node(0), 1).await;
+    site.wait_until_all_serve().await;
+    let node = site.node(4);
+    send_heartbeats_of_versions(node, &replicas);
+    sleep(DISCOVERY_TIME).await;
+    assert_whole(&post(node.front().unwrap(), "/resume/x", 1, "x").await);
+}
