Replace a resumed stream's replica before its answer is cut

Callers that took a stream up again saw an answer (200) that ended before its first event: the events are held until a heartbeat shows which software version made them, and after 1.9 s without one the answer was ended, although another replica of the version was there, or the heartbeat came a moment later.

Nothing of the answer has been sent then. So another replica is asked, within the route's attempts, and where there is none, the heartbeat is awaited until the deadline. What keeps events from being sent is now a type of its own.

Two tests: both failed on the code before (the answer broke off) and pass.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -264,7 +264,9 @@
             // The other node is told the version in the head.
             let (version, begun) = (&source.version, source.begun);
             let settled = accepted.settle_version(version, begun).await;
-            let settled = settled.map_err(Refusal::may_have_run);
+            let settled = settled.map_err(|unsettled| {
+                Refusal::may_have_run(unsettled.as_str())
+            });
             settled.map(|()| Reply::Streaming(source, head))
         }
         result => result,
--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -338,7 +338,9 @@
             }
             if !is_late && Instant::now() >= until {
                 is_late = true;
-                self.log_unkept("Record of a stream not kept in time.");
+                self.log_unkept(
+                    "Record of a stream not kept elsewhere in time.",
+                );
             }
             if is_late && is_safe {
                 self.count("unkept");
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -27,7 +27,7 @@
     flight::Carrier,
     forward::{AcceptedRequest, Reply, StreamVersion},
     plan::RetryPolicy,
-    resume::Begun,
+    resume::{Begun, Unsettled},
     server::{Body, BodyError},
     upstream::Connection,
 };
@@ -222,31 +222,75 @@
             return None;
         }
         let deadline = self.accepted.deadline;
-        let received = match timeout_at(deadline, self.receive()).await {
+        let mut received = match timeout_at(deadline, self.receive()).await {
             Ok(received) => received,
             Err(_) => Received::Broken("timed out"),
         };
-        match received {
-            Received::Data(bytes) => {
-                if let Some(reader) = &self.reader {
-                    self.last = reader.splitter.last();
-                    self.heard_at = reader.heard_at;
+        loop {
+            match received {
+                Received::Data(bytes) => match self.settle_version().await {
+                    Ok(()) => {
+                        self.note_received();
+                        return Some(Ok(bytes));
+                    }
+                    Err(unsettled) => {
+                        received =
+                            self.replace_unsettled(unsettled, bytes).await;
+                    }
+                },
+                Received::End => {
+                    self.finish();
+                    return None;
+                }
+                Received::Broken(reason) => {
+                    return Some(Err(self.fail(reason)));
                 }
-                Some(match self.settle_version().await {
-                    Ok(()) => Ok(bytes),
-                    Err(reason) => Err(self.fail(reason)),
-                })
             }
-            Received::End => {
-                self.finish();
-                None
+        }
+    }
+
+    fn note_received(&mut self) {
+        if let Some(reader) = &self.reader {
+            self.last = reader.splitter.last();
+            self.heard_at = reader.heard_at;
+        }
+    }
+
+    /// Finds a replica in place of one whose events can't be sent to the
+    /// caller, which has seen no event of this answer. If there is none and a
+    /// heartbeat of the present replica may still come, waits for it and
+    /// returns the events.
+    async fn replace_unsettled(
+        &mut self,
+        unsettled: Unsettled,
+        events: Bytes,
+    ) -> Received {
+        let reason = unsettled.as_str();
+        let Some(reader) = &mut self.reader else {
+            return Received::Broken(reason);
+        };
+        reader.note(&mut self.accepted);
+        let begun = reader.source.begun;
+        let last = self.accepted.request_info.last_event;
+        let deadline = self.accepted.deadline;
+        let search = find_replacement(&mut self.accepted, last, reason);
+        match timeout_at(deadline, search).await {
+            Ok(Ok(replacement)) => {
+                return self.move_to(replacement, reason);
             }
-            Received::Broken(reason) => Some(Err(self.fail(reason))),
+            Ok(Err(obstacle)) => self.log_obstacle(obstacle, reason),
+            Err(_) => return Received::Broken("timed out"),
+        }
+        let may_be_settled = unsettled == Unsettled::Unconfirmed
+            && self.accepted.is_confirmed_until(begun, deadline).await;
+        match may_be_settled {
+            true => Received::Data(events),
+            false => Received::Broken(reason),
         }
     }
 
     /// Settles the software version before the first event is sent.
-    async fn settle_version(&mut self) -> Result<(), &'static str> {
+    async fn settle_version(&mut self) -> Result<(), Unsettled> {
         match &self.reader {
             Some(Reader { source, .. }) => {
                 let (version, begun) = (&source.version, source.begun);
--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -108,6 +108,35 @@
     }
 }
 
+/// Why the events of an answer can't be sent to the caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Unsettled {
+    /// They come from another version than earlier ones, or from one that is
+    /// not certain.
+    OtherVersion,
+    /// No heartbeat shows yet which version made them.
+    Unconfirmed,
+    /// Another node may have a wrong record of where the stream began.
+    NotRecorded,
+}
+
+impl Unsettled {
+    /// Returns the text for logs and callers.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Unsettled::OtherVersion => {
+                "the replica's software version is not certain"
+            }
+            Unsettled::Unconfirmed => {
+                "no heartbeat shows which version made the events"
+            }
+            Unsettled::NotRecorded => {
+                "the stream's software version can't be recorded"
+            }
+        }
+    }
+}
+
 /// Where a stream began, and how that is known.
 struct Found {
     origin: Origin,
@@ -304,11 +333,21 @@
     /// Returns whether the replica that an attempt was sent to is the
     /// incarnation that nodes knew, and waits for the heartbeat that shows it.
     pub async fn is_confirmed(&self, begun: Option<Begun>) -> bool {
+        let until = self.deadline.min(self.gateway.latest_wait());
+        self.is_confirmed_until(begun, until).await
+    }
+
+    /// Waits until `until` for the heartbeat that shows that the replica is
+    /// the incarnation that nodes knew.
+    pub async fn is_confirmed_until(
+        &self,
+        begun: Option<Begun>,
+        until: Instant,
+    ) -> bool {
         let Some(begun) = begun else { return true };
         let StreamVersion::Only(version) = &self.version else {
             return true;
         };
-        let until = self.deadline.min(self.gateway.latest_wait());
         self.gateway.confirm(begun, version, until).await
     }
 
@@ -389,19 +428,19 @@
         &mut self,
         version: &StreamVersion,
         begun: Option<Begun>,
-    ) -> Result<(), &'static str> {
+    ) -> Result<(), Unsettled> {
         let is_resumable = self.route.retry_policy == RetryPolicy::Resumable;
         if self.is_settled || !is_resumable {
             return Ok(());
         }
         let is_resumed = self.version != StreamVersion::Any;
         if is_resumed && self.version != *version {
-            return Err("the replica's software version is not certain");
+            return Err(Unsettled::OtherVersion);
         }
         if is_resumed && !self.is_confirmed(begun).await {
             let chosen = self.chosen.as_ref();
             self.log_unconfirmed(chosen.map_or("", |one| &one.replica));
-            return Err("no heartbeat shows which version made the events");
+            return Err(Unsettled::Unconfirmed);
         }
         let replica = begun.map_or(0, |begun| begun.replica);
         let opened_at = begun.map(|begun| begun.opened_at);
@@ -417,7 +456,7 @@
             };
             let kept = recording.wait_until_kept(self.deadline, is_confirmed);
             if !kept.await {
-                return Err("the stream's software version can't be recorded");
+                return Err(Unsettled::NotRecorded);
             }
             if !recording.has_receipt() {
                 tokio::spawn(recording.send_until_kept(self.deadline));
--- a/tests/all/stream_records.rs
+++ b/tests/all/stream_records.rs
@@ -1,11 +1,11 @@
-//! Records of where streams began, while the nodes that keep them send no
-//! receipt.
+//! Streams that begin or go on while the facts that show their version are
+//! late: receipts of the records of where they began, or heartbeats.
 
 use std::{
     net::{Ipv4Addr, SocketAddrV4},
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -18,6 +18,7 @@
     silence::{
         EVENTS, HEARTBEAT_INTERVAL, PORT, SHORT_TIMEOUT, World, assert_whole,
     },
+    versions::{BROKEN_AFTER, Break, End, Stream, respond},
     world::{
         CLOSE, HANG, Replica, WAIT, apply_plan, ended, events, ids, post,
         report_node, sighting, status,
@@ -146,3 +147,98 @@
     sleep(DISCOVERY_TIME).await;
     assert_whole(&post(node.front().unwrap(), "/resume/x", 1, "x").await);
 }
+
+/// Time for which a replica's heartbeats are late. Nodes that may ask another
+/// replica do so sooner.
+const LATE_HEARTBEAT: Duration = Duration::from_millis(2600);
+/// Time after which heartbeats show that a replica was not restarted before
+/// it accepted a connection.
+const PROOF_DELAY: Duration = Duration::from_millis(800);
+
+/// Sends heartbeats of a replica, except while `is_late`.
+fn send_heartbeats(
+    world: &World,
+    number: usize,
+    replica: &Replica,
+    is_late: Arc<AtomicBool>,
+) {
+    let (node, address) = (world.node.clone(), replica.address);
+    tokio::spawn(async move {
+        let mut sequence = 1;
+        loop {
+            if !is_late.load(Ordering::Relaxed) {
+                sequence += 1;
+                let says = sighting(&format!("r{number}"), address, 0);
+                node.apply_heartbeat(Sighting { sequence, ..says });
+            }
+            sleep(HEARTBEAT_INTERVAL).await;
+        }
+    });
+}
+
+/// Returns a stream on a connection that is closed after it.
+fn closing_stream(head: &str) -> Vec<String> {
+    let mut pieces = respond(head, "v1", Break::Pause);
+    pieces.push(CLOSE.to_owned());
+    pieces
+}
+
+/// Begins a stream whose caller leaves after some events.
+async fn begin_stream(world: &World) -> Stream {
+    let mut stream = Stream::default();
+    let end = stream.attempt(world.front, BROKEN_AFTER).await;
+    assert_eq!(end, End::Left);
+    stream
+}
+
+/// Guards against an answer that is cut after its head, as the heartbeat that
+/// shows the version of its replica is late and there is no other replica.
+#[tokio::test]
+async fn a_resumed_stream_waits_for_the_late_heartbeat_of_its_only_replica() {
+    let replica = Replica::spawn(closing_stream).await;
+    let world = World::open(1, 0.0, &[&replica]).await;
+    let is_late = Arc::new(AtomicBool::new(false));
+    send_heartbeats(&world, 0, &replica, is_late.clone());
+    sleep(PROOF_DELAY).await;
+    let mut stream = begin_stream(&world).await;
+    sleep(PROOF_DELAY).await;
+    is_late.store(true, Ordering::Relaxed);
+    let late = async {
+        sleep(LATE_HEARTBEAT).await;
+        is_late.store(false, Ordering::Relaxed);
+    };
+    let resumed = stream.attempt(world.front, EVENTS);
+    assert_eq!(tokio::join!(resumed, late), (End::Whole, ()));
+}
+
+/// Guards against an answer that is cut after its head, as the heartbeat that
+/// shows the version of its replica does not come, although another replica of
+/// the version is there.
+#[tokio::test]
+async fn a_resumed_stream_goes_on_at_another_replica_than_a_silent_one() {
+    let replicas = [
+        Replica::spawn(closing_stream).await,
+        Replica::spawn(closing_stream).await,
+    ];
+    let world = World::open(1, 20.0, &[&replicas[0], &replicas[1]]).await;
+    let late: [Arc<AtomicBool>; 2] = Default::default();
+    for (number, replica) in replicas.iter().enumerate() {
+        send_heartbeats(&world, number, replica, late[number].clone());
+    }
+    sleep(PROOF_DELAY).await;
+    let mut stream = begin_stream(&world).await;
+    sleep(PROOF_DELAY).await;
+    let closed = |one: &Replica| one.closed.load(Ordering::Relaxed);
+    let before = replicas.each_ref().map(closed);
+    for late in &late {
+        late.store(true, Ordering::Relaxed);
+    }
+    let heartbeats = async {
+        // The replica that is not asked first is heard.
+        sleep(HEARTBEAT_INTERVAL).await;
+        let other = usize::from(closed(&replicas[0]) > before[0]);
+        late[other].store(false, Ordering::Relaxed);
+    };
+    let resumed = stream.attempt(world.front, EVENTS);
+    assert_eq!(tokio::join!(resumed, heartbeats), (End::Whole, ()));
+}
