Wait longer for receipts only while nothing is cut by it

- an attempt that is kept while its record is withdrawn to ask another version answered, and needed a heartbeat or all receipts although only it was ever on record.
Earlier records are now kept one by one, and the same attempt keeps its time. an_attempt_begins_although_its_record_was_to_be_withdrawn guards this; it was written with the change and not run on the code before;
- with nothing in flight, a request was refused after 0.1 s as not all nodes had confirmed the withdrawal.
It now waits as long as other facts on a stream's version are waited for, within its deadline, and an attempt in flight may answer meanwhile;
- a record was no longer sent once one node had confirmed it, although another one might still have an earlier record, by which the stream is refused.
It is sent at growing intervals until it is settled;
- a stopping node confirmed records after it had handed its own over, so that an outdated record could be at a third node;
- while another replica was asked for a resumed stream, the heartbeat of the present one was not seen.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -14,6 +14,7 @@
     attempt::{Event, Exchange, Finished, InFlight},
     fleet::Target,
     forward::{AcceptedRequest, MAX_NOT_RUN_RETRIES, Reply, StreamVersion},
+    origins::MAX_RECEIPT_WAIT,
     peer_call,
     refusal::{Refusal, id_text},
     upstream::Error,
@@ -356,7 +357,8 @@
     ) -> Forwarded {
         // Without the limit, the other node need not wait for the heartbeat
         // that shows the replica's version.
-        self.lift_version_limit().await;
+        let until = Instant::now() + MAX_RECEIPT_WAIT;
+        self.lift_version_limit(until).await;
         let next = match self.call_peers(last_event).await {
             peer_call::Outcome::Reply(reply) => Next::Reply(reply),
             peer_call::Outcome::Refused(refusal) => {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -444,7 +444,8 @@
         }
         let target = self.pick_for(&StreamVersion::Any)?;
         self.release(&target);
-        match self.lift_version_limit().await {
+        let until = self.gateway.latest_wait();
+        match self.lift_version_limit(until).await {
             true => self.pick(),
             false => None,
         }
--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -18,7 +18,10 @@
 
 use std::{
     net::Ipv4Addr,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -48,7 +51,7 @@
 /// Maximum time that an answer waits for the receipt of its record. Without a
 /// receipt the stream begins all the same, unless another node may have an
 /// earlier version of the record that is wrong.
-const MAX_RECEIPT_WAIT: Duration = Duration::from_millis(100);
+pub(super) const MAX_RECEIPT_WAIT: Duration = Duration::from_millis(100);
 /// Maximum time of a lookup: two round trips between regions.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(150);
 /// Maximum number of items of one kind that are taken from a datagram.
@@ -64,6 +67,8 @@
 pub(super) struct Origins {
     store: Mutex<Store>,
     waiting: Mutex<Vec<Arc<Mailbox>>>,
+    /// Set once the records have been handed over, when the node stops.
+    is_handed_over: AtomicBool,
 }
 
 /// What other nodes have replied about one stream.
@@ -170,34 +175,6 @@
     }
 }
 
-/// What other nodes may have on record from before the last change.
-#[derive(Clone, Debug, Default)]
-enum Former {
-    /// Nothing that names a version.
-    #[default]
-    None,
-    /// Records that name this origin.
-    One(Origin),
-    /// Records that name different origins.
-    Several,
-}
-
-impl Former {
-    /// Adds a record that is replaced.
-    fn add(&mut self, record: &Record) {
-        let origin = &record.origin;
-        // A stream whose version is not certain is never resumed.
-        if origin.version.is_empty() {
-            return;
-        }
-        *self = match std::mem::take(self) {
-            Former::None => Former::One(origin.clone()),
-            Former::One(former) if former == *origin => Former::One(former),
-            Former::One(_) | Former::Several => Former::Several,
-        };
-    }
-}
-
 /// The record of one request's stream, until its first event is sent.
 pub(super) struct Recording {
     waiter: Waiter,
@@ -205,8 +182,9 @@
     keep_ms: u64,
     /// Nodes that were sent any version of the record.
     holders: Vec<Ipv4Addr>,
-    former: Former,
-    /// Nodes that were sent a record that is part of `former`.
+    /// Earlier records that name a version and that other nodes may have.
+    former: Vec<Record>,
+    /// Nodes that were sent one of these.
     former_holders: Vec<Ipv4Addr>,
 }
 
@@ -221,7 +199,7 @@
             record: None,
             keep_ms,
             holders: Vec::new(),
-            former: Former::None,
+            former: Vec::new(),
             former_holders: Vec::new(),
         }
     }
@@ -238,23 +216,34 @@
         replica: u32,
         opened_at: Option<u64>,
     ) {
-        if let Some(record) = &self.record {
-            let is_timely = opened_at
-                .is_none_or(|at| at <= latest_opening(record.recorded_at));
-            if record.origin == origin
+        let is_of_attempt = |record: &Record| {
+            record.origin == origin
                 && record.replica == replica
-                && is_timely
-            {
-                return;
-            }
+                && opened_at
+                    .is_none_or(|at| at <= latest_opening(record.recorded_at))
+        };
+        if self.record.as_ref().is_some_and(is_of_attempt) {
+            return;
         }
-        self.replace(origin, replica);
+        let earlier = self.former.iter().find(|record| is_of_attempt(record));
+        let recorded_at = earlier.map(|record| record.recorded_at);
+        self.replace(origin, replica, recorded_at);
     }
 
-    fn replace(&mut self, origin: Origin, replica: u32) {
+    /// Replaces the record. An attempt that was on record before keeps its
+    /// time.
+    fn replace(
+        &mut self,
+        origin: Origin,
+        replica: u32,
+        recorded_at: Option<u64>,
+    ) {
         let former = self.record.take();
-        if let Some(former) = &former {
-            self.former.add(former);
+        let sequence = former.as_ref().map_or(0, |record| record.sequence);
+        // A stream whose version is not certain is never resumed.
+        let former = former.filter(|record| !record.origin.version.is_empty());
+        if let Some(former) = former {
+            self.former.push(former);
             self.former_holders.clone_from(&self.holders);
         }
         let gateway = &self.waiter.gateway;
@@ -262,8 +251,8 @@
             stream: self.waiter.mailbox.stream,
             origin,
             replica,
-            sequence: former.map_or(0, |record| record.sequence) + 1,
-            recorded_at: gateway.timer.now(),
+            sequence: sequence + 1,
+            recorded_at: recorded_at.unwrap_or(gateway.timer.now()),
             keep_ms: self.keep_ms,
         };
         gateway.origins.store().insert(record.clone());
@@ -274,39 +263,39 @@
         self.send(&self.holders);
     }
 
-    /// Returns the version that nodes may have on record, if there is one.
+    /// Returns the version that nodes may have on record, if there is one. It
+    /// is empty if they may have different ones.
     pub fn version(&self) -> Option<&str> {
-        let current = self.record.as_ref().map(|record| &record.origin);
-        let version = current.map_or("", |origin| &origin.version);
-        match &self.former {
-            Former::None if version.is_empty() => None,
-            Former::None => Some(version),
-            Former::One(former) => Some(&former.version),
-            Former::Several => Some(""),
-        }
+        let records = self.former.iter().chain(&self.record);
+        let mut versions = records
+            .map(|record| record.origin.version.as_str())
+            .filter(|version| !version.is_empty());
+        let first = versions.next()?;
+        let is_same = versions.all(|version| version == first);
+        Some(if is_same { first } else { "" })
     }
 
-    /// Replaces the record by one that names no version. Returns false if a
-    /// node may still have one that does.
-    pub async fn withdraw(&mut self) -> bool {
+    /// Replaces the record by one that names no version, and waits until no
+    /// other node has one that does. Returns false if that takes too long.
+    pub async fn withdraw(&mut self, until: Instant) -> bool {
         let Some(record) = &self.record else { return true };
         if !record.origin.version.is_empty() {
             let service = record.origin.service.clone();
-            self.replace(Origin { service, version: String::new() }, 0);
+            let version = String::new();
+            self.replace(Origin { service, version }, 0, None);
         }
-        let until = Instant::now() + MAX_RECEIPT_WAIT;
+        let late_at = Instant::now() + MAX_RECEIPT_WAIT;
         while !self.is_replaced() {
-            let resend_at = Instant::now() + RESEND_INTERVAL;
-            if self.waiter.next(until.min(resend_at)).await {
-                continue;
-            }
             if Instant::now() >= until {
                 self.log_unkept("Record of a stream not withdrawn in time.");
                 return false;
             }
-            self.send(&self.holders_without_receipt());
+            let resend_at = Instant::now() + resend_interval(late_at);
+            if !self.waiter.next(until.min(resend_at)).await {
+                self.send(&self.holders_without_receipt());
+            }
         }
-        self.former = Former::None;
+        self.former.clear();
         true
     }
 
@@ -328,33 +317,30 @@
         deadline: Instant,
         is_confirmed: impl Fn() -> bool,
     ) -> bool {
-        let until = Instant::now() + MAX_RECEIPT_WAIT;
-        let mut is_late = false;
+        let late_at = Instant::now() + MAX_RECEIPT_WAIT;
+        let mut is_logged = false;
         loop {
             let is_safe = self.is_safe(&is_confirmed);
             if self.has_receipt() && is_safe {
                 self.count("kept");
                 return true;
             }
-            if !is_late && Instant::now() >= until {
-                is_late = true;
+            let now = Instant::now();
+            if now >= late_at && !is_logged {
+                is_logged = true;
                 self.log_unkept(
                     "Record of a stream not kept elsewhere in time.",
                 );
             }
-            if is_late && is_safe {
+            if now >= late_at.min(deadline) && is_safe {
                 self.count("unkept");
                 return true;
             }
-            if Instant::now() >= deadline {
-                self.count("wrong");
+            if now >= deadline {
+                self.count("outdated");
                 return false;
             }
-            let interval = match is_late {
-                false => RESEND_INTERVAL,
-                true => LATE_RESEND_INTERVAL,
-            };
-            let resend_at = Instant::now() + interval;
+            let resend_at = now + resend_interval(late_at);
             if self.waiter.next(deadline.min(resend_at)).await {
                 continue;
             }
@@ -363,22 +349,38 @@
         }
     }
 
-    /// Returns true if a node that has an earlier version of the record can't
-    /// let the stream go on at another software version.
+    /// Returns true if a node that has an earlier record can't let the stream
+    /// go on at another software version.
     fn is_safe(&self, is_confirmed: impl Fn() -> bool) -> bool {
-        let is_same_version = match (&self.former, &self.record) {
-            (Former::None, _) => return true,
-            (Former::One(former), Some(record)) => *former == record.origin,
-            (Former::One(_) | Former::Several, _) => false,
+        let Some(record) = &self.record else { return true };
+        let is_same_attempt = |former: &Record| {
+            former.origin == record.origin
+                && former.replica == record.replica
+                && former.recorded_at == record.recorded_at
         };
-        is_same_version && is_confirmed() || self.is_replaced()
+        let mut others =
+            self.former.iter().filter(|former| !is_same_attempt(former));
+        let is_same_version =
+            others.clone().all(|former| former.origin == record.origin);
+        others.next().is_none()
+            || is_same_version && is_confirmed()
+            || self.is_replaced()
     }
 
-    /// Sends the record until another node keeps it, or until `until`.
-    pub async fn send_until_kept(mut self, until: Instant) {
-        while !self.has_receipt() && Instant::now() < until {
-            let resend_at = Instant::now() + LATE_RESEND_INTERVAL;
+    /// Returns true if the record is kept elsewhere and no other node has an
+    /// earlier one.
+    pub fn is_settled(&self) -> bool {
+        self.has_receipt() && (self.former.is_empty() || self.is_replaced())
+    }
+
+    /// Sends the record until it is settled, at growing intervals, or until
+    /// `until`.
+    pub async fn send_until_settled(mut self, until: Instant) {
+        let mut interval = LATE_RESEND_INTERVAL;
+        while !self.is_settled() && Instant::now() < until {
+            let resend_at = Instant::now() + interval;
             if !self.waiter.next(until.min(resend_at)).await {
+                interval *= 2;
                 self.add_holder();
                 self.send(&self.holders_without_receipt());
             }
@@ -387,7 +389,7 @@
 
     /// Returns true if another node has sent a receipt, or if there is none
     /// that could.
-    pub fn has_receipt(&self) -> bool {
+    fn has_receipt(&self) -> bool {
         let missing = self.holders_without_receipt().len();
         missing < self.holders.len() || missing == 0
     }
@@ -529,7 +531,10 @@
         for recorded in message.recorded.into_iter().take(most) {
             let (stream, sequence) = (recorded.stream, recorded.sequence);
             origins.store().insert(from_wire(now, recorded));
-            reply.receipts.push(Receipt { stream, sequence });
+            // Earlier versions of these records are at other nodes by now.
+            if !origins.is_handed_over.load(Ordering::Relaxed) {
+                reply.receipts.push(Receipt { stream, sequence });
+            }
         }
         for stream in message.wanted.into_iter().take(most) {
             match origins.store().get(stream) {
@@ -557,6 +562,7 @@
     /// Sends the records of this node to all nodes that are asked for them once
     /// it has stopped. Some of these may have stopped just before.
     pub(crate) fn hand_over_origins(&self) {
+        self.origins.is_handed_over.store(true, Ordering::Relaxed);
         let now = self.timer.now();
         let mut batches: Vec<(Ipv4Addr, Vec<StreamOrigin>)> = Vec::new();
         let records = self.origins.store().records().to_vec();
@@ -579,6 +585,14 @@
     }
 }
 
+/// Returns the time after which a datagram without a reply is sent again.
+fn resend_interval(late_at: Instant) -> Duration {
+    match Instant::now() < late_at {
+        true => RESEND_INTERVAL,
+        false => LATE_RESEND_INTERVAL,
+    }
+}
+
 /// Returns the latest time at which the connection of a recorded attempt was
 /// opened.
 pub(super) fn latest_opening(recorded_at: u64) -> u64 {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -257,9 +257,9 @@
     }
 
     /// Finds a replica in place of one whose events can't be sent to the
-    /// caller, which has seen no event of this answer. If there is none and a
-    /// heartbeat of the present replica may still come, waits for it and
-    /// returns the events.
+    /// caller, which has seen no event of this answer. A heartbeat of the
+    /// present replica may come first, or until the deadline if there is no
+    /// other one. Returns what can be sent.
     async fn replace_unsettled(
         &mut self,
         unsettled: Unsettled,
@@ -271,19 +271,38 @@
         };
         reader.note(&mut self.accepted);
         let begun = reader.source.begun;
-        let last = self.accepted.request_info.last_event;
+        let gateway = self.accepted.gateway.clone();
+        let version = self.accepted.version.certain().to_owned();
         let deadline = self.accepted.deadline;
-        let search = find_replacement(&mut self.accepted, last, reason);
-        match timeout_at(deadline, search).await {
-            Ok(Ok(replacement)) => {
+        let is_confirmed = || async {
+            match begun {
+                Some(begun) if unsettled == Unsettled::Unconfirmed => {
+                    gateway.confirm(begun, &version, deadline).await
+                }
+                _ => false,
+            }
+        };
+        let last = self.accepted.request_info.last_event;
+        let found = {
+            let search = find_replacement(&mut self.accepted, last, reason);
+            tokio::select! {
+                biased;
+                true = is_confirmed() => None,
+                found = timeout_at(deadline, search) => Some(found),
+            }
+        };
+        match found {
+            None => {
+                self.accepted.note_pending();
+                return Received::Data(events);
+            }
+            Some(Ok(Ok(replacement))) => {
                 return self.move_to(replacement, reason);
             }
-            Ok(Err(obstacle)) => self.log_obstacle(obstacle, reason),
-            Err(_) => return Received::Broken("timed out"),
+            Some(Ok(Err(obstacle))) => self.log_obstacle(obstacle, reason),
+            Some(Err(_)) => return Received::Broken("timed out"),
         }
-        let may_be_settled = unsettled == Unsettled::Unconfirmed
-            && self.accepted.is_confirmed_until(begun, deadline).await;
-        match may_be_settled {
+        match is_confirmed().await {
             true => Received::Data(events),
             false => Received::Broken(reason),
         }
--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -261,14 +261,15 @@
         Some(Origin { service: service.clone(), version })
     }
 
-    fn latest_wait(&self) -> Instant {
+    /// Returns until when a stream waits for facts that show its version.
+    pub(super) fn latest_wait(&self) -> Instant {
         Instant::now() + MAX_CONFIRMATION_WAIT
     }
 
     /// Waits until a heartbeat shows that the believed incarnation accepted a
     /// connection. Returns false if another one may have accepted it, unless
     /// that has the same version.
-    async fn confirm(
+    pub(super) async fn confirm(
         &self,
         begun: Begun,
         version: &str,
@@ -333,21 +334,11 @@
     /// Returns whether the replica that an attempt was sent to is the
     /// incarnation that nodes knew, and waits for the heartbeat that shows it.
     pub async fn is_confirmed(&self, begun: Option<Begun>) -> bool {
-        let until = self.deadline.min(self.gateway.latest_wait());
-        self.is_confirmed_until(begun, until).await
-    }
-
-    /// Waits until `until` for the heartbeat that shows that the replica is
-    /// the incarnation that nodes knew.
-    pub async fn is_confirmed_until(
-        &self,
-        begun: Option<Begun>,
-        until: Instant,
-    ) -> bool {
         let Some(begun) = begun else { return true };
         let StreamVersion::Only(version) = &self.version else {
             return true;
         };
+        let until = self.deadline.min(self.gateway.latest_wait());
         self.gateway.confirm(begun, version, until).await
     }
 
@@ -406,11 +397,13 @@
     }
 
     /// Lets the next attempt be at any version, if no other node has a record
-    /// any longer that names the version of an earlier one.
-    pub async fn lift_version_limit(&mut self) -> bool {
+    /// any longer that names the version of an earlier one. Waits for that
+    /// until `until`.
+    pub async fn lift_version_limit(&mut self, until: Instant) -> bool {
+        let until = until.min(self.deadline);
         match &mut self.recording {
             Some(recording) if self.version == StreamVersion::Any => {
-                recording.withdraw().await
+                recording.withdraw(until).await
             }
             _ => true,
         }
@@ -458,8 +451,8 @@
             if !kept.await {
                 return Err(Unsettled::NotRecorded);
             }
-            if !recording.has_receipt() {
-                tokio::spawn(recording.send_until_kept(self.deadline));
+            if !recording.is_settled() {
+                tokio::spawn(recording.send_until_settled(self.deadline));
             }
         }
         if is_resumed && self.forwarded.is_none() {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -73,8 +73,8 @@
 /// Label of the record of where a stream begins.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct StreamRecord {
-    /// `kept` by another node, `unkept`, or `wrong` as another node may have
-    /// an earlier version that names another origin.
+    /// `kept` by another node, `unkept`, or `outdated` as another node may have
+    /// an earlier record that names another origin.
     pub outcome: &'static str,
 }
 
--- a/tests/all/stream_records.rs
+++ b/tests/all/stream_records.rs
@@ -121,6 +121,23 @@
     assert_eq!(seen, 1, "replicas that were asked");
 }
 
+/// Guards against a stream that is cut although its only attempt answers, as
+/// no node confirms that the record was withdrawn to ask another version.
+#[tokio::test]
+async fn an_attempt_begins_although_its_record_was_to_be_withdrawn() {
+    let mut late = vec![WAIT.to_owned(); 3];
+    late.extend(whole_stream());
+    let replicas = replicas(late, whole_stream()).await;
+    let world = World::open(1, 20.0, &[]).await;
+    add_silent_holders(&world).await;
+    for (number, replica) in replicas.iter().enumerate() {
+        let says = sighting(&format!("r{number}"), replica.address, 0);
+        let version = format!("v{number}");
+        world.node.apply_heartbeat(Sighting { version, ..says });
+    }
+    assert_whole(&world.stream().await);
+}
+
 /// Guards against a request that fails although a replica of another version
 /// is there, and nothing else is on record.
 #[tokio::test]
