Report counts of usage that nodes have, whatever becomes of them

Callers of the platform saw usage reports that lacked 447 to 1,353 of some 5,000 to 6,300 requests, beside stops, kills and role changes of many of three hundred nodes.

Cause: a node sent its counts in turn, with a full datagram to 16 members a round. After a restart of most nodes all of them are members for some seconds; with 206 members, a turn takes 3.9 s and a report was summed after 2.5 s, because all nodes were heard, which says nothing of their counts. A node that stopped took with it what it had counted since its last turn, and nobody had confirmed the rest. Nodes that held the counts of dead nodes passed on three a datagram in turn, whatever the leader lacked.

- Counts go in each round to the leader and to the next two nodes with a disk, beside the requests in flight.
Two disks may be lost at once.
- A datagram with counts says in which window its sender counts now.
A report is summed early only once all nodes that may have counts have sent their final ones; `Reported usage.` names how many have not.
- The leader states what it holds of the nodes that it doesn't hear.
Members answer with what it lacks.
- A stopping node sends its last counts until these nodes have confirmed them, within its grace period.

The tests now play the confirmation and the answers, and sum when `duty::usage::is_settled` says so instead of a copy of its rule. They require the report to be in time as well. The window that is examined ends at 10 s instead of 15 s, and a successor is elected 2 s after the loss of its predecessor, 3.5 s before it may report, as nodes do.

--- a/src/duty/usage.rs
+++ b/src/duty/usage.rs
@@ -11,6 +11,7 @@
 
 use super::{Context, Options};
 use crate::{
+    mesh::table::Table,
     util::wall_ms,
     wire::{Change, RecordUsage, UsageOutcome, change, outcome},
 };
@@ -45,15 +46,21 @@
         let now = context.timer.now();
         let offset = context.mesh.table().clock_offset(now);
         let wall_time_ms = (wall_ms() as i64 + offset).max(0) as u64;
-        let settle_ms = match context.mesh.table().hears_all_entries(now) {
-            true => MIN_SETTLE_MS,
-            false => MAX_SETTLE_MS,
+        let length_ms = options.window_ms;
+        let settled_by = |settle_ms: u64| {
+            wall_time_ms.saturating_sub(settle_ms) / length_ms
         };
-        let settled =
-            wall_time_ms.saturating_sub(settle_ms) / options.window_ms;
-        let from =
-            self.next.unwrap_or(settled.saturating_sub(LOOK_BACK_WINDOWS));
-        for window in from..settled {
+        let oldest =
+            settled_by(MAX_SETTLE_MS).saturating_sub(LOOK_BACK_WINDOWS);
+        let from = self.next.unwrap_or(oldest);
+        for window in from..settled_by(MIN_SETTLE_MS) {
+            let is_settled = {
+                let table = context.mesh.table();
+                is_settled(&table, now, wall_time_ms, window, length_ms)
+            };
+            if !is_settled {
+                return;
+            }
             if !self.report(options, context, window).await {
                 return;
             }
@@ -68,7 +75,12 @@
         context: &Context,
         window: u64,
     ) -> bool {
-        let counted = context.mesh.table().usage(window);
+        let now = context.timer.now();
+        let (counted, nodes_missing) = {
+            let table = context.mesh.table();
+            let missing = table.nodes_with_missing_counts(now, window);
+            (table.usage(window), missing)
+        };
         if counted.counts.is_empty() {
             return true;
         }
@@ -84,6 +96,7 @@
                     window,
                     fence = token.fence,
                     teams = recorded.counts.len(),
+                    nodes_missing,
                     "Reported usage."
                 );
                 true
@@ -101,6 +114,25 @@
     }
 }
 
+/// Returns true if the counts of a window that ended [`MIN_SETTLE_MS`] ago can
+/// be summed: all nodes that may have some have sent their final ones, or the
+/// report can't wait any longer.
+pub fn is_settled(
+    table: &Table,
+    now: u64,
+    wall_ms: u64,
+    window: u64,
+    window_ms: u64,
+) -> bool {
+    let end_ms = (window + 1) * window_ms;
+    if wall_ms < end_ms + MIN_SETTLE_MS {
+        return false;
+    }
+    wall_ms >= end_ms + MAX_SETTLE_MS
+        || table.hears_all_entries(now)
+            && table.nodes_with_missing_counts(now, window) == 0
+}
+
 /// Commits a window's counts to the log. Returns the counts that were
 /// committed first for that window.
 async fn record(context: &Context, usage: RecordUsage) -> Option<RecordUsage> {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -410,6 +410,10 @@
         let limits = self.next_rate_limit_reports();
         let rollouts = self.rollout_report();
         let team_work = self.team_work();
+        let window = self.mesh.get().map_or(0, |mesh| {
+            let wall_ms = self.corrected_wall_ms(&mesh.table());
+            wall_ms / self.usage_window.length_ms.max(1)
+        });
         let mut fleet = self.fleet();
         let now = self.timer.now();
         let cached = fleet.next_cached_reports(now);
@@ -427,6 +431,7 @@
             rollouts,
             speeds: fleet.next_speed_reports(now),
             begun: self.accepted_count.load(Ordering::Relaxed),
+            window,
         }
     }
 
--- a/src/mesh/datagram.rs
+++ b/src/mesh/datagram.rs
@@ -129,7 +129,15 @@
         for beat in gossip.beats {
             self.apply_beat(now, &beat, relays);
         }
+        self.counts.record_final(incarnation, gossip.counting, &gossip.usage);
         self.counts.merge(Began { node: incarnation, windows: gossip.usage });
+        let me = self.me.incarnation;
+        let own = gossip.held.iter().find(|held| held.node == me);
+        if own.is_some_and(|held| self.counts.is_covered_by(held))
+            && let Some(confirmed_by) = &mut self.confirmed_by
+        {
+            confirmed_by.push(ip);
+        }
         for hash in gossip.left {
             let changed = self.apply_departure(now, hash);
             changes.replicas |= changed;
@@ -267,6 +275,17 @@
         }
     }
 
+    /// Returns a datagram with this node and its clock only.
+    pub(super) fn bare_gossip(&mut self, wall_ms: i64) -> Gossip {
+        self.me.beat = self.me.beat.max(wall_ms as u64) + 1;
+        Gossip {
+            from: Some(self.me.clone()),
+            wall_ms,
+            scope: Scope::Nothing as u32,
+            ..Gossip::default()
+        }
+    }
+
     /// Returns the fields that every datagram has.
     fn base_gossip(
         &mut self,
@@ -294,6 +313,7 @@
     ) -> Gossip {
         self.own_work.clone_from(&own.work);
         self.load_reports_sent += 1;
+        self.window = own.window;
         Gossip {
             under: own.under,
             spent: own.spent,
@@ -310,6 +330,7 @@
             usage: self
                 .counts
                 .latest_of(self.me.incarnation, self.load_reports_sent),
+            counting: own.window,
             relayed: self.relayed(now),
             unheard: self.unheard(now).map(|node| node.peer.ip).collect(),
             ..gossip
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -40,14 +40,14 @@
     net::UdpSocket,
     sync::Notify,
     task::JoinHandle,
-    time::{MissedTickBehavior, interval, sleep},
+    time::{Instant, MissedTickBehavior, interval, sleep},
 };
 use tracing::{debug, info, warn};
 
 use self::{
     role::Role,
     round::{Datagram, Round},
-    table::{Changes, LocalReport, Table},
+    table::{Changes, CountsQuery, LocalReport, Table},
 };
 use crate::{
     timer::Timer,
@@ -75,6 +75,9 @@
 /// are active with three hundred replicas; a datagram of 400 bytes to each of
 /// them takes 0.4 of 10 Mbit/s and a hundredth of a core.
 const LOAD_FANOUT: usize = 64;
+/// Interval at which a stopping node sends its last counts. A datagram waits up
+/// to 100 ms behind other traffic on a full link.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum length of a received datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
@@ -235,6 +238,23 @@
         self.request_urgent_round();
     }
 
+    /// Sends the last counts of this node, which counts no more requests, until
+    /// the nodes that make usage reports have confirmed them, or until `end`.
+    pub async fn confirm_counts(&self, end: Instant) {
+        loop {
+            let now = self.shared.timer.now();
+            let wall_ms = wall_ms() as i64;
+            let last = self.table().last_counts(now, wall_ms);
+            let Some((to, gossip)) = last else { return };
+            self.send(&to, &gossip);
+            if Instant::now() + CONFIRMATION_INTERVAL >= end {
+                warn!(target: "mesh", ?to, "Last counts not confirmed.");
+                return;
+            }
+            sleep(CONFIRMATION_INTERVAL).await;
+        }
+    }
+
     /// Stops sending and receiving.
     pub fn stop(&self) {
         for task in &self.tasks.0 {
@@ -340,11 +360,21 @@
             host.on_speeds(from, &gossip.speeds);
         }
         let now = shared.timer.now();
-        let (changes, departures) = {
+        let query = CountsQuery::of(&gossip);
+        let (changes, departures, counts) = {
             let mut table = shared.table();
-            let changes = table.receive(now, wall_ms() as i64, gossip);
-            (changes, table.take_reported_departures())
+            let wall_ms = wall_ms() as i64;
+            let changes = table.receive(now, wall_ms, gossip);
+            let counts = query
+                .map(|query| table.answer_counts(now, wall_ms, &query))
+                .unwrap_or_default();
+            (changes, table.take_reported_departures(), counts)
         };
+        if let SocketAddr::V4(from) = from {
+            for counts in counts {
+                shared.send(&counts.encode_to_vec(), *from.ip()).await;
+            }
+        }
         for replica in departures {
             info!(
                 target: "mesh",
--- a/src/mesh/round.rs
+++ b/src/mesh/round.rs
@@ -85,7 +85,9 @@
     }
 
     /// Sends a full datagram to some of the members, in turn, and only the
-    /// requests in flight to the others.
+    /// requests in flight to the others. The counts of usage go to the leader
+    /// in each round: where most of three hundred nodes have just started, all
+    /// of them are members, and a turn takes longer than a report may wait.
     ///
     /// The latter takes a tenth of the bytes and contains what routing depends
     /// on, and the work by team where capacity is shared: with reports that are 0.5 s old instead of 0.15 s, forty nodes send
@@ -95,13 +97,18 @@
         round: Round,
         own: LocalReport,
     ) -> Vec<Datagram> {
-        let gossip = self.compose(round.now, round.wall_ms, own);
+        let mut gossip = self.compose(round.now, round.wall_ms, own);
+        if self.is_leader() {
+            gossip.held = self.held_of_silent(round.now);
+        }
         let mut to = ips(self.members(round.now));
         let mut rest = Vec::new();
+        let mut collectors = self.collectors(round.now);
         if to.len() > FANOUT {
             let from = (round.number as usize * FANOUT) % to.len();
             to.rotate_left(from);
             rest = to.split_off(FANOUT);
+            rest.retain(|to| !collectors.contains(to));
             rest.truncate(LOAD_FANOUT - FANOUT);
         }
         let load = Gossip {
@@ -114,7 +121,15 @@
             rollouts: gossip.rollouts.clone(),
             ..Gossip::default()
         };
+        collectors.retain(|ip| !to.contains(ip));
+        let counts = Gossip {
+            usage: gossip.usage.clone(),
+            counting: gossip.counting,
+            held: gossip.held.clone(),
+            ..load.clone()
+        };
         let mut datagrams = self.split_by_usage(round, gossip, to);
+        datagrams.push(Datagram { to: collectors, gossip: counts });
         if load.rollouts.is_none() {
             datagrams.push(Datagram { to: rest, gossip: load });
             return datagrams;
@@ -150,6 +165,7 @@
         let without_usage = Gossip {
             usage: Vec::new(),
             relayed: Vec::new(),
+            counting: 0,
             rollouts: gossip.rollouts.clone().map(without_evidence),
             ..gossip.clone()
         };
@@ -211,6 +227,7 @@
             peers: Vec::new(),
             usage: Vec::new(),
             relayed: Vec::new(),
+            counting: 0,
             hello: true,
             ..gossip.clone()
         };
--- a/src/mesh/table.rs
+++ b/src/mesh/table.rs
@@ -14,7 +14,8 @@
 use std::net::Ipv4Addr;
 
 use super::{
-    counts::Counts,
+    counts::{COUNTS_NO_MORE, Counts},
+    datagram::Scope,
     mean_propagation_delay_ms,
     role::{DRAIN_DURATION_MS, Rate, Role, Selector, View},
 };
@@ -23,11 +24,12 @@
     replica::{MAX_HEARTBEAT_AGE_ERROR_MS, Replica, State},
 };
 use crate::{
+    control::seat,
     decide::origin::holder_rank,
     util::{common, mix, position},
     wire::{
-        Began, Cached, Crash, CrashReport, Peer, RateLimit, RecordUsage,
-        RolloutReport, Spent, Success, TeamWork, Under, Work,
+        Began, Cached, Crash, CrashReport, Gossip, Held, Peer, RateLimit,
+        RecordUsage, RolloutReport, Spent, Success, TeamWork, Under, Work,
     },
 };
 
@@ -53,6 +55,18 @@
 /// Age up to which a node that becomes active keeps the reports of others, in
 /// ms: one round, in which the nodes that have requests report to it anew.
 const ACTIVATION_KNOWLEDGE_MS: u64 = 300;
+/// Nodes that receive the counts of all nodes in each round. Two nodes with a
+/// disk may be lost at once.
+const COLLECTORS: usize = 3;
+/// Windows before the current one that a leader may have to report yet.
+const REPORTABLE_WINDOWS: u64 = 3;
+/// Silent nodes whose counts a leader states in one datagram, at up to 90
+/// bytes each.
+const MAX_HELD_PER_DATAGRAM: usize = 48;
+/// Datagrams in which a node with a disk answers with counts. A successor that
+/// has just started lacks those of hundreds of nodes; the links of nodes
+/// without a disk are slower.
+const COUNT_ANSWERS_OF_DISK: usize = 8;
 /// Time without reports after which a node is dropped, in ms.
 ///
 /// Until then it is assumed to serve behind a network partition, and to use
@@ -107,6 +121,12 @@
     pub(super) next_near_peer: usize,
     pub(super) next_standby: usize,
     pub(super) next_silent: usize,
+    /// Number of times that this node has answered with counts.
+    pub(super) counts_answered: u64,
+    /// Nodes that hold the last counts of this node, once it stops.
+    pub(super) confirmed_by: Option<Vec<u32>>,
+    /// The window in which this node counts requests, or 0 if unknown.
+    pub(super) window: u64,
     /// Number of reports of its load that this node has sent.
     pub(super) load_reports_sent: u64,
     selector: Selector,
@@ -144,6 +164,8 @@
     pub speeds: Vec<u64>,
     /// Callers' requests since the start.
     pub begun: u64,
+    /// The window in which requests are counted now.
+    pub window: u64,
 }
 
 /// What has changed through a datagram or a new role.
@@ -159,6 +181,39 @@
     pub became_active: bool,
 }
 
+common! {
+    /// What a datagram asks of counts.
+    pub struct CountsQuery {
+        /// The asking node's incarnation.
+        pub incarnation: u64,
+        /// What it holds of the counts of some nodes.
+        pub held: Vec<Held>,
+        /// Whether it makes usage reports, and lacks the counts of silent nodes
+        /// that it doesn't know of.
+        pub is_leader: bool,
+        /// Whether it stops, and waits for its counts to be confirmed.
+        pub stops: bool,
+    }
+}
+
+impl CountsQuery {
+    /// Returns what a datagram asks, if anything.
+    pub fn of(gossip: &Gossip) -> Option<CountsQuery> {
+        let from = gossip.from.as_ref()?;
+        let leader = *seat::member_address(from.leader).ip();
+        let is_leader = from.has_disk
+            && u32::from(leader) == from.ip
+            && (gossip.scope == Scope::All as u32 || gossip.counting > 0);
+        let stops = gossip.counting == COUNTS_NO_MORE;
+        (is_leader || stops || !gossip.held.is_empty()).then(|| CountsQuery {
+            incarnation: from.incarnation,
+            held: gossip.held.clone(),
+            is_leader,
+            stops,
+        })
+    }
+}
+
 impl Table {
     /// Starts without other nodes or replicas.
     pub fn open(me: Peer) -> Table {
@@ -177,6 +232,9 @@
             next_near_peer: 0,
             next_standby: 0,
             next_silent: 0,
+            counts_answered: 0,
+            confirmed_by: None,
+            window: 0,
             load_reports_sent: 0,
             selector: Selector::open(),
             rate: Rate::default(),
@@ -474,6 +532,96 @@
         self.counts.sum(window)
     }
 
+    /// Returns the number of nodes whose counts for a window may be incomplete
+    /// here.
+    ///
+    /// That a node is heard says nothing of its counts: only some datagrams
+    /// have them, and these are lost or late as others are.
+    pub fn nodes_with_missing_counts(&self, now: u64, window: u64) -> usize {
+        let entries = self.nodes.iter().filter(|node| node.is_entry(now));
+        let mut nodes: Vec<u64> = entries
+            .map(|node| node.peer.incarnation)
+            .chain(self.counts.recent(window))
+            .filter(|node| *node != self.me.incarnation)
+            .filter(|node| !self.counts.is_final(*node, window))
+            .collect();
+        nodes.sort_unstable();
+        nodes.dedup();
+        nodes.len()
+    }
+
+    /// Returns the nodes that receive the counts of this node in each round:
+    /// the leader, which reports them, and the next nodes that can lead.
+    pub(super) fn collectors(&self, now: u64) -> Vec<Ipv4Addr> {
+        let leader = self.leader_ip();
+        let able = self.live(now).filter(|node| node.peer.has_disk);
+        let mut able: Vec<u32> = able.map(|node| node.peer.ip).collect();
+        let from = able.partition_point(|ip| *ip < leader);
+        let count = able.len().max(1);
+        able.rotate_left(from % count);
+        able.truncate(COLLECTORS);
+        able.into_iter().map(Ipv4Addr::from).collect()
+    }
+
+    fn leader_ip(&self) -> u32 {
+        (*seat::member_address(self.me.leader).ip()).into()
+    }
+
+    /// Returns what this node, if it leads, holds of the counts of nodes that
+    /// it does not hear, in windows that are yet to be reported.
+    pub(super) fn held_of_silent(&self, now: u64) -> Vec<Held> {
+        let oldest = self.oldest_reportable_window();
+        let mut held = self.counts.all_held(oldest, |incarnation| {
+            incarnation != self.me.incarnation
+                && !self.is_heard_directly(now, incarnation)
+        });
+        if held.len() > MAX_HELD_PER_DATAGRAM {
+            let step = MAX_HELD_PER_DATAGRAM * self.load_reports_sent as usize;
+            let count = held.len();
+            held.rotate_left(step % count);
+            held.truncate(MAX_HELD_PER_DATAGRAM);
+        }
+        held
+    }
+
+    fn oldest_reportable_window(&self) -> u64 {
+        self.window.saturating_sub(REPORTABLE_WINDOWS)
+    }
+
+    fn is_heard_directly(&self, now: u64, incarnation: u64) -> bool {
+        self.nodes.iter().any(|node| {
+            node.peer.incarnation == incarnation
+                && now < node.heard_directly_at + NODE_TIMEOUT_MS
+        })
+    }
+
+    /// Returns true if this node leads, so that it makes usage reports.
+    pub(super) fn is_leader(&self) -> bool {
+        self.me.has_disk && self.leader_ip() == self.me.ip
+    }
+
+    /// Returns true if another node has to relay the counts of an incarnation.
+    fn needs_relay(&self, now: u64, incarnation: u64) -> bool {
+        let originator = self
+            .nodes
+            .iter()
+            .find(|node| node.peer.incarnation == incarnation);
+        match originator {
+            None => true,
+            // It sends its counts to the nodes that can lead, and to no other
+            // node.
+            Some(node) if Role::of(&node.peer) == Role::Standby => {
+                now >= node.heard_at + STANDBY_TIMEOUT_MS
+            }
+            Some(node) if !self.is_live(now, node) => true,
+            // Only nodes that can lead need the counts.
+            Some(node) => self
+                .live(now)
+                .filter(|other| other.peer.has_disk)
+                .any(|other| other.unheard.contains(&node.peer.ip)),
+        }
+    }
+
     /// Returns true if every node that may serve is heard.
     pub fn hears_all_entries(&self, now: u64) -> bool {
         self.unheard(now).next().is_none()
@@ -510,26 +658,75 @@
     pub(super) fn relayed(&self, now: u64) -> Vec<Began> {
         let own = self.me.incarnation;
         self.counts.relayed(own, self.load_reports_sent, |incarnation| {
-            let originator = self
-                .nodes
-                .iter()
-                .find(|node| node.peer.incarnation == incarnation);
-            match originator {
-                None => true,
-                // It sends its counts to the nodes that can lead, and to no
-                // other node.
-                Some(node) if Role::of(&node.peer) == Role::Standby => {
-                    now >= node.heard_at + STANDBY_TIMEOUT_MS
-                }
-                Some(node) if !self.is_live(now, node) => true,
-                // Only nodes that can lead need the counts.
-                Some(node) => self
-                    .live(now)
-                    .filter(|other| other.peer.has_disk)
-                    .any(|other| other.unheard.contains(&node.peer.ip)),
-            }
+            self.needs_relay(now, incarnation)
         })
     }
+
+    /// Returns the answers to a node that has stated what it holds of the
+    /// counts of some nodes, or that stops and has sent its last counts.
+    pub fn answer_counts(
+        &mut self,
+        now: u64,
+        wall_ms: i64,
+        asker: &CountsQuery,
+    ) -> Vec<Gossip> {
+        let mut answers = Vec::new();
+        if !asker.held.is_empty() || asker.is_leader {
+            let max_datagrams = match self.me.has_disk {
+                true => COUNT_ANSWERS_OF_DISK,
+                false => 1,
+            };
+            let missing = self.counts.missing(
+                &asker.held,
+                self.counts_answered,
+                max_datagrams,
+                self.oldest_reportable_window(),
+                |node| {
+                    asker.is_leader
+                        && node != asker.incarnation
+                        && node != self.me.incarnation
+                        && self.needs_relay(now, node)
+                },
+            );
+            self.counts_answered += u64::from(!missing.is_empty());
+            let missing = missing.into_iter();
+            answers.extend(
+                missing.map(|relayed| Gossip { relayed, ..Gossip::default() }),
+            );
+        }
+        if asker.stops && self.me.has_disk {
+            let held = self.counts.held(asker.incarnation);
+            let held = held.into_iter().collect();
+            answers.push(Gossip { held, ..Gossip::default() });
+        }
+        for answer in &mut answers {
+            let gossip = self.bare_gossip(wall_ms);
+            answer.from = gossip.from;
+            answer.wall_ms = gossip.wall_ms;
+            answer.scope = gossip.scope;
+        }
+        answers
+    }
+
+    /// Returns the last counts of this node, which counts no more requests, and
+    /// the nodes that have not confirmed them. Returns `None` once all nodes
+    /// that make usage reports have done so.
+    pub fn last_counts(
+        &mut self,
+        now: u64,
+        wall_ms: i64,
+    ) -> Option<(Vec<Ipv4Addr>, Gossip)> {
+        let mut to = self.collectors(now);
+        let confirmed_by = self.confirmed_by.get_or_insert_default();
+        to.retain(|ip| !confirmed_by.contains(&u32::from(*ip)));
+        let usage = self.counts.latest_of(self.me.incarnation, 0);
+        if to.is_empty() || usage.is_empty() {
+            return None;
+        }
+        let counting = COUNTS_NO_MORE;
+        let gossip = self.bare_gossip(wall_ms);
+        Some((to, Gossip { usage, counting, ..gossip }))
+    }
 }
 
 impl Node {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -514,6 +514,9 @@
         if let Some(seat) = &node.seat {
             seat.stop().await;
         }
+        if let Some(mesh) = node.mesh.get() {
+            mesh.confirm_counts(end).await;
+        }
         let _ = node.stop_peer_server.send_replace(true);
         let tasks: Vec<JoinHandle<()>> = lock(&node.tasks).drain(..).collect();
         for mut task in tasks {
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -1283,6 +1283,32 @@
     /// has the bits.
     #[prost(fixed64, repeated, tag = "24")]
     pub speeds: ::prost::alloc::vec::Vec<u64>,
+    /// The window in which the sender counts requests now, if the datagram has
+    /// its counts. Those of earlier windows are final. The greatest number if the
+    /// sender stops and counts no more; the receiver then confirms the counts.
+    #[prost(uint64, tag = "25")]
+    pub counting: u64,
+    /// What the sender holds of the counts of some nodes. The receiver answers
+    /// with counts that the sender lacks.
+    #[prost(message, repeated, tag = "26")]
+    pub held: ::prost::alloc::vec::Vec<Held>,
+}
+/// The requests of a node that the sender knows to have begun.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Held {
+    /// The node's incarnation.
+    #[prost(fixed64, tag = "1")]
+    pub node: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub windows: ::prost::alloc::vec::Vec<HeldWindow>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct HeldWindow {
+    #[prost(uint64, tag = "1")]
+    pub window: u64,
+    /// Over all teams.
+    #[prost(uint64, tag = "2")]
+    pub total: u64,
 }
 /// Answers of the replicas of a service to one node, since the order.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/tests/all/usage_loss.rs
+++ b/tests/all/usage_loss.rs
@@ -8,9 +8,10 @@
 use std::{collections::BTreeMap, net::Ipv4Addr};
 
 use azuremount::{
+    duty::usage::is_settled,
     mesh::{
         round::{Datagram, Round},
-        table::{LocalReport, Table},
+        table::{CountsQuery, LocalReport, Table},
     },
     wire::{Gossip, Peer},
 };
@@ -28,15 +29,19 @@
 const DATAGRAMS_PER_LOSS: u32 = 10;
 const REQUESTS_PER_S: u64 = 1300;
 /// Nodes know each other from then on.
-const TRAFFIC_AT_MS: u64 = 5000;
+const TRAFFIC_AT_MS: u64 = 4000;
 /// End of the window that is examined.
-const WINDOW_END_MS: u64 = 15_000;
-/// Time from the end of a window until the report is summed at the latest.
-const MAX_SETTLE_MS: u64 = 7000;
-/// The same where nothing is missing.
-const MIN_SETTLE_MS: u64 = 2500;
+const WINDOW_END_MS: u64 = 10_000;
+/// Time from the loss of a leader until its successor is elected.
+const ELECTION_MS: u64 = 2000;
 /// Time from the loss of a leader until its successor may report.
 const SUCCESSION_MS: u64 = 5500;
+/// Time from the end of a window until its report is due.
+const REPORT_DUE_MS: u64 = 10_000;
+/// Grace period that a stopping node has left after its last request.
+const STOP_GRACE_MS: u64 = 1000;
+/// Interval at which it sends its last counts.
+const CONFIRMATION_INTERVAL_MS: u64 = 100;
 /// Wall-clock time of the start.
 const START_WALL_MS: u64 = 1_700_000_000_000;
 /// The length of a received datagram is limited to this.
@@ -47,6 +52,8 @@
     ip: u32,
     is_down: bool,
     takes_requests: bool,
+    /// End of the grace period, of a node that stops.
+    stops_by: Option<u64>,
     round: u64,
     sent_bytes: u64,
 }
@@ -90,6 +97,7 @@
                 ip,
                 is_down: false,
                 takes_requests,
+                stops_by: None,
                 round: 0,
                 sent_bytes: 0,
             }
@@ -120,6 +128,7 @@
             self.deliver_datagrams();
             self.begin_requests();
             for at in 0..self.vms.len() {
+                self.send_last_counts(at);
                 if (self.now + at as u64 * 37)
                     .is_multiple_of(ROUND_INTERVAL_MS)
                 {
@@ -159,10 +168,18 @@
                 continue;
             }
             let asker = gossip.from.clone().filter(|_| gossip.hello);
+            let query = CountsQuery::of(&gossip);
             let (now, wall_ms) = (self.now, self.wall_ms());
-            self.vms[to].table.receive(now, wall_ms, gossip);
+            let table = &mut self.vms[to].table;
+            table.receive(now, wall_ms, gossip);
+            if let Some(query) = query {
+                let answers = table.answer_counts(now, wall_ms, &query);
+                for answer in answers {
+                    self.send(to, from, answer);
+                }
+            }
             if let Some(asker) = asker {
-                let own = LocalReport::default();
+                let own = self.own();
                 let answer =
                     self.vms[to].table.answer(now, wall_ms, own, &asker);
                 self.send(to, from, answer);
@@ -170,12 +187,17 @@
         }
     }
 
+    fn own(&self) -> LocalReport {
+        LocalReport { window: window_of(self.now), ..LocalReport::default() }
+    }
+
     fn wall_ms(&self) -> i64 {
         (START_WALL_MS + self.now) as i64
     }
 
     fn run_round(&mut self, at: usize) {
         let (now, wall_ms) = (self.now, self.wall_ms());
+        let own = self.own();
         let seeds: Vec<Ipv4Addr> =
             self.vms[..3].iter().map(|vm| vm.ip.into()).collect();
         let vm = &mut self.vms[at];
@@ -191,7 +213,6 @@
         let newest = leaders.max().unwrap_or_default();
         let me = vm.table.own_peer_mut();
         (me.leader_term, me.leader) = newest.max((me.leader_term, me.leader));
-        let own = LocalReport::default();
         for Datagram { to, gossip } in vm.table.round(round, own, &seeds) {
             for to in to {
                 self.send(at, to.into(), gossip.clone());
@@ -221,24 +242,41 @@
         self.vms[at].takes_requests = false;
     }
 
-    /// Stops a node in an orderly way right after a request.
+    /// Stops a node in an orderly way right after a request: it stays up until
+    /// its counts are confirmed, or its grace period ends.
     fn stop(&mut self, at: usize) {
         self.vms[at].table.own_peer_mut().serving = false;
-        self.run_round(at);
-        self.kill(at);
+        self.vms[at].takes_requests = false;
+        self.vms[at].stops_by = Some(self.now + STOP_GRACE_MS);
     }
 
-    /// Returns what the node reports for a window, at the time at which it
-    /// does so, and the number of requests that began.
+    fn send_last_counts(&mut self, at: usize) {
+        let (now, wall_ms) = (self.now, self.wall_ms());
+        let Some(end) = self.vms[at].stops_by else { return };
+        if !(end - now).is_multiple_of(CONFIRMATION_INTERVAL_MS) {
+            return;
+        }
+        let last = self.vms[at].table.last_counts(now, wall_ms);
+        if last.is_none() || now >= end {
+            self.vms[at].stops_by = None;
+            self.kill(at);
+        }
+        for to in last.iter().flat_map(|(to, _)| to) {
+            let gossip = last.as_ref().map(|(_, gossip)| gossip.clone());
+            self.send(at, (*to).into(), gossip.unwrap_or_default());
+        }
+    }
+
+    /// Returns what the node reports for a window, once it does so, and the
+    /// number of requests that began.
     fn report(&mut self, at: usize, window: u64) -> (u64, u64) {
-        let end = (window + 1) * WINDOW_MS - START_WALL_MS;
-        while self.now < end + MAX_SETTLE_MS {
-            let is_due = self.now >= end + MIN_SETTLE_MS;
+        loop {
+            let (now, wall_ms) = (self.now, START_WALL_MS + self.now);
             let table = &self.vms[at].table;
-            if is_due && table.hears_all_entries(self.now) {
+            if is_settled(table, now, wall_ms, window, WINDOW_MS) {
                 break;
             }
-            self.run(self.now + 500);
+            self.run(now + 500);
         }
         let usage = self.vms[at].table.usage(window);
         let sum = usage.counts.iter().map(|count| count.count).sum();
@@ -256,6 +294,7 @@
              {sum} of {began}, at {} ms",
             self.now - WINDOW_END_MS
         );
+        assert!(self.now + 1000 < WINDOW_END_MS + REPORT_DUE_MS, "late");
         assert!(sum <= began, "{what}, {nodes} nodes, seed {seed}");
         assert!(
             sum * 100 >= began * 95,
@@ -308,8 +347,9 @@
         site.run(WINDOW_END_MS - 300);
         third(site).into_iter().for_each(|at| site.stop(at));
         site.stop(0);
-        site.run(WINDOW_END_MS - 300 + SUCCESSION_MS);
+        site.run(WINDOW_END_MS - 300 + ELECTION_MS);
         site.elect(1, 2);
+        site.run(WINDOW_END_MS - 300 + SUCCESSION_MS);
         site.check("stopped with the leader", seed, 1);
     });
 }
@@ -334,8 +374,9 @@
         site.run(WINDOW_END_MS - 100);
         most(site.vms.len()).for_each(|at| site.kill(at));
         site.kill(0);
-        site.run(WINDOW_END_MS - 100 + SUCCESSION_MS);
+        site.run(WINDOW_END_MS - 100 + ELECTION_MS);
         site.elect(1, 2);
+        site.run(WINDOW_END_MS - 100 + SUCCESSION_MS);
         site.check("killed with the leader", seed, 1);
     });
 }
@@ -352,8 +393,9 @@
         let me = site.vms[1].table.own_peer().clone();
         let incarnation = me.incarnation + 1;
         site.vms[1].table = Table::open(Peer { incarnation, ..me });
-        site.run(WINDOW_END_MS - 100 + SUCCESSION_MS);
+        site.run(WINDOW_END_MS - 100 + ELECTION_MS);
         site.elect(1, 2);
+        site.run(WINDOW_END_MS - 100 + SUCCESSION_MS);
         site.check("leader restarted", seed, 1);
     });
 }
@@ -399,6 +441,15 @@
         let leader = site.vms[0].sent_bytes / 3;
         let each = sent / 3 / ACTIVE as u64;
         println!("{nodes} nodes: {each} B/s a node, the leader {leader}");
+        most(nodes).for_each(|at| site.kill(at));
+        site.vms.iter_mut().for_each(|vm| vm.sent_bytes = 0);
+        site.run(site.now + 6000);
+        let left = site.vms.iter().filter(|vm| vm.takes_requests);
+        let (count, sent) = left
+            .fold((0, 0), |(count, sum), vm| (count + 1, sum + vm.sent_bytes));
+        let leader = site.vms[0].sent_bytes / 6;
+        let left = sent / 6 / count;
+        println!("  after kills: {left} B/s a node, the leader {leader}");
         each
     };
     let (few, many) = (bytes_per_s(60), bytes_per_s(300));
