Test usage reports beside a clock that jumps

A node whose clock jumps forward counts requests in a window to come until it has heard the other clocks. Hypothesis: each node drops the windows that are more than eight older than the newest one that any node has reported, so one such datagram makes all nodes drop the present windows, for as long as the jump is wide.

--- a/tests/all/usage_loss.rs
+++ b/tests/all/usage_loss.rs
@@ -416,6 +416,20 @@
     });
 }
 
+/// Guards against reports that lack whole windows because the clock of one node
+/// jumps by a minute: until the node hears the other clocks, it counts requests
+/// in a window to come, and all nodes drop the counts of the present ones.
+#[test]
+fn counts_outlive_a_clock_that_jumps() {
+    let mut site = Site::open(60, ACTIVE, 1);
+    site.run(WINDOW_END_MS - 1000);
+    let jumped = window_of(site.now + 60_000);
+    for _ in 0..10 {
+        site.vms[DISKS].table.count_began(jumped, "team0001");
+    }
+    site.check("clock jumps", 1, 0);
+}
+
 /// Guards against datagrams that are too long to be received, where many teams
 /// have requests and many nodes were killed.
 #[test]
