Keep counts of usage when the clock of a node jumps

A usage report lacked most of a window after the clock of one node jumped by a minute.

Cause: counts expired relative to the newest window that any node reported. A node counts in a window to come until it has heard the other clocks, and its datagrams made all nodes drop the present windows.

Counts now expire relative to the window in which the node itself counts, by its corrected clock. Where that is wrong for a moment, only this node drops counts: nodes that live send theirs again in the next round, and the leader asks for those of dead nodes.

--- a/src/mesh/counts.rs
+++ b/src/mesh/counts.rs
@@ -285,17 +285,21 @@
             .collect()
     }
 
-    /// Drops windows for which all usage reports have been made.
-    pub fn expire(&mut self) {
-        let windows = self.began.iter().flat_map(|began| &began.windows);
-        let newest = windows.map(|usage| usage.window).max().unwrap_or(0);
-        let oldest = newest.saturating_sub(RETAINED_WINDOWS);
+    /// Drops windows that are far from `current`, the window in which this node
+    /// counts requests.
+    ///
+    /// The windows of other nodes don't matter: a node whose clock has jumped
+    /// reports one that is to come. If this node's clock has jumped, the others
+    /// send their counts again.
+    pub fn expire(&mut self, current: u64) {
+        let oldest = current.saturating_sub(RETAINED_WINDOWS);
+        let retained = oldest..=current.saturating_add(RETAINED_WINDOWS);
         for began in &mut self.began {
-            began.windows.retain(|usage| usage.window >= oldest);
+            began.windows.retain(|usage| retained.contains(&usage.window));
         }
         self.began.retain(|began| !began.windows.is_empty());
         for known in &mut self.finals {
-            known.windows.retain(|window| *window >= oldest);
+            known.windows.retain(|window| retained.contains(window));
         }
         let began = &self.began;
         self.finals.retain(|known| {
--- a/src/mesh/datagram.rs
+++ b/src/mesh/datagram.rs
@@ -429,6 +429,8 @@
             now < replica.heard_at + retention_ms
         });
         self.departures.retain(|(_, at)| now < at + TOMBSTONE_RETENTION_MS);
-        self.counts.expire();
+        if self.window > 0 {
+            self.counts.expire(self.window);
+        }
     }
 }
--- a/tests/all/usage_loss.rs
+++ b/tests/all/usage_loss.rs
@@ -64,13 +64,15 @@
     in_transit: BTreeMap<(u64, u64), (usize, u32, Gossip)>,
     sent_datagrams: u64,
     largest: usize,
+    /// By how much the clock of the first leader is ahead, in ms.
+    leader_clock_lead_ms: i64,
     /// Requests that began, by window.
     began: BTreeMap<u64, u64>,
     rng: StdRng,
 }
 
 fn window_of(now: u64) -> u64 {
-    (START_WALL_MS + now) / WINDOW_MS
+    START_WALL_MS.wrapping_add(now) / WINDOW_MS
 }
 
 fn leader_id(ip: u32) -> u64 {
@@ -108,6 +110,7 @@
             in_transit: BTreeMap::new(),
             sent_datagrams: 0,
             largest: 0,
+            leader_clock_lead_ms: 0,
             began: BTreeMap::new(),
             rng: StdRng::seed_from_u64(seed),
         };
@@ -179,7 +182,7 @@
                 }
             }
             if let Some(asker) = asker {
-                let own = self.own();
+                let own = self.own(to);
                 let answer =
                     self.vms[to].table.answer(now, wall_ms, own, &asker);
                 self.send(to, from, answer);
@@ -187,8 +190,10 @@
         }
     }
 
-    fn own(&self) -> LocalReport {
-        LocalReport { window: window_of(self.now), ..LocalReport::default() }
+    fn own(&self, at: usize) -> LocalReport {
+        let lead_ms = if at == 0 { self.leader_clock_lead_ms } else { 0 };
+        let window = window_of(self.now.wrapping_add_signed(lead_ms));
+        LocalReport { window, ..LocalReport::default() }
     }
 
     fn wall_ms(&self) -> i64 {
@@ -197,7 +202,7 @@
 
     fn run_round(&mut self, at: usize) {
         let (now, wall_ms) = (self.now, self.wall_ms());
-        let own = self.own();
+        let own = self.own(at);
         let seeds: Vec<Ipv4Addr> =
             self.vms[..3].iter().map(|vm| vm.ip.into()).collect();
         let vm = &mut self.vms[at];
@@ -430,6 +435,22 @@
     site.check("clock jumps", 1, 0);
 }
 
+/// Like [`counts_outlive_a_clock_that_jumps`]: the clock of the leader jumps
+/// after nodes were killed, whose counts it then gets from the other nodes.
+#[test]
+fn counts_outlive_a_jump_of_the_clock_of_the_leader() {
+    for jump_ms in [-60_000, 60_000] {
+        let mut site = Site::open(60, ACTIVE, 1);
+        site.run(WINDOW_END_MS - 100);
+        most(60).for_each(|at| site.kill(at));
+        site.run(WINDOW_END_MS + 500);
+        site.leader_clock_lead_ms = jump_ms;
+        site.run(WINDOW_END_MS + 1100);
+        site.leader_clock_lead_ms = 0;
+        site.check("clock of the leader jumps", 1, 0);
+    }
+}
+
 /// Guards against datagrams that are too long to be received, where many teams
 /// have requests and many nodes were killed.
 #[test]
