Test that a stopping node waits for its counts to be confirmed

A node with a stand-in for another one with a disk stops right after a request. The stand-in ignores three datagrams with the last counts and confirms the fourth.

--- a/tests/all/nodes.rs
+++ b/tests/all/nodes.rs
@@ -2,7 +2,7 @@
 //! address.
 
 use std::{
-    net::{Ipv4Addr, SocketAddrV4},
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
     sync::atomic::{AtomicU32, Ordering},
     time::Duration,
 };
@@ -14,13 +14,19 @@
     mesh::table::replica_hash,
     node::{self, PutError},
     timer::Timer,
+    wire::{Gossip, Held, HeldWindow, Peer},
 };
+use prost::Message;
 use tokio::time::{sleep, timeout};
 
-use tokio::{io::AsyncWriteExt, net::TcpStream};
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpStream, UdpSocket},
+};
 
 use crate::world::{
-    Replica, TempFolder, apply_plan, ok, options, read_answer, sighting,
+    REPORT_INTERVAL, Replica, TEST_TIMEOUT, TempFolder, TestNode, apply_plan,
+    ok, options, read_answer, sighting, status,
 };
 
 /// Time-out of each wait, far longer than any wait in a passing test.
@@ -427,3 +433,56 @@
         }
     }
 }
+
+/// Guards against a node that ends before another one has its last counts of
+/// usage. The first datagrams with them are lost.
+#[tokio::test]
+async fn a_stopping_node_waits_until_its_last_counts_are_confirmed() {
+    let replica = Replica::spawn(|_| ok("")).await;
+    let test_node = TestNode::open(&[("a", replica.address)]).await;
+    let SocketAddr::V4(front) = test_node.front else { panic!("IPv4 only") };
+    let to = SocketAddrV4::new(*front.ip(), 7700);
+    let other = Ipv4Addr::new(127, 99, 200, 1);
+    let socket = UdpSocket::bind((other, 7700)).await.unwrap();
+    let mut peer = Peer {
+        ip: other.into(),
+        incarnation: 1,
+        has_disk: true,
+        role: 2,
+        ..Peer::default()
+    };
+    let request = "GET /team/ HTTP/1.1\r\nHost: here\r\nKey: sesame\r\n\r\n";
+    assert_eq!(status(&test_node.exchange(request).await), "200");
+    let node = test_node.node.clone();
+    let stopping = tokio::spawn(node.shutdown(Duration::from_secs(4)));
+    let confirm = async {
+        let mut last_counts = 0;
+        let mut buffer = vec![0; 16 * 1024];
+        while last_counts < 4 {
+            peer.beat += 1;
+            let from = Some(peer.clone());
+            let report = Gossip { from, ..Gossip::default() };
+            socket.send_to(&report.encode_to_vec(), to).await.unwrap();
+            let received = socket.recv_from(&mut buffer);
+            let received = timeout(REPORT_INTERVAL, received).await;
+            let Ok(Ok((length, _))) = received else { continue };
+            let gossip = Gossip::decode(&buffer[..length]).unwrap();
+            if gossip.counting != u64::MAX {
+                continue;
+            }
+            last_counts += 1;
+            assert!(!stopping.is_finished(), "the node has not waited");
+            let window = gossip.usage.last().unwrap().window;
+            let windows = vec![HeldWindow { window, total: 1 }];
+            let node = gossip.from.unwrap().incarnation;
+            let held = vec![Held { node, windows }];
+            let receipt = Gossip { held, ..report };
+            if last_counts == 4 {
+                let bytes = receipt.encode_to_vec();
+                socket.send_to(&bytes, to).await.unwrap();
+            }
+        }
+        stopping.await.unwrap();
+    };
+    timeout(TEST_TIMEOUT, confirm).await.expect("no counts, or no end");
+}
