Keep a forwarded call while another way is looked for

Callers of a node that reaches no replica itself got 502 ("may have run") at half of the time left, or a stream that was cut in the middle, although the node that had their request was well and answered a moment later.

Cause: `call_peers` took the silence of the other node for its end. It dropped the call, which ended the request there, before it had another one; then every way in which the search can fail ended the request.

Change: the call stays in flight while `ask` looks for another way, through a third node or at a replica if this node reaches one again. The first sound answer counts. If nothing is found, the silent node may answer until the deadline. As before, only requests that may run twice are sent elsewhere, and the silent node counts as an attempt that may have run.

As the call is no longer dropped, the node that has it must not ask a second replica because of silence after half of the time, when the sender asks elsewhere; otherwise a request could run at more replicas than it could before.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -391,9 +391,20 @@
         let short_silence =
             (target_time * MAX_SILENCE_TARGETS).max(min_silence);
         let fleet = self.gateway.fleet();
-        match fleet.is_answering(self.now(), &self.service, &target.replica) {
+        let silence = match fleet.is_answering(
+            self.now(),
+            &self.service,
+            &target.replica,
+        ) {
             true => left.min(short_silence.max(left / 2)),
             false => left.min(short_silence),
+        };
+        // The node that has forwarded the request asks elsewhere after half of
+        // the time.
+        let half = (self.deadline - self.began) / 2;
+        match self.forwarded.is_some() && silence + half >= left {
+            true => left,
+            false => silence,
         }
     }
 }
--- a/src/gateway/peer_call.rs
+++ b/src/gateway/peer_call.rs
@@ -30,9 +30,16 @@
 //! keeps to what replicas announce, retries, and counts the usage. It does not
 //! charge the team's quota again, and it never forwards the request to a third
 //! node.
+//!
+//! A node that is silent for half of the time left may be gone, or its replica
+//! may be slow. If the request may run twice, the sender then looks for another
+//! way, through a third node or by itself, and the silent node keeps the
+//! request until one of them answers. It does not ask a second replica in
+//! silence from then on, as the sender does.
 
 use std::{
     net::{Ipv4Addr, SocketAddrV4},
+    pin::Pin,
     sync::{Arc, Mutex, MutexGuard, atomic::Ordering},
     time::Duration,
 };
@@ -42,14 +49,15 @@
 use hyper::body::Incoming;
 use prost::Message;
 use rand::seq::IndexedRandom;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout, timeout_at};
 use tracing::{info, warn};
 
 use super::{
     Gateway,
     accept::{Resolved, receive},
-    attempt::answer_head,
+    attempt::{Answered, answer_head},
     dialect::RequestInfo,
+    dispatch::{Exhausted, Obstacle},
     flight::Carrier,
     forward::{AcceptedRequest, Attempts, Reply, StreamVersion},
     plan::{RetryPolicy, Route, Team},
@@ -301,6 +309,39 @@
     Elsewhere(Refusal),
 }
 
+/// A request at another node whose answer has not begun.
+struct Call {
+    peer: PeerCall,
+    answer: Pin<Box<dyn Future<Output = Answered> + Send>>,
+}
+
+type Search<'a> =
+    Pin<Box<dyn Future<Output = Result<Reply, Exhausted>> + Send + 'a>>;
+
+/// What comes first while another node is silent.
+enum First {
+    /// The answer of the silent node.
+    Answered(Call, Answered),
+    /// The result of the search for another way.
+    Found(Result<Reply, Exhausted>),
+}
+
+/// Returns true for an answer of a replica that is no server error.
+fn is_sound(answered: &Answered) -> bool {
+    let Ok((_, response)) = answered else { return false };
+    let outcome = response.headers().get(OUTCOME);
+    let is_answer = outcome.is_some_and(|value| value == OUTCOME_ANSWER);
+    is_answer && !response.status().is_server_error()
+}
+
+/// Returns true for a server error, after which the silent node may succeed.
+fn is_failure(reply: &Reply) -> bool {
+    match reply {
+        Reply::Streaming(_, head) => head.status().is_server_error(),
+        Reply::Complete(answer) => answer.status().is_server_error(),
+    }
+}
+
 impl AcceptedRequest {
     /// Forwards the request through another node that reaches the replicas,
     /// and through a third one if that node does not take it.
@@ -336,7 +377,11 @@
                 service = self.service,
                 "Forwarding to another node."
             );
-            match self.call_peer(peer, last_event).await {
+            let mut call = self.begin_call(peer, last_event);
+            let Some(answered) = self.wait_for_call(&mut call).await else {
+                return self.ask_beside(call, last_event).await;
+            };
+            match self.read_call(call.peer, answered).await {
                 Ok(PeerAnswer::Reply(reply)) => return Outcome::Reply(reply),
                 Ok(PeerAnswer::Refused(refusal)) => {
                     self.note_tried(refusal.tried);
@@ -347,13 +392,7 @@
                     last = refusal;
                 }
                 Err(error) => {
-                    info!(
-                        target: "gateway",
-                        request, %ip,
-                        verdict = error.verdict.as_str(),
-                        after_ms = self.began.elapsed().as_millis() as u64,
-                        "Another node did not answer: {}.", error.text
-                    );
+                    self.log_failed_call(ip, &error);
                     if error.verdict == Verdict::NotRun {
                         self.return_claim();
                     } else {
@@ -375,30 +414,190 @@
         }
     }
 
-    async fn call_peer(
-        &self,
-        peer: u32,
-        last_event: Option<u64>,
-    ) -> Result<PeerAnswer, Error> {
-        let call = PeerCall::begin(&self.gateway, peer);
-        let address = SocketAddrV4::new(call.ip(), self.gateway.forward_port);
-        let connections = &self.gateway.peer_connections;
-        let name = call.ip().to_string();
-        let mut connection =
-            connections.take(&name, address, self.deadline).await?;
-        let request = self.request_for_peer(last_event)?;
+    /// Begins to send the request to another node.
+    fn begin_call(&self, peer: u32, last_event: Option<u64>) -> Call {
+        let peer = PeerCall::begin(&self.gateway, peer);
+        let request = self.request_for_peer(last_event);
+        let gateway = self.gateway.clone();
+        let address = SocketAddrV4::new(peer.ip(), gateway.forward_port);
+        let name = peer.ip().to_string();
+        let (deadline, body_bytes) = (self.deadline, self.body.len());
+        let answer = Box::pin(async move {
+            let request = request?;
+            let connections = &gateway.peer_connections;
+            let taken = connections.take(&name, address, deadline).await;
+            let mut connection = taken?;
+            let response = connection.exchange(request, body_bytes).await?;
+            Ok((connection, response))
+        });
+        Call { peer, answer }
+    }
+
+    /// Waits for the answer to a call. Returns `None` if the node has been
+    /// silent for long and the request may also be sent elsewhere.
+    async fn wait_for_call(&self, call: &mut Call) -> Option<Answered> {
         let left = self.deadline.saturating_duration_since(Instant::now());
-        // The other node retries by itself; half of the time is left for a
-        // third node.
-        let max_silence = match self.may_repeat() {
-            true => left / 2,
-            false => left,
+        let may_repeat = self.may_repeat();
+        // The other node retries by itself; half of the time is left for
+        // another way.
+        let max_silence = if may_repeat { left / 2 } else { left };
+        match timeout(max_silence, call.answer.as_mut()).await {
+            Ok(answered) => Some(answered),
+            Err(_) if may_repeat => None,
+            Err(_) => {
+                let text = "the other node did not answer in time";
+                Some(Err(Error::may_have_run(text)))
+            }
+        }
+    }
+
+    /// Looks for another way to the replicas while a node that has the request
+    /// is silent. The first one that answers counts; if there is no other one,
+    /// the silent node may answer until the deadline.
+    async fn ask_beside(
+        &mut self,
+        call: Call,
+        last_event: Option<u64>,
+    ) -> Outcome {
+        let ip = call.peer.ip();
+        self.is_counted = true;
+        self.attempts.note("", Verdict::MayHaveRun, true);
+        self.gateway.metrics.silent_attempts.inc();
+        info!(
+            target: "gateway",
+            request = self.request_id(), %ip,
+            after_ms = self.began.elapsed().as_millis() as u64,
+            "Another node is silent; looking for another way as well."
+        );
+        let mut silent = Some(call);
+        loop {
+            let found = match self.search(&mut silent, last_event).await {
+                First::Found(found) => found,
+                First::Answered(call, answered) => {
+                    // The attempts of the search end here.
+                    self.note_pending();
+                    match self.read_late(call, answered).await {
+                        Some(reply) => return Outcome::Reply(reply),
+                        None => continue,
+                    }
+                }
+            };
+            let is_served = found.as_ref().is_ok_and(|one| !is_failure(one));
+            let waiting = silent.take().filter(|_| !is_served);
+            let Some(mut call) = waiting else {
+                return match found {
+                    Ok(reply) => Outcome::Reply(reply),
+                    Err(exhausted) => Outcome::Refused(exhausted.refusal),
+                };
+            };
+            let obstacle = found.as_ref().err().map(|none| none.obstacle);
+            info!(
+                target: "gateway",
+                request = self.request_id(), %ip,
+                obstacle = obstacle.map_or("failed", Obstacle::as_str),
+                "No other way was found; waiting for the silent node."
+            );
+            let answer = call.answer.as_mut();
+            let answered = timeout_at(self.deadline, answer).await;
+            match (answered, found) {
+                (Ok(answered), _) => {
+                    if let Some(reply) = self.read_late(call, answered).await {
+                        return Outcome::Reply(reply);
+                    }
+                }
+                (Err(_), Ok(reply)) => return Outcome::Reply(reply),
+                (Err(_), Err(_)) => {
+                    let verdict = self.attempts.verdict();
+                    return Outcome::Refused(Refusal::timed_out(verdict));
+                }
+            }
+        }
+    }
+
+    /// Asks replicas and third nodes until one of them answers, or until the
+    /// silent node does. Without an answer, that node's call ends, and the
+    /// search goes on.
+    async fn search(
+        &mut self,
+        silent: &mut Option<Call>,
+        last_event: Option<u64>,
+    ) -> First {
+        let mut failed = None;
+        let found = {
+            let mut search = self.ask_boxed(last_event);
+            loop {
+                let Some(call) = silent else { break search.await };
+                tokio::select! {
+                    biased;
+                    answered = call.answer.as_mut() => {
+                        let Some(call) = silent.take() else { continue };
+                        if is_sound(&answered) {
+                            return First::Answered(call, answered);
+                        }
+                        failed = Some((call, answered));
+                    }
+                    found = search.as_mut() => break found,
+                }
+            }
         };
-        let response =
-            connection.send(request, self.body.len(), max_silence).await?;
+        if let Some((call, answered)) = failed {
+            self.read_late(call, answered).await;
+        }
+        First::Found(found)
+    }
+
+    /// Calls [`AcceptedRequest::ask`], which may forward the request again.
+    fn ask_boxed(&mut self, last_event: Option<u64>) -> Search<'_> {
+        Box::pin(self.ask(last_event))
+    }
+
+    /// Reads the answer of a node that was silent for long. Returns `None` if
+    /// the node did not serve the request.
+    async fn read_late(
+        &self,
+        call: Call,
+        answered: Answered,
+    ) -> Option<Reply> {
+        let ip = call.peer.ip();
+        match self.read_call(call.peer, answered).await {
+            Ok(PeerAnswer::Reply(reply)) => Some(reply),
+            Ok(PeerAnswer::Refused(refusal))
+            | Ok(PeerAnswer::Elsewhere(refusal)) => {
+                info!(
+                    target: "gateway",
+                    request = self.request_id(), %ip,
+                    status = refusal.status.as_u16(),
+                    after_ms = self.began.elapsed().as_millis() as u64,
+                    "Silent node refuses the request."
+                );
+                None
+            }
+            Err(error) => {
+                self.log_failed_call(ip, &error);
+                None
+            }
+        }
+    }
+
+    async fn read_call(
+        &self,
+        call: PeerCall,
+        answered: Answered,
+    ) -> Result<PeerAnswer, Error> {
+        let (connection, response) = answered?;
         self.read_peer_answer(response, connection, call).await
     }
 
+    fn log_failed_call(&self, ip: Ipv4Addr, error: &Error) {
+        info!(
+            target: "gateway",
+            request = self.request_id(), %ip,
+            verdict = error.verdict.as_str(),
+            after_ms = self.began.elapsed().as_millis() as u64,
+            "Another node did not answer: {}.", error.text
+        );
+    }
+
     fn request_for_peer(
         &self,
         last_event: Option<u64>,
