Test a forwarded call beside an attempt that breaks off

A node loses its path while a replica has a request, and forwards it. When the silent attempt then breaks off, the caller gets 502 although the other node still works on the request: `ask` drops the future of `next`, and with it the call.

--- a/tests/all/peer_silence.rs
+++ b/tests/all/peer_silence.rs
@@ -294,3 +294,40 @@
         assert_eq!(ids(&answer), all);
     }
 }
+
+/// Guards against a forwarded request that is dropped as an earlier attempt at
+/// a replica of this node fails, while the other node still works on it.
+#[tokio::test]
+async fn a_broken_earlier_attempt_does_not_end_a_forwarded_call() {
+    const LONG_DEADLINE: Duration = Duration::from_millis(8000);
+    let network = Network::open_with(3, |head| match head.contains("/late") {
+        true => late(ok("fine")),
+        false => ok("fine"),
+    })
+    .await;
+    isolate_and_tell(&network, 2).await;
+    network.partition(1, Mode::Pass);
+    let node = &network.shared.nodes[0];
+    let front = node.front().unwrap();
+    let is_known = "\nazuremount_unreachable_services 0\n";
+    let known = async {
+        while !node.metrics().contains(is_known) {
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    timeout(TEST_TIMEOUT, known).await.expect("the path is not back");
+    network.partition(1, Mode::Silent);
+    let request =
+        tokio::spawn(post_within(front, "/again/late", 1, LONG_DEADLINE));
+    let forwarded = async {
+        let lost = "\nazuremount_unreachable_services 1\n";
+        while !node.metrics().contains(lost) {
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    timeout(TEST_TIMEOUT, forwarded).await.expect("the path is not lost");
+    sleep(Duration::from_millis(300)).await;
+    network.partition(1, Mode::Reset);
+    let answer = request.await.unwrap();
+    assert_eq!(status(&answer), "200", "{answer}");
+}
