Let the table check how long a node's history is

The gateway compared the time since its start with a constant, and then asked the table for the only version. Whether a node knows all versions that served depends on more than the time since its start, so the table is told how long a history is needed. No change in behaviour.

--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -224,11 +224,10 @@
         let (Some((service, _)), None) = (split.next(), split.next()) else {
             return None;
         };
-        if now < MIN_HISTORY_MS {
-            return None;
-        }
         let table = self.mesh.get()?.table();
-        let version = table.only_version(now, service)?.to_owned();
+        let version =
+            table.only_version_within(now, service, MIN_HISTORY_MS)?;
+        let version = version.to_owned();
         Some(Origin { service: service.clone(), version })
     }
 
--- a/src/mesh/table.rs
+++ b/src/mesh/table.rs
@@ -404,6 +404,20 @@
         versions.all(|version| version == first).then_some(first)
     }
 
+    /// Like [`Table::only_version`], for all replicas that served within the
+    /// last `history_ms`.
+    pub fn only_version_within(
+        &self,
+        now: u64,
+        service: &str,
+        history_ms: u64,
+    ) -> Option<&str> {
+        if now < history_ms {
+            return None;
+        }
+        self.only_version(now, service)
+    }
+
     /// Returns this node's position in the order of the active nodes for
     /// `subject`, from 0, and the number of active nodes. Returns `None` if
     /// this node is not active.
