Test streams without a record whose version no longer serves

A caller's stream went on with text of another software version: its record was lost, and the node took the only version that it remembered for the one that began it.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -53,6 +53,7 @@
 mod steps;
 mod stream_records;
 mod version_changes;
+mod version_history;
 mod versions;
 mod world;
 
--- a/tests/all/nodes.rs
+++ b/tests/all/nodes.rs
@@ -20,7 +20,8 @@
 use tokio::{io::AsyncWriteExt, net::TcpStream};
 
 use crate::world::{
-    Replica, TempFolder, apply_plan, ok, options, read_answer, sighting,
+    Replica, TempFolder, apply_plan, ok, options, read_answer, read_plan,
+    sighting,
 };
 
 /// Time-out of each wait, far longer than any wait in a passing test.
@@ -33,6 +34,7 @@
     /// Number of members that may lose their disks at the same time.
     survivable_disk_losses: usize,
     rollouts: Option<rollout::Bounds>,
+    read_plan: node::ReadPlan,
     ips: Vec<Ipv4Addr>,
     folders: Vec<Option<TempFolder>>,
     nodes: Vec<Option<node::Handle>>,
@@ -41,7 +43,16 @@
 impl Site {
     /// Starts `disks` nodes with a disk and `others` nodes without one.
     pub async fn open(disks: usize, others: usize) -> Site {
-        Site::open_with_tolerance(disks, others, 1, None).await
+        Site::open_with_tolerance(disks, others, 1, None, read_plan).await
+    }
+
+    /// Starts nodes that read plans with `read_plan`.
+    pub async fn open_with_plans(
+        disks: usize,
+        others: usize,
+        read_plan: node::ReadPlan,
+    ) -> Site {
+        Site::open_with_tolerance(disks, others, 1, None, read_plan).await
     }
 
     /// Starts nodes that take part in roll-outs.
@@ -50,7 +61,8 @@
         others: usize,
         bounds: rollout::Bounds,
     ) -> Site {
-        Site::open_with_tolerance(disks, others, 1, Some(bounds)).await
+        let rollouts = Some(bounds);
+        Site::open_with_tolerance(disks, others, 1, rollouts, read_plan).await
     }
 
     async fn open_with_tolerance(
@@ -58,6 +70,7 @@
         others: usize,
         survivable_disk_losses: usize,
         rollouts: Option<rollout::Bounds>,
+        read_plan: node::ReadPlan,
     ) -> Site {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let net = NEXT.fetch_add(1, Ordering::Relaxed);
@@ -65,6 +78,7 @@
         let mut site = Site {
             survivable_disk_losses,
             rollouts,
+            read_plan,
             ips: (0..count as u32)
                 .map(|at| Ipv4Addr::from(0x7f58_0001 + (net << 8) + at))
                 .collect(),
@@ -87,6 +101,7 @@
             founds: first && at == 0,
             is_first_start: first,
             survivable_disk_losses: self.survivable_disk_losses,
+            read_plan: self.read_plan,
             gateway: gateway::Options {
                 rollouts: self.rollouts,
                 ..defaults.gateway.clone()
@@ -402,7 +417,7 @@
 /// among those that return with an empty disk.
 #[tokio::test]
 async fn acknowledged_plans_survive_disk_losses_during_a_power_loss() {
-    let mut site = Site::open_with_tolerance(5, 2, 2, None).await;
+    let mut site = Site::open_with_tolerance(5, 2, 2, None, read_plan).await;
     apply_plan(site.node(6), 1).await;
     site.wait_until_all_serve().await;
     for (round, lost) in [[0, 1], [2, 3], [4, 0]].into_iter().enumerate() {
--- a/tests/all/version_changes.rs
+++ b/tests/all/version_changes.rs
@@ -14,6 +14,7 @@
 };
 
 use azuremount::{
+    gateway::plan::{Draft, Invalid},
     mesh::table::{Liveness, Table, incarnation_id, record_key},
     node,
     wire::{Peer, Sighting},
@@ -23,7 +24,7 @@
 use crate::{
     nodes::Site,
     versions::{BROKEN_AFTER, Break, EVENTS, End, Stream, respond},
-    world::{CLOSE, Replica, apply_plan, sighting},
+    world::{CLOSE, Replica, apply_plan, read_plan, sighting},
 };
 
 /// Interval between two heartbeats of a replica.
@@ -32,6 +33,10 @@
 const STREAMS: usize = 48;
 /// Interval at which they begin.
 const STREAM_INTERVAL: Duration = Duration::from_millis(25);
+/// Time in which the streams of a route with a long timeout end, in ms.
+const LONG_TIMEOUT_MS: u64 = 60_000;
+/// Time for which streams on other routes may be resumed.
+const DEFAULT_RETENTION: Duration = Duration::from_secs(30);
 /// Smallest share of streams that go on where one version serves.
 const MIN_SHARE: f64 = 0.98;
 
@@ -61,7 +66,15 @@
 
 impl Fleet {
     async fn open(versions: &[&'static str], how: Break) -> Fleet {
-        let site = Site::open(3, 1).await;
+        Fleet::open_with_plans(versions, how, read_plan).await
+    }
+
+    async fn open_with_plans(
+        versions: &[&'static str],
+        how: Break,
+        read_plan: node::ReadPlan,
+    ) -> Fleet {
+        let site = Site::open_with_plans(3, 1, read_plan).await;
         apply_plan(site.node(0), 1).await;
         site.wait_until_all_serve().await;
         let incarnations = versions.iter().map(|version| Incarnation {
@@ -294,6 +307,35 @@
     assert_eq!(mixed(&streams), 0);
 }
 
+/// Parses a plan whose routes have a long timeout.
+fn read_plan_with_long_timeouts(bytes: &[u8]) -> Result<Draft, Invalid> {
+    let mut draft = read_plan(bytes)?;
+    for route in &mut draft.routes {
+        route.timeout_ms = LONG_TIMEOUT_MS;
+    }
+    Ok(draft)
+}
+
+/// Guards against streams that go on at another version after a kill of all
+/// nodes: their version left while the nodes were down, and their route's
+/// timeout is longer than the nodes have run.
+#[tokio::test]
+async fn a_long_timeout_after_a_kill_mixes_no_stream() {
+    let plans = read_plan_with_long_timeouts;
+    let versions = ["v1"; 3];
+    let mut fleet =
+        Fleet::open_with_plans(&versions, Break::Pause, plans).await;
+    let streams = begin_streams(&fleet, STREAMS / 2).await;
+    for number in 0..versions.len() {
+        fleet.restart(number, "v2");
+        fleet.let_be_heard(number);
+    }
+    fleet.restart_nodes().await;
+    sleep(DEFAULT_RETENTION + Duration::from_secs(1)).await;
+    let streams = resume_all(&fleet, streams).await;
+    assert_eq!(mixed(&streams), 0);
+}
+
 /// Returns a heartbeat of an incarnation of a replica.
 fn heartbeat(born: u64, sequence: u64, version: &str) -> Sighting {
     let address = SocketAddr::from(([127, 0, 0, 1], 80));
