Take the history that a stream needs from its route

Callers saw streams continue with text of another software version after a kill of all nodes, on a route with a timeout of a minute.

Cause: a stream without a record goes on at the only version that served in the last 30 s.

version_changes::a_long_timeout_after_a_kill_mixes_no_stream failed with 24 of 24 streams of two versions. The history is now the time for which the record of such a stream is kept, which follows from the route. It is 30 s, as before, for timeouts up to 15 s.

--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -34,9 +34,6 @@
 const UNANSWERED_RETRY_AFTER_MS: u64 = 500;
 /// Retry delay sent to callers whose stream can't go on, in ms.
 const LOST_RETRY_AFTER_MS: u64 = 1000;
-/// Time since the start for which a node may not know all replicas that served
-/// before, in ms.
-const MIN_HISTORY_MS: u64 = 30_000;
 
 /// Maximum time for which a stream waits for the heartbeat that confirms its
 /// replica: one heartbeat interval, the time in which nodes learn of a
@@ -217,7 +214,7 @@
     }
 
     /// Returns where each stream of a route began, if all replicas that served
-    /// it lately are of one service and version.
+    /// it within the lifetime of a stream are of one service and version.
     fn only_origin(&self, route: &Route) -> Option<Origin> {
         let now = self.timer.now();
         let mut split = route.split.iter().filter(|(_, weight)| *weight > 0);
@@ -225,8 +222,8 @@
             return None;
         };
         let table = self.mesh.get()?.table();
-        let version =
-            table.only_version_within(now, service, MIN_HISTORY_MS)?;
+        let history_ms = retention_ms(route.timeout_ms);
+        let version = table.only_version_within(now, service, history_ms)?;
         let version = version.to_owned();
         Some(Origin { service: service.clone(), version })
     }
