Remember versions for as long as their streams may be resumed

A caller's stream could continue with text of another software version at a node that had run for long enough: the version that began the stream had left, and the node had forgotten its replicas.

Cause: the only version was read from the replicas that the node remembers. A silent replica is dropped 30 s after its last heartbeat, although it is used until then, and one that has departed after 60 s. A stream may be resumed for 30 s to 600 s after it began. The class is a fact that is needed for longer than it is kept.

A node now keeps the time of the last use of each version, apart from the replicas: about 30 bytes for each version of a service.

--- a/src/decide/origin.rs
+++ b/src/decide/origin.rs
@@ -24,7 +24,7 @@
 /// first.
 const MAX_RECORDS: usize = 16_384;
 /// Maximum time for which a record is kept, in ms.
-const MAX_RETENTION_MS: u64 = 600_000;
+pub const MAX_RETENTION_MS: u64 = 600_000;
 /// Minimum time for which a record is kept, in ms: a caller may resume a
 /// stream more than once.
 const MIN_RETENTION_MS: u64 = 30_000;
--- a/src/mesh/datagram.rs
+++ b/src/mesh/datagram.rs
@@ -396,6 +396,7 @@
 
     /// Drops nodes, replicas and counts whose retention has passed.
     pub fn expire(&mut self, now: u64) {
+        self.update_history(now);
         self.nodes.retain(|node| now < node.heard_at + NODE_RETENTION_MS);
         self.replicas.retain(|replica| {
             if replica.remembered_until.is_some_and(|until| now >= until) {
--- a/src/mesh/lives.rs
+++ b/src/mesh/lives.rs
@@ -178,8 +178,11 @@
             known.sighting.id.as_str()
         });
         match found {
-            Ok(at) => self.replicas[at]
-                .apply_sighting(sighting, state, heard_at, is_direct),
+            Ok(at) => {
+                self.record_version(now, &sighting);
+                self.replicas[at]
+                    .apply_sighting(sighting, state, heard_at, is_direct)
+            }
             Err(_)
                 if state == State::Departed && sighting.service.is_empty() =>
             {
@@ -420,6 +423,7 @@
         {
             return;
         }
+        self.record_version(now, &sighting);
         let replica = Replica {
             sighting,
             state: State::Ready,
@@ -513,6 +517,7 @@
         heard_at: u64,
         is_direct: bool,
     ) {
+        self.record_version(now, &sighting);
         let sends = if is_direct { u32::MAX } else { 0 };
         let replica = Replica {
             hash: replica_hash(&sighting.id),
--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -22,6 +22,7 @@
 
 pub mod counts;
 mod datagram;
+mod history;
 pub mod lives;
 mod replica;
 pub mod role;
--- a/src/mesh/table.rs
+++ b/src/mesh/table.rs
@@ -15,6 +15,7 @@
 
 use super::{
     counts::Counts,
+    history::History,
     mean_propagation_delay_ms,
     role::{DRAIN_DURATION_MS, Rate, Role, Selector, View},
 };
@@ -96,6 +97,8 @@
     /// Leaving and departed replicas, by the hash of their ids, and when this
     /// node first learnt of it. Sorted by hash.
     pub(super) departures: Vec<(u64, u64)>,
+    /// Software versions that have served.
+    pub(super) history: History,
     /// This node's work, as last reported to the others.
     pub(super) own_work: Vec<Work>,
     /// Ids of replicas of which datagrams have reported that they leave.
@@ -168,6 +171,7 @@
             replicas: Vec::new(),
             counts: Counts::default(),
             departures: Vec::new(),
+            history: History::default(),
             own_work: Vec::new(),
             reported_departures: Vec::new(),
             next_peer: 0,
@@ -404,20 +408,6 @@
         versions.all(|version| version == first).then_some(first)
     }
 
-    /// Like [`Table::only_version`], for all replicas that served within the
-    /// last `history_ms`.
-    pub fn only_version_within(
-        &self,
-        now: u64,
-        service: &str,
-        history_ms: u64,
-    ) -> Option<&str> {
-        if now < history_ms {
-            return None;
-        }
-        self.only_version(now, service)
-    }
-
     /// Returns this node's position in the order of the active nodes for
     /// `subject`, from 0, and the number of active nodes. Returns `None` if
     /// this node is not active.
