Count the time for which a node was cut off as unknown

A caller's stream could continue with text of another software version at a node that had been cut off from the nodes that began it, had started cut off, or had stood still.

Cause: the node took the time since its start for the time in which it knew all versions, and checked only that it hears all nodes now. After a minute of silence it forgets the others, and then hears all that it knows. The class is a check of the present that is taken for one of the past.

A node now notes until when others may have used versions that it has not heard of: until they are heard again after a long silence, or until it drops them. After a shorter silence it waits until they have repeated their replicas. A node that hears no other one does not decide.

Nodes that were killed and have started again don't count: what they knew was told before, and the nodes that went on would refuse streams just when records are lost. version_history::a_node_that_went_on_while_others_were_killed_decides guards that.

--- a/src/mesh/datagram.rs
+++ b/src/mesh/datagram.rs
@@ -16,7 +16,7 @@
 /// Time without heartbeats after which a replica is dropped, in ms. It is
 /// longer than a network partition between a replica and control, during which
 /// the replica goes on serving.
-const REPLICA_RETENTION_MS: u64 = 30_000;
+pub(super) const REPLICA_RETENTION_MS: u64 = 30_000;
 /// Time for which a leaving or departed replica is remembered, in ms. It is
 /// longer than a heartbeat can be delayed.
 const TOMBSTONE_RETENTION_MS: u64 = 60_000;
@@ -95,6 +95,7 @@
         let relays = self.is_member()
             && !from.has_disk
             && Role::of(&from) == Role::Standby;
+        self.record_contact(now, &from);
         changes.nodes |= self.apply_peer(now, from, true);
         for peer in gossip.peers {
             changes.nodes |= self.apply_peer(now, peer, false);
@@ -186,6 +187,10 @@
                 is_restarted
             }
             Err(at) => {
+                if self.live(now).next().is_none() {
+                    // This node was alone, and may have been cut off.
+                    self.history.record_gap(now);
+                }
                 let node = Node {
                     peer,
                     heard_at,
--- a/src/mesh/table.rs
+++ b/src/mesh/table.rs
@@ -287,6 +287,7 @@
             // Nodes that have requests report to this node within a round.
             let since = now.saturating_sub(ACTIVATION_KNOWLEDGE_MS);
             self.nodes.retain(|node| node.heard_at >= since);
+            self.history.record_gap(now);
         }
         self.me.role = role as u32;
         self.has_new_role |= role != before;
@@ -499,7 +500,7 @@
     /// Returns the time without direct datagrams after which a node is
     /// unheard, in ms. Where nodes take turns, a node is heard directly only
     /// once in several rounds.
-    fn unheard_timeout_ms(&self, now: u64) -> u64 {
+    pub(super) fn unheard_timeout_ms(&self, now: u64) -> u64 {
         let turn_ms =
             2.0 * mean_propagation_delay_ms(self.members(now).count() + 1);
         NODE_TIMEOUT_MS.max((turn_ms * UNHEARD_TIMEOUT_TURNS) as u64)
