--- a/tests/all/versions.rs
+++ b/tests/all/versions.rs
@@ -311,6 +311,40 @@
     }
 }
 
+/// Guards against a stream that goes on at another version because its caller
+/// names an attempt that brought no event: one that was refused, or one that
+/// the caller left at once.
+#[tokio::test]
+async fn an_attempt_without_events_names_no_other_version() {
+    let fleet = Fleet::open(4, Break::Pause).await;
+    for number in 0..STREAMS {
+        let front = |step: usize| fleet.front((number + step) % 4);
+        let mut stream = Stream::default();
+        stream.attempt(front(0), BROKEN_AFTER).await;
+        let (first, last) = (stream.first.unwrap(), stream.last);
+        let refused = next_id();
+        let unknown = format!("Resumes: none\r\nLast: {last}\r\n");
+        let end = stream.read(front(1), refused, &unknown, EVENTS).await;
+        assert!(matches!(end, End::Refused(_)), "{end:?}");
+        let left = next_id();
+        let known = format!("Resumes: {first}\r\nLast: {last}\r\n");
+        let read = stream.read(front(1), left, &known, EVENTS);
+        let _ = timeout(Duration::from_millis(5), read).await;
+        for attempt in [refused, left] {
+            let mut named = Stream {
+                first: Some(attempt),
+                last: stream.last,
+                versions: stream.versions.clone(),
+            };
+            named.attempt(front(2), EVENTS).await;
+            named.check();
+        }
+        stream.attempt(front(3), EVENTS).await;
+        assert_eq!(stream.last, EVENTS);
+        stream.check();
+    }
+}
+
 /// Guards against harm by what callers say of the stream that they resume: an
 /// unknown, empty, long or foreign id is refused at once and reaches no
 /// replica.
