--- a/tests/all/version_changes.rs
+++ b/tests/all/version_changes.rs
@@ -14,7 +14,7 @@
 };
 
 use azuremount::{
-    gateway::plan::{Draft, Invalid},
+    gateway::plan::{Draft, Invalid, Service},
     mesh::table::{Liveness, Table, incarnation_id, record_key},
     node,
     wire::{Peer, Sighting},
@@ -43,6 +43,7 @@
 /// What a replica reports of itself, and what it runs.
 #[derive(Clone)]
 struct Incarnation {
+    service: &'static str,
     born: u64,
     version: &'static str,
     /// Whether its heartbeats reach the nodes.
@@ -78,6 +79,7 @@
         apply_plan(site.node(0), 1).await;
         site.wait_until_all_serve().await;
         let incarnations = versions.iter().map(|version| Incarnation {
+            service: "app",
             born: 1,
             version,
             is_heard: true,
@@ -118,8 +120,10 @@
     /// Restarts a replica in place. Its heartbeats reach no node.
     fn restart(&self, number: usize, version: &'static str) {
         let mut incarnations = self.incarnations.lock().unwrap();
-        let born = incarnations[number].born + 1;
-        incarnations[number] = Incarnation { born, version, is_heard: false };
+        let Incarnation { service, born, .. } = incarnations[number];
+        let born = born + 1;
+        incarnations[number] =
+            Incarnation { service, born, version, is_heard: false };
     }
 
     fn let_be_heard(&self, number: usize) {
@@ -159,10 +163,12 @@
         let nodes = nodes.lock().unwrap().clone();
         let replicas = incarnations.iter().zip(&addresses).enumerate();
         for (number, (incarnation, address)) in replicas {
-            let Incarnation { born, version, is_heard } = incarnation.clone();
+            let Incarnation { service, born, version, is_heard } =
+                incarnation.clone();
             let replica = format!("r{number}");
             let id = incarnation_id(&replica, born);
             let says = Sighting {
+                service: service.to_owned(),
                 born,
                 version: version.to_owned(),
                 sequence,
@@ -336,6 +342,39 @@
     assert_eq!(mixed(&streams), 0);
 }
 
+/// Parses a plan whose second version moves all routes to another service.
+fn read_plan_that_moves_routes(bytes: &[u8]) -> Result<Draft, Invalid> {
+    let mut draft = read_plan(bytes)?;
+    let other =
+        Service { name: "other".to_owned(), ..draft.services[0].clone() };
+    draft.services.push(other);
+    if draft.version > 1 {
+        for route in &mut draft.routes {
+            route.split = vec![("other".to_owned(), 1)];
+        }
+    }
+    Ok(draft)
+}
+
+/// Guards against a stream that goes on at another service: its record is
+/// lost, and its route has just been moved to that service.
+#[tokio::test]
+async fn a_route_that_has_just_moved_mixes_no_stream() {
+    let plans = read_plan_that_moves_routes;
+    let fleet =
+        Fleet::open_with_plans(&["v1", "v1", "v2"], Break::Pause, plans).await;
+    fleet.incarnations.lock().unwrap()[2].service = "other";
+    sleep(DEFAULT_RETENTION).await;
+    let mut streams = begin_streams(&fleet, STREAMS / 2).await;
+    apply_plan(fleet.site.node(0), 2).await;
+    sleep(Duration::from_secs(1)).await;
+    for stream in &mut streams {
+        stream.first = Some(usize::MAX);
+    }
+    let streams = resume_all(&fleet, streams).await;
+    assert_eq!(mixed(&streams), 0);
+}
+
 /// Returns a heartbeat of an incarnation of a replica.
 fn heartbeat(born: u64, sequence: u64, version: &str) -> Sighting {
     let address = SocketAddr::from(([127, 0, 0, 1], 80));
