Count the services that a route named before

A caller's stream could continue with events of another service where its record was lost and its route had just been moved, with no node killed.

Cause: the only service was read from the present plan, while the stream may have begun under an earlier one.

Nodes now note which routes a plan adds, changes or removes, for as long as a stream of either plan may be resumed. Such routes name no only service in that time.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 //! | `peer_call` | forwards requests through another node |
 //! | `probes` | finds out whether the replicas can be reached |
 //! | `origins` | keeps records of where streams began, at other nodes as well |
+//! | `route_changes` | knows the routes whose services have changed lately |
 //! | `resume` | decides where a stream goes on that a caller resumes |
 //! | `retries` | claims retries from the retry budgets |
 //! | [`rollouts`] | sends a new software version its share of the requests |
@@ -65,6 +66,7 @@
 mod resume;
 mod retries;
 pub mod rollouts;
+mod route_changes;
 pub mod server;
 mod speeds;
 mod survival;
@@ -98,6 +100,7 @@
     proof::Seals,
     quotas::Quotas,
     rollouts::Rollouts,
+    route_changes::RouteChanges,
     survival::UnprovenAnswers,
     upstream::Pool,
 };
@@ -190,6 +193,7 @@
     seals: Seals,
     unproven_answers: UnprovenAnswers,
     origins: Origins,
+    route_changes: RouteChanges,
     /// Requests that may have crashed replicas.
     quarantine: Mutex<Quarantine>,
     /// Parts of prompts that may have crashed replicas.
@@ -259,6 +263,7 @@
             seals: Seals::default(),
             unproven_answers: UnprovenAnswers::default(),
             origins: Origins::default(),
+            route_changes: RouteChanges::default(),
             quarantine: Mutex::default(),
             part_quarantine: Mutex::new(Quarantine::of(Subject::Part)),
             rate_limits: Mutex::default(),
@@ -312,6 +317,10 @@
             "Applied a new plan."
         );
         self.metrics.revision.set(version as i64);
+        if let Some(before) = self.plan.read().as_ref() {
+            let now = self.timer.now();
+            self.route_changes.record(now, before, &plan);
+        }
         self.plan.write(Some(plan));
         self.refresh();
         self.changed.send_replace(());
--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -221,6 +221,9 @@
         let (Some((service, _)), None) = (split.next(), split.next()) else {
             return None;
         };
+        if self.route_changes.has_changed(now, route) {
+            return None;
+        }
         let table = self.mesh.get()?.table();
         let history_ms = retention_ms(route.timeout_ms);
         let version = table.only_version_within(now, service, history_ms)?;
