--- a/tests/all/version_changes.rs
+++ b/tests/all/version_changes.rs
@@ -356,6 +356,21 @@
     Ok(draft)
 }
 
+/// Guards against streams that are refused although only one version served
+/// within their lifetime: their records are lost.
+#[tokio::test]
+async fn streams_without_a_record_go_on_where_one_version_served() {
+    let fleet = Fleet::open(&["v1"; 3], Break::Pause).await;
+    sleep(DEFAULT_RETENTION).await;
+    let mut streams = begin_streams(&fleet, STREAMS / 2).await;
+    for stream in &mut streams {
+        stream.first = Some(usize::MAX);
+    }
+    let streams = resume_all(&fleet, streams).await;
+    assert_eq!(mixed(&streams), 0);
+    assert!(share(&streams) >= MIN_SHARE, "{streams:?}");
+}
+
 /// Guards against a stream that goes on at another service: its record is
 /// lost, and its route has just been moved to that service.
 #[tokio::test]
