--- a/src/mesh/table.rs
+++ b/src/mesh/table.rs
@@ -16,6 +16,7 @@
 use super::{
     counts::{COUNTS_NO_MORE, Counts},
     datagram::Scope,
+    history::History,
     mean_propagation_delay_ms,
     role::{DRAIN_DURATION_MS, Rate, Role, Selector, View},
 };
@@ -110,6 +111,8 @@
     /// Leaving and departed replicas, by the hash of their ids, and when this
     /// node first learnt of it. Sorted by hash.
     pub(super) departures: Vec<(u64, u64)>,
+    /// Software versions that have served.
+    pub(super) history: History,
     /// This node's work, as last reported to the others.
     pub(super) own_work: Vec<Work>,
     /// Ids of replicas of which datagrams have reported that they leave.
@@ -223,6 +226,7 @@
             replicas: Vec::new(),
             counts: Counts::default(),
             departures: Vec::new(),
+            history: History::default(),
             own_work: Vec::new(),
             reported_departures: Vec::new(),
             next_peer: 0,
@@ -341,6 +345,7 @@
             // Nodes that have requests report to this node within a round.
             let since = now.saturating_sub(ACTIVATION_KNOWLEDGE_MS);
             self.nodes.retain(|node| node.heard_at >= since);
+            self.history.record_gap(now);
         }
         self.me.role = role as u32;
         self.has_new_role |= role != before;
@@ -643,7 +648,7 @@
     /// Returns the time without direct datagrams after which a node is
     /// unheard, in ms. Where nodes take turns, a node is heard directly only
     /// once in several rounds.
-    fn unheard_timeout_ms(&self, now: u64) -> u64 {
+    pub(super) fn unheard_timeout_ms(&self, now: u64) -> u64 {
         let turn_ms =
             2.0 * mean_propagation_delay_ms(self.members(now).count() + 1);
         NODE_TIMEOUT_MS.max((turn_ms * UNHEARD_TIMEOUT_TURNS) as u64)
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -56,6 +56,7 @@
 mod stream_records;
 mod usage_loss;
 mod version_changes;
+mod version_history;
 mod versions;
 mod world;
 
