Test the recovery of an acknowledged plan on a site with six disks

At the moment of its acknowledgement a plan is on at least three disks while members join, are stopped, come back, and come back with an empty disk.

--- a/tests/all/disk.rs
+++ b/tests/all/disk.rs
@@ -253,3 +253,93 @@
     let (_, saved) = open(&folder).expect("a usable folder");
     assert_eq!(saved.entries.len(), 2);
 }
+
+/// Returns the offset of the last frame of a log.
+fn last_frame(bytes: &[u8]) -> usize {
+    let mut at = 0;
+    loop {
+        let length: [u8; 4] = bytes[at..at + 4].try_into().expect("a header");
+        let next = at + 12 + u32::from_le_bytes(length) as usize;
+        if next == bytes.len() {
+            return at;
+        }
+        at = next;
+    }
+}
+
+/// Guards against a member that never starts again after a power failure
+/// because a last frame of which only some sectors were written, so that its
+/// header is invalid, is treated as damage. With it a majority is lost if
+/// other disks are lost at the same time.
+#[test]
+fn a_last_frame_of_which_any_part_is_missing_is_truncated() {
+    let folder = TempFolder::new();
+    write_ten_entries(&folder);
+    let whole = fs::read(folder.log()).expect("the log");
+    let start = last_frame(&whole);
+    for from in start..whole.len() {
+        for to in [from + 1, from + 5, start + 12, whole.len()] {
+            if to <= from || to > whole.len() {
+                continue;
+            }
+            let mut torn = whole.clone();
+            torn[from..to].fill(0);
+            if torn == whole {
+                continue;
+            }
+            fs::write(folder.log(), &torn).expect("a torn log");
+            let opened = open(&folder);
+            let (mut disk, saved) = opened.unwrap_or_else(|error| {
+                panic!("bytes {from} to {to} missing: {error}")
+            });
+            assert_eq!(saved.entries.len(), 9, "{from} to {to} missing");
+            disk.append(None, vec![entry(10)]).expect("a write");
+            drop(disk);
+            let (_, saved) = open(&folder).expect("a repaired log");
+            assert_eq!(saved.entries.len(), 10);
+        }
+    }
+}
+
+/// Guards against a member that votes for a log without an acknowledged
+/// change. It stops between the renames of a snapshot and the log, and an
+/// entry that was replaced before the snapshot, and has an older term, becomes
+/// its last one again.
+#[test]
+fn replaced_entries_stay_replaced_after_a_half_installed_snapshot() {
+    let folder = TempFolder::new();
+    write_ten_entries(&folder);
+    let (mut disk, _) = open(&folder).expect("a known folder");
+    let new = LogEntry { index: 8, term: 2, payload: b"new".to_vec() };
+    disk.append(Some(hard(11)), vec![new]).expect("a write");
+    let old = fs::read(folder.log()).expect("the log");
+    let snapshot = Snapshot { index: 8, term: 2, ..Snapshot::default() };
+    disk.install(&snapshot, hard(11), &[]).expect("a snapshot");
+    drop(disk);
+    fs::write(folder.log(), old).expect("the old log");
+    let (_, saved) = open(&folder).expect("a known folder");
+    assert_eq!(saved.entries, []);
+}
+
+/// Guards against a member whose log continues with entries that contradict
+/// its snapshot. It receives the snapshot from a leader of a newer term and
+/// stops between the renames of the snapshot and the log.
+#[test]
+fn entries_that_contradict_a_half_installed_snapshot_are_dropped() {
+    let folder = TempFolder::new();
+    write_ten_entries(&folder);
+    let old = fs::read(folder.log()).expect("the log");
+    let (mut disk, _) = open(&folder).expect("a known folder");
+    let snapshot = Snapshot { index: 8, term: 5, ..Snapshot::default() };
+    disk.install(&snapshot, hard(11), &[]).expect("a snapshot");
+    drop(disk);
+    fs::write(folder.log(), old).expect("the old log");
+    let (mut disk, saved) = open(&folder).expect("a known folder");
+    assert_eq!(saved.entries, []);
+    let new = LogEntry { index: 9, term: 5, payload: b"new".to_vec() };
+    disk.append(None, vec![new.clone()]).expect("a write");
+    drop(disk);
+    let (_, saved) = open(&folder).expect("a known folder");
+    assert_eq!(saved.entries, [new]);
+    assert_eq!(saved.hard_state, hard(10));
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -39,6 +39,7 @@
 mod raft;
 mod rate_limits;
 mod reach;
+mod recovery;
 mod rejections;
 #[allow(dead_code)]
 mod relay;
--- a/tests/all/nodes.rs
+++ b/tests/all/nodes.rs
@@ -15,12 +15,14 @@
     node::{self, PutError},
     timer::Timer,
 };
+use futures_util::future::join_all;
 use tokio::time::{sleep, timeout};
 
 use tokio::{io::AsyncWriteExt, net::TcpStream};
 
 use crate::world::{
-    Replica, TempFolder, apply_plan, ok, options, read_answer, sighting,
+    Replica, TempFolder, apply_plan, ok, options, read_answer, read_plan,
+    sighting,
 };
 
 /// Time-out of each wait, far longer than any wait in a passing test.
@@ -33,6 +35,7 @@
     /// Number of members that may lose their disks at the same time.
     survivable_disk_losses: usize,
     rollouts: Option<rollout::Bounds>,
+    read_plan: node::ReadPlan,
     ips: Vec<Ipv4Addr>,
     folders: Vec<Option<TempFolder>>,
     nodes: Vec<Option<node::Handle>>,
@@ -44,6 +47,16 @@
         Site::open_with_tolerance(disks, others, 1, None).await
     }
 
+    /// Starts nodes that parse plans with `read_plan` and of which two may
+    /// lose their disks at the same time.
+    pub async fn open_with_plans(
+        disks: usize,
+        others: usize,
+        read_plan: node::ReadPlan,
+    ) -> Site {
+        Site::open_with(disks, others, 2, None, read_plan).await
+    }
+
     /// Starts nodes that take part in roll-outs.
     pub async fn open_with_rollouts(
         disks: usize,
@@ -58,6 +71,23 @@
         others: usize,
         survivable_disk_losses: usize,
         rollouts: Option<rollout::Bounds>,
+    ) -> Site {
+        Site::open_with(
+            disks,
+            others,
+            survivable_disk_losses,
+            rollouts,
+            read_plan,
+        )
+        .await
+    }
+
+    async fn open_with(
+        disks: usize,
+        others: usize,
+        survivable_disk_losses: usize,
+        rollouts: Option<rollout::Bounds>,
+        read_plan: node::ReadPlan,
     ) -> Site {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let net = NEXT.fetch_add(1, Ordering::Relaxed);
@@ -65,6 +95,7 @@
         let mut site = Site {
             survivable_disk_losses,
             rollouts,
+            read_plan,
             ips: (0..count as u32)
                 .map(|at| Ipv4Addr::from(0x7f58_0001 + (net << 8) + at))
                 .collect(),
@@ -87,6 +118,7 @@
             founds: first && at == 0,
             is_first_start: first,
             survivable_disk_losses: self.survivable_disk_losses,
+            read_plan: self.read_plan,
             gateway: gateway::Options {
                 rollouts: self.rollouts,
                 ..defaults.gateway.clone()
@@ -114,12 +146,41 @@
     }
 
     /// Stops a node and starts it with an empty disk at the same address.
-    async fn wipe(&mut self, at: usize) {
+    pub async fn wipe(&mut self, at: usize) {
         self.stop(at).await;
         self.folders[at] = Some(TempFolder::new());
         self.start(at, false).await;
     }
 
+    /// Returns a copy of a member's data folder as it is now, while the member
+    /// may be writing.
+    pub fn copy_disk(&self, at: usize) -> TempFolder {
+        let copy = TempFolder::new();
+        std::fs::create_dir_all(&copy.0).unwrap();
+        let folder = &self.folders[at].as_ref().unwrap().0;
+        // A member replaces its snapshot before its log, so the copy is a
+        // state that the folder had at some time.
+        for name in ["identity", "log", "snapshot", "memory"] {
+            let _ = std::fs::copy(folder.join(name), copy.0.join(name));
+        }
+        copy
+    }
+
+    /// Stops all nodes at once, and starts them with the given disks; a
+    /// member without one starts with an empty disk.
+    pub async fn restart_all(&mut self, mut disks: Vec<Option<TempFolder>>) {
+        let running = self.nodes.iter_mut().filter_map(Option::take);
+        let stops = running.map(|node| node.shutdown(Duration::ZERO));
+        join_all(stops).await;
+        disks.resize_with(self.ips.len(), || None);
+        for (at, disk) in disks.into_iter().enumerate() {
+            if self.folders[at].is_some() {
+                self.folders[at] = Some(disk.unwrap_or_else(TempFolder::new));
+            }
+            self.start(at, false).await;
+        }
+    }
+
     pub fn node(&self, at: usize) -> &node::Handle {
         self.nodes[at].as_ref().unwrap()
     }
