--- a/src/control/raft/follower.rs
+++ b/src/control/raft/follower.rs
@@ -100,7 +100,11 @@
         }
         let Some(snapshot) = request.snapshot else { return };
         let index = snapshot.index;
-        if index > self.commit_index {
+        if self.term_at(index) == Some(snapshot.term) {
+            // The log already has what the snapshot covers. The entries after
+            // it may be acknowledged, and the leader counts them.
+            self.commit_index = self.commit_index.max(index);
+        } else if index > self.commit_index {
             self.base = (index, snapshot.term);
             self.entries.clear();
             self.output.entries.clear();
