Start a member whose last frame's header was written in part

What callers saw: after power was lost at all nodes right after an acknowledgement and two of six disks were lost with it, the plan was never read back, as each remaining member is needed for the majority.

Cause: a frame is not aligned to sectors, so a power failure can leave a part of its header and zeros. Such a last frame was taken for damage of acknowledged data, and the member refused to start until an operator would empty its folder.

Why it works: each frame is synced before the next one is written, so only the last one can be torn. An invalid header that no intact frame follows is therefore the torn last frame; one that an intact frame follows is still damage, at every byte of the frames before the last one. As was so for the payload, a damaged header of the last frame can't be told from a torn one.

--- a/src/control/disk.rs
+++ b/src/control/disk.rs
@@ -13,12 +13,15 @@
 //!
 //! # Torn writes and damage
 //!
-//! [`Disk::open`] distinguishes a torn write from damage. A last frame that is
-//! incomplete, a last frame that fails its CRC at the end of the file, and a
-//! tail of zeros were never acknowledged; they are truncated. An invalid frame
-//! before the end of the log was acknowledged, and dropping it could lose a
-//! change. In this case opening fails with [`Error::Damaged`]. An operator
-//! has to empty the folder; the member then rejoins as a learner.
+//! [`Disk::open`] distinguishes a torn write from damage. Any part of the last
+//! frame may be missing after a power failure, also of its header: a frame may
+//! begin in a sector that was not written and end in one that was. A last
+//! frame that is incomplete or fails its CRC at the end of the file, and an
+//! invalid header that no intact frame follows, were never acknowledged; they
+//! are truncated. An invalid frame before the end of the log was acknowledged,
+//! and dropping it could lose a change. In this case opening fails with
+//! [`Error::Damaged`]. An operator has to empty the folder; the member then
+//! rejoins as a learner.
 
 use std::{
     error, fmt,
@@ -299,26 +302,18 @@
 }
 
 fn next_frame(bytes: &[u8]) -> Frame<'_> {
-    if bytes.len() < HEADER_BYTES || bytes.iter().all(|byte| *byte == 0) {
-        return Frame::Torn;
-    }
-    let read_u32 = |at: usize| {
-        u32::from_le_bytes([
-            bytes[at],
-            bytes[at + 1],
-            bytes[at + 2],
-            bytes[at + 3],
-        ])
+    let Some((length, checksum)) = read_header(bytes) else {
+        return match has_intact_frame(bytes) {
+            true => Frame::Damaged,
+            false => Frame::Torn,
+        };
     };
-    if crc32fast::hash(&bytes[..8]) != read_u32(8) {
-        return Frame::Damaged;
-    }
-    let end = HEADER_BYTES + read_u32(0) as usize;
+    let end = HEADER_BYTES + length;
     if end > bytes.len() {
         return Frame::Torn;
     }
     let payload = &bytes[HEADER_BYTES..end];
-    if crc32fast::hash(payload) == read_u32(4) {
+    if crc32fast::hash(payload) == checksum {
         Frame::Intact(payload)
     } else if end == bytes.len() {
         Frame::Torn
@@ -327,6 +322,35 @@
     }
 }
 
+/// Returns the length and the CRC of the payload if the header is intact.
+fn read_header(bytes: &[u8]) -> Option<(usize, u32)> {
+    let header = bytes.first_chunk::<HEADER_BYTES>()?;
+    let read_u32 = |at: usize| {
+        u32::from_le_bytes([
+            header[at],
+            header[at + 1],
+            header[at + 2],
+            header[at + 3],
+        ])
+    };
+    let is_intact = crc32fast::hash(&header[..8]) == read_u32(8);
+    is_intact.then(|| (read_u32(0) as usize, read_u32(4)))
+}
+
+/// Whether an intact frame begins anywhere in `bytes`.
+fn has_intact_frame(bytes: &[u8]) -> bool {
+    (0..bytes.len()).any(|at| {
+        let Some((length, checksum)) = read_header(&bytes[at..]) else {
+            return false;
+        };
+        let payload = bytes.get(at + HEADER_BYTES..);
+        let payload = payload.and_then(|rest| rest.get(..length));
+        // No batch is empty.
+        length > 0
+            && payload.is_some_and(|bytes| crc32fast::hash(bytes) == checksum)
+    })
+}
+
 /// Decodes all intact frames; returns their batches and the offset after
 /// the last one.
 fn read_frames(
