--- a/src/control/disk.rs
+++ b/src/control/disk.rs
@@ -125,19 +125,22 @@
         let mut bytes = Vec::new();
         log.read_to_end(&mut bytes).map_err(io_error("read", &path))?;
         let (batches, end) = read_frames(&path, &bytes)?;
-        let saved = replay(batches, snapshot);
+        let (saved, is_half_installed) = replay(batches, snapshot);
         log.set_len(end as u64).map_err(io_error("truncate", &path))?;
         log.seek(SeekFrom::Start(end as u64))
             .map_err(io_error("seek in", &path))?;
         log.sync_all().map_err(io_error("sync", &path))?;
         sync_folder(folder)?;
-        let disk = Disk {
+        let mut disk = Disk {
             folder: folder.to_owned(),
             log,
             log_bytes: end as u64,
             snapshot_bytes: file_size(&folder.join("snapshot")),
             incarnation,
         };
+        if is_half_installed {
+            disk.replace_log(saved.hard_state, &saved.entries)?;
+        }
         Ok((disk, saved))
     }
 
@@ -181,8 +184,8 @@
     /// the snapshot.
     ///
     /// The new snapshot is renamed into place before the new log. After a
-    /// crash between the two renames, opening skips the entries of the old
-    /// log that the snapshot covers.
+    /// crash between the two renames, opening the folder completes the
+    /// replacement; see [`replay`].
     pub fn install(
         &mut self,
         snapshot: &Snapshot,
@@ -192,6 +195,14 @@
         let frame = encode_frame(snapshot);
         self.replace("snapshot", &frame)?;
         self.snapshot_bytes = frame.len() as u64;
+        self.replace_log(hard, entries)
+    }
+
+    fn replace_log(
+        &mut self,
+        hard: HardState,
+        entries: &[LogEntry],
+    ) -> Result<(), Error> {
         let batch = DiskBatch { hard: Some(hard), entries: entries.to_vec() };
         let frame = encode_frame(&batch);
         let log = self.replace("log", &frame)?;
@@ -376,24 +387,46 @@
     Ok((batches, at))
 }
 
-fn replay(batches: Vec<DiskBatch>, snapshot: Option<Snapshot>) -> SavedState {
+/// Returns the state that the batches and the snapshot result in, and whether
+/// the log still has entries that the snapshot covers.
+///
+/// The latter is so after a crash between the renames of
+/// [`Disk::install`]. The entries after the snapshot are then kept only if
+/// the log agrees with the snapshot's last entry. Others were replaced, or
+/// contradict the snapshot: they are of an older term, and with one of them as
+/// its last entry the member would vote for a log that lacks an acknowledged
+/// change.
+fn replay(
+    batches: Vec<DiskBatch>,
+    snapshot: Option<Snapshot>,
+) -> (SavedState, bool) {
     let base = snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
-    let mut saved = SavedState { snapshot, ..SavedState::default() };
+    let base_term = snapshot.as_ref().map_or(0, |snapshot| snapshot.term);
+    let mut hard_state = HardState::default();
+    let mut entries: Vec<LogEntry> = Vec::new();
     for batch in batches {
-        if let Some(hard) = batch.hard {
-            saved.hard_state = hard;
-        }
+        hard_state = batch.hard.unwrap_or(hard_state);
         for entry in batch.entries {
-            if entry.index <= base {
-                continue;
-            }
-            saved.entries.truncate((entry.index - base - 1) as usize);
-            // An entry after a gap belongs to a log that a snapshot replaced
-            // before the process crashed.
-            if entry.index == base + saved.entries.len() as u64 + 1 {
-                saved.entries.push(entry);
+            let first = entries.first().map_or(entry.index, |old| old.index);
+            let position = entry.index.checked_sub(first);
+            match position.map(|position| position as usize) {
+                Some(at) if at <= entries.len() => entries.truncate(at),
+                // The entries before a gap belong to a log that a snapshot
+                // replaced before the process crashed.
+                _ => entries.clear(),
             }
+            entries.push(entry);
         }
     }
-    saved
+    let first = entries.first().map_or(base + 1, |entry| entry.index);
+    let is_half_installed = first <= base;
+    if is_half_installed {
+        let agrees = entries
+            .iter()
+            .any(|entry| entry.index == base && entry.term == base_term);
+        entries.retain(|entry| agrees && entry.index > base);
+    } else if first > base + 1 {
+        entries.clear();
+    }
+    (SavedState { hard_state, snapshot, entries }, is_half_installed)
 }
