Remove replaced voters before the next losses are allowed

Cause: the two new members make eight voters, and a quorum of five of which six run. The gone ones were removed after eight seconds of silence, and the deployment allows two more losses six seconds after the new VMs have started.

Evidence: two_more_disks_may_be_lost_once_two_vms_are_replaced failed in 2 of 2 runs (voters 1 to 8 of which 5 and 6 have gone) and passes; the other tests of the log and of nodes with disks pass.

Why it works: the leader sees that there are more healthy voters than needed but too few for the quorum once as many are lost as may be, and then removes a silent voter as soon as it counts as unhealthy. With six voters, of which one or two are silent, nothing changes: the condition needs more than five healthy ones.

--- a/src/control/raft/mod.rs
+++ b/src/control/raft/mod.rs
@@ -496,6 +496,12 @@
     /// Returns the member list without the first member that has been silent
     /// for [`REMOVAL_TIMEOUT_MS`].
     ///
+    /// A silent voter is removed once it is unhealthy if there are more
+    /// healthy voters than needed, but not enough for the quorum once as many
+    /// are lost as may be. This is so after several VMs were replaced at the
+    /// same time: the new ones have raised the quorum, and the next losses are
+    /// allowed seconds after they have started.
+    ///
     /// Returns `None` if no member has, or if it may not be removed.
     fn without_silent_member(
         &self,
@@ -504,18 +510,26 @@
     ) -> Option<Vec<Member>> {
         let min_voters = self.min_healthy_voters?;
         let members = self.members();
-        let healthy = members
-            .iter()
-            .filter(|member| member.voter)
+        let voters = members.iter().filter(|member| member.voter);
+        let healthy = voters
+            .clone()
             .filter(|voter| {
                 self.is_healthy(now, leader_state, Identity::from(*voter))
             })
             .count();
+        let quorum = voters.count() / 2 + 1;
+        let tolerated_losses = min_voters / 2;
+        let is_quorum_too_large =
+            healthy > min_voters && healthy < quorum + tolerated_losses;
         let silent = members.iter().position(|member| {
+            let timeout_ms = match member.voter && is_quorum_too_large {
+                true => 2 * self.timing.election_timeout_ms,
+                false => REMOVAL_TIMEOUT_MS,
+            };
             let identity = Identity::from(member);
             leader_state.progress.iter().any(|progress| {
                 progress.member == identity
-                    && now >= progress.confirmed_at + REMOVAL_TIMEOUT_MS
+                    && now >= progress.confirmed_at + timeout_ms
             })
         })?;
         if members[silent].voter && healthy < min_voters {
