Kill the nodes of the recovery tests with their runtime

The tests stopped their nodes in order, which is not what a kill does. Their nodes now run on a runtime of their own, which is shut down. Sites use a network of their process: two processes that ran these tests at once used the same addresses, which failed one run of a_plan_is_read_back_in_time_after_power_and_ two_disks_are_lost and one of a_plan_is_in_force_everywhere ("Address already in use").

--- a/tests/all/nodes.rs
+++ b/tests/all/nodes.rs
@@ -15,7 +15,7 @@
     node::{self, PutError},
     timer::Timer,
 };
-use futures_util::future::join_all;
+use tokio::runtime::{Handle, Runtime};
 use tokio::time::{sleep, timeout};
 
 use tokio::{io::AsyncWriteExt, net::TcpStream};
@@ -30,12 +30,32 @@
 /// The port for traffic between nodes.
 pub const PORT: u16 = 7701;
 
+fn new_runtime() -> Runtime {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .unwrap()
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        // A runtime can't be dropped in an asynchronous context.
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
 /// A cluster of nodes under test.
 pub struct Site {
     /// Number of members that may lose their disks at the same time.
     survivable_disk_losses: usize,
     rollouts: Option<rollout::Bounds>,
     read_plan: node::ReadPlan,
+    /// The runtime of the nodes if they can be killed together; otherwise it
+    /// is the test's.
+    runtime: Option<Runtime>,
     ips: Vec<Ipv4Addr>,
     folders: Vec<Option<TempFolder>>,
     nodes: Vec<Option<node::Handle>>,
@@ -54,7 +74,8 @@
         others: usize,
         read_plan: node::ReadPlan,
     ) -> Site {
-        Site::open_with(disks, others, 2, None, read_plan).await
+        let runtime = Some(new_runtime());
+        Site::open_with(disks, others, 2, None, read_plan, runtime).await
     }
 
     /// Starts nodes that take part in roll-outs.
@@ -78,6 +99,7 @@
             survivable_disk_losses,
             rollouts,
             read_plan,
+            None,
         )
         .await
     }
@@ -88,16 +110,21 @@
         survivable_disk_losses: usize,
         rollouts: Option<rollout::Bounds>,
         read_plan: node::ReadPlan,
+        runtime: Option<Runtime>,
     ) -> Site {
         static NEXT: AtomicU32 = AtomicU32::new(0);
-        let net = NEXT.fetch_add(1, Ordering::Relaxed);
+        let site = NEXT.fetch_add(1, Ordering::Relaxed);
+        // Other runs of these tests may use the same machine.
+        let process = 212 + std::process::id() % 40;
+        let net = 127 << 24 | process << 16 | site << 8;
         let count = disks + others;
         let mut site = Site {
             survivable_disk_losses,
             rollouts,
             read_plan,
+            runtime,
             ips: (0..count as u32)
-                .map(|at| Ipv4Addr::from(0x7f58_0001 + (net << 8) + at))
+                .map(|at| Ipv4Addr::from(net + 1 + at))
                 .collect(),
             folders: (0..count)
                 .map(|at| (at < disks).then(TempFolder::new))
@@ -125,17 +152,26 @@
             },
             ..defaults
         };
+        let runtime = match &self.runtime {
+            Some(runtime) => runtime.handle().clone(),
+            None => Handle::current(),
+        };
+        let mut failure = None;
         let started = async {
             loop {
                 // The previous node may still hold the port.
-                match node::spawn(options.clone()).await {
+                let spawned = node::spawn(options.clone());
+                match runtime.spawn(spawned).await.unwrap() {
                     Ok(node) => return node,
-                    Err(_) => sleep(Duration::from_millis(20)).await,
+                    Err(error) => failure = Some(error),
                 }
+                sleep(Duration::from_millis(20)).await;
             }
         };
-        let node =
-            timeout(STEP_TIMEOUT, started).await.expect("node did not start");
+        let started = timeout(STEP_TIMEOUT, started).await;
+        let node = started.unwrap_or_else(|_| {
+            panic!("node {at} did not start: {failure:?}")
+        });
         self.nodes[at] = Some(node);
     }
 
@@ -166,12 +202,12 @@
         copy
     }
 
-    /// Stops all nodes at once, and starts them with the given disks; a
-    /// member without one starts with an empty disk.
-    pub async fn restart_all(&mut self, mut disks: Vec<Option<TempFolder>>) {
-        let running = self.nodes.iter_mut().filter_map(Option::take);
-        let stops = running.map(|node| node.shutdown(Duration::ZERO));
-        join_all(stops).await;
+    /// Kills all nodes at once, and starts them with the given disks; a member
+    /// without one starts with an empty disk.
+    pub async fn kill_all(&mut self, mut disks: Vec<Option<TempFolder>>) {
+        self.nodes.fill(None);
+        let killed = self.runtime.replace(new_runtime());
+        killed.unwrap().shutdown_background();
         disks.resize_with(self.ips.len(), || None);
         for (at, disk) in disks.into_iter().enumerate() {
             if self.folders[at].is_some() {
--- a/tests/all/recovery.rs
+++ b/tests/all/recovery.rs
@@ -182,7 +182,7 @@
 /// the moment of its acknowledgement: while members join for the first time,
 /// with all members, with one stopped, with one back, and with one or two just
 /// back with an empty disk.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+#[tokio::test]
 async fn an_acknowledged_plan_is_on_more_disks_than_may_be_lost() {
     let mut site = Site::open_with_plans(DISKS, 2, read_large_plan).await;
     let mut version = 1;
@@ -226,7 +226,7 @@
 /// lost power right after its acknowledgement: with a frame half written on
 /// each disk, with one voter that lacked the plan, and without the disks of
 /// the leader and another member.
-#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+#[tokio::test]
 async fn a_plan_is_read_back_in_time_after_power_and_two_disks_are_lost() {
     let _guard = one_at_a_time().await;
     let mut site = Site::open_with_plans(DISKS, OTHERS, read_large_plan).await;
@@ -245,7 +245,7 @@
             tear_log(&disk);
             (!lost.contains(&at)).then_some(disk)
         });
-        site.restart_all(disks.collect()).await;
+        site.kill_all(disks.collect()).await;
         let took = read_back(&site, version).await;
         eprintln!("plan {version} read back after {took:?}");
         if version < 3 {
@@ -257,7 +257,7 @@
 /// Guards against a plan that is lost, or comes back late, after all
 /// processes were killed right after its acknowledgement, while one member has
 /// just come back with an empty disk; another disk is lost with the processes.
-#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+#[tokio::test]
 async fn a_plan_is_read_back_in_time_after_all_are_killed_in_a_join() {
     let _guard = one_at_a_time().await;
     let mut site = Site::open_with_plans(DISKS, OTHERS, read_large_plan).await;
@@ -285,7 +285,7 @@
             .into_iter()
             .enumerate()
             .map(|(at, disk)| (Some(at) != lost).then_some(disk));
-        site.restart_all(disks.collect()).await;
+        site.kill_all(disks.collect()).await;
         let took = read_back(&site, version).await;
         eprintln!("delay {delay_ms} ms, read back after {took:?}");
     }
