--- a/src/control/disk.rs
+++ b/src/control/disk.rs
@@ -13,12 +13,15 @@
 //!
 //! # Torn writes and damage
 //!
-//! [`Disk::open`] distinguishes a torn write from damage. A last frame that is
-//! incomplete, a last frame that fails its CRC at the end of the file, and a
-//! tail of zeros were never acknowledged; they are truncated. An invalid frame
-//! before the end of the log was acknowledged, and dropping it could lose a
-//! change. In this case opening fails with [`Error::Damaged`]. An operator
-//! has to empty the folder; the member then rejoins as a learner.
+//! [`Disk::open`] distinguishes a torn write from damage. Any part of the last
+//! frame may be missing after a power failure, also of its header: a frame may
+//! begin in a sector that was not written and end in one that was. A last
+//! frame that is incomplete or fails its CRC at the end of the file, and an
+//! invalid header that no intact frame follows, were never acknowledged; they
+//! are truncated. An invalid frame before the end of the log was acknowledged,
+//! and dropping it could lose a change. In this case opening fails with
+//! [`Error::Damaged`]. An operator has to empty the folder; the member then
+//! rejoins as a learner.
 
 use std::{
     error, fmt,
@@ -122,19 +125,22 @@
         let mut bytes = Vec::new();
         log.read_to_end(&mut bytes).map_err(io_error("read", &path))?;
         let (batches, end) = read_frames(&path, &bytes)?;
-        let saved = replay(batches, snapshot);
+        let (saved, is_half_installed) = replay(batches, snapshot);
         log.set_len(end as u64).map_err(io_error("truncate", &path))?;
         log.seek(SeekFrom::Start(end as u64))
             .map_err(io_error("seek in", &path))?;
         log.sync_all().map_err(io_error("sync", &path))?;
         sync_folder(folder)?;
-        let disk = Disk {
+        let mut disk = Disk {
             folder: folder.to_owned(),
             log,
             log_bytes: end as u64,
             snapshot_bytes: file_size(&folder.join("snapshot")),
             incarnation,
         };
+        if is_half_installed {
+            disk.replace_log(saved.hard_state, &saved.entries)?;
+        }
         Ok((disk, saved))
     }
 
@@ -178,8 +184,8 @@
     /// the snapshot.
     ///
     /// The new snapshot is renamed into place before the new log. After a
-    /// crash between the two renames, opening skips the entries of the old
-    /// log that the snapshot covers.
+    /// crash between the two renames, opening the folder completes the
+    /// replacement; see [`replay`].
     pub fn install(
         &mut self,
         snapshot: &Snapshot,
@@ -189,6 +195,14 @@
         let frame = encode_frame(snapshot);
         self.replace("snapshot", &frame)?;
         self.snapshot_bytes = frame.len() as u64;
+        self.replace_log(hard, entries)
+    }
+
+    fn replace_log(
+        &mut self,
+        hard: HardState,
+        entries: &[LogEntry],
+    ) -> Result<(), Error> {
         let batch = DiskBatch { hard: Some(hard), entries: entries.to_vec() };
         let frame = encode_frame(&batch);
         let log = self.replace("log", &frame)?;
@@ -299,26 +313,18 @@
 }
 
 fn next_frame(bytes: &[u8]) -> Frame<'_> {
-    if bytes.len() < HEADER_BYTES || bytes.iter().all(|byte| *byte == 0) {
-        return Frame::Torn;
-    }
-    let read_u32 = |at: usize| {
-        u32::from_le_bytes([
-            bytes[at],
-            bytes[at + 1],
-            bytes[at + 2],
-            bytes[at + 3],
-        ])
+    let Some((length, checksum)) = read_header(bytes) else {
+        return match has_intact_frame(bytes) {
+            true => Frame::Damaged,
+            false => Frame::Torn,
+        };
     };
-    if crc32fast::hash(&bytes[..8]) != read_u32(8) {
-        return Frame::Damaged;
-    }
-    let end = HEADER_BYTES + read_u32(0) as usize;
+    let end = HEADER_BYTES + length;
     if end > bytes.len() {
         return Frame::Torn;
     }
     let payload = &bytes[HEADER_BYTES..end];
-    if crc32fast::hash(payload) == read_u32(4) {
+    if crc32fast::hash(payload) == checksum {
         Frame::Intact(payload)
     } else if end == bytes.len() {
         Frame::Torn
@@ -327,6 +333,35 @@
     }
 }
 
+/// Returns the length and the CRC of the payload if the header is intact.
+fn read_header(bytes: &[u8]) -> Option<(usize, u32)> {
+    let header = bytes.first_chunk::<HEADER_BYTES>()?;
+    let read_u32 = |at: usize| {
+        u32::from_le_bytes([
+            header[at],
+            header[at + 1],
+            header[at + 2],
+            header[at + 3],
+        ])
+    };
+    let is_intact = crc32fast::hash(&header[..8]) == read_u32(8);
+    is_intact.then(|| (read_u32(0) as usize, read_u32(4)))
+}
+
+/// Whether an intact frame begins anywhere in `bytes`.
+fn has_intact_frame(bytes: &[u8]) -> bool {
+    (0..bytes.len()).any(|at| {
+        let Some((length, checksum)) = read_header(&bytes[at..]) else {
+            return false;
+        };
+        let payload = bytes.get(at + HEADER_BYTES..);
+        let payload = payload.and_then(|rest| rest.get(..length));
+        // No batch is empty.
+        length > 0
+            && payload.is_some_and(|bytes| crc32fast::hash(bytes) == checksum)
+    })
+}
+
 /// Decodes all intact frames; returns their batches and the offset after
 /// the last one.
 fn read_frames(
@@ -352,24 +387,46 @@
     Ok((batches, at))
 }
 
-fn replay(batches: Vec<DiskBatch>, snapshot: Option<Snapshot>) -> SavedState {
+/// Returns the state that the batches and the snapshot result in, and whether
+/// the log still has entries that the snapshot covers.
+///
+/// The latter is so after a crash between the renames of
+/// [`Disk::install`]. The entries after the snapshot are then kept only if
+/// the log agrees with the snapshot's last entry. Others were replaced, or
+/// contradict the snapshot: they are of an older term, and with one of them as
+/// its last entry the member would vote for a log that lacks an acknowledged
+/// change.
+fn replay(
+    batches: Vec<DiskBatch>,
+    snapshot: Option<Snapshot>,
+) -> (SavedState, bool) {
     let base = snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
-    let mut saved = SavedState { snapshot, ..SavedState::default() };
+    let base_term = snapshot.as_ref().map_or(0, |snapshot| snapshot.term);
+    let mut hard_state = HardState::default();
+    let mut entries: Vec<LogEntry> = Vec::new();
     for batch in batches {
-        if let Some(hard) = batch.hard {
-            saved.hard_state = hard;
-        }
+        hard_state = batch.hard.unwrap_or(hard_state);
         for entry in batch.entries {
-            if entry.index <= base {
-                continue;
-            }
-            saved.entries.truncate((entry.index - base - 1) as usize);
-            // An entry after a gap belongs to a log that a snapshot replaced
-            // before the process crashed.
-            if entry.index == base + saved.entries.len() as u64 + 1 {
-                saved.entries.push(entry);
+            let first = entries.first().map_or(entry.index, |old| old.index);
+            let position = entry.index.checked_sub(first);
+            match position.map(|position| position as usize) {
+                Some(at) if at <= entries.len() => entries.truncate(at),
+                // The entries before a gap belong to a log that a snapshot
+                // replaced before the process crashed.
+                _ => entries.clear(),
             }
+            entries.push(entry);
         }
     }
-    saved
+    let first = entries.first().map_or(base + 1, |entry| entry.index);
+    let is_half_installed = first <= base;
+    if is_half_installed {
+        let agrees = entries
+            .iter()
+            .any(|entry| entry.index == base && entry.term == base_term);
+        entries.retain(|entry| agrees && entry.index > base);
+    } else if first > base + 1 {
+        entries.clear();
+    }
+    (SavedState { hard_state, snapshot, entries }, is_half_installed)
 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -41,6 +41,7 @@
 mod raft;
 mod rate_limits;
 mod reach;
+mod recovery;
 mod rejections;
 #[allow(dead_code)]
 mod relay;
--- a/tests/all/nodes.rs
+++ b/tests/all/nodes.rs
@@ -17,11 +17,11 @@
     wire::{Gossip, Held, HeldWindow, Peer},
 };
 use prost::Message;
-use tokio::time::{sleep, timeout};
-
 use tokio::{
     io::AsyncWriteExt,
     net::{TcpStream, UdpSocket},
+    runtime::{Handle, Runtime},
+    time::{sleep, timeout},
 };
 
 use crate::world::{
@@ -34,12 +34,32 @@
 /// The port for traffic between nodes.
 pub const PORT: u16 = 7701;
 
+fn new_runtime() -> Runtime {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .unwrap()
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        // A runtime can't be dropped in an asynchronous context.
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
 /// A cluster of nodes under test.
 pub struct Site {
     /// Number of members that may lose their disks at the same time.
     survivable_disk_losses: usize,
     rollouts: Option<rollout::Bounds>,
     read_plan: node::ReadPlan,
+    /// The runtime of the nodes if they can be killed together; otherwise it
+    /// is the test's.
+    runtime: Option<Runtime>,
     ips: Vec<Ipv4Addr>,
     folders: Vec<Option<TempFolder>>,
     nodes: Vec<Option<node::Handle>>,
@@ -60,6 +80,17 @@
         Site::open_with_tolerance(disks, others, 1, None, read_plan).await
     }
 
+    /// Starts nodes that read plans with `read_plan`, of which two may lose
+    /// their disks at the same time, and that can be killed together.
+    pub async fn open_killable(
+        disks: usize,
+        others: usize,
+        read_plan: node::ReadPlan,
+    ) -> Site {
+        let runtime = Some(new_runtime());
+        Site::open_with(disks, others, 2, None, read_plan, runtime).await
+    }
+
     /// Starts nodes that take part in roll-outs.
     pub async fn open_with_rollouts(
         disks: usize,
@@ -76,16 +107,39 @@
         survivable_disk_losses: usize,
         rollouts: Option<rollout::Bounds>,
         read_plan: node::ReadPlan,
+    ) -> Site {
+        Site::open_with(
+            disks,
+            others,
+            survivable_disk_losses,
+            rollouts,
+            read_plan,
+            None,
+        )
+        .await
+    }
+
+    async fn open_with(
+        disks: usize,
+        others: usize,
+        survivable_disk_losses: usize,
+        rollouts: Option<rollout::Bounds>,
+        read_plan: node::ReadPlan,
+        runtime: Option<Runtime>,
     ) -> Site {
         static NEXT: AtomicU32 = AtomicU32::new(0);
-        let net = NEXT.fetch_add(1, Ordering::Relaxed);
+        let site = NEXT.fetch_add(1, Ordering::Relaxed);
+        // Other runs of these tests may use the same machine.
+        let process = 212 + std::process::id() % 40;
+        let net = 127 << 24 | process << 16 | site << 8;
         let count = disks + others;
         let mut site = Site {
             survivable_disk_losses,
             rollouts,
             read_plan,
+            runtime,
             ips: (0..count as u32)
-                .map(|at| Ipv4Addr::from(0x7f58_0001 + (net << 8) + at))
+                .map(|at| Ipv4Addr::from(net + 1 + at))
                 .collect(),
             folders: (0..count)
                 .map(|at| (at < disks).then(TempFolder::new))
@@ -113,17 +167,26 @@
             },
             ..defaults
         };
+        let runtime = match &self.runtime {
+            Some(runtime) => runtime.handle().clone(),
+            None => Handle::current(),
+        };
+        let mut failure = None;
         let started = async {
             loop {
                 // The previous node may still hold the port.
-                match node::spawn(options.clone()).await {
+                let spawned = node::spawn(options.clone());
+                match runtime.spawn(spawned).await.unwrap() {
                     Ok(node) => return node,
-                    Err(_) => sleep(Duration::from_millis(20)).await,
+                    Err(error) => failure = Some(error),
                 }
+                sleep(Duration::from_millis(20)).await;
             }
         };
-        let node =
-            timeout(STEP_TIMEOUT, started).await.expect("node did not start");
+        let started = timeout(STEP_TIMEOUT, started).await;
+        let node = started.unwrap_or_else(|_| {
+            panic!("node {at} did not start: {failure:?}")
+        });
         self.nodes[at] = Some(node);
     }
 
@@ -134,12 +197,41 @@
     }
 
     /// Stops a node and starts it with an empty disk at the same address.
-    async fn wipe(&mut self, at: usize) {
+    pub async fn wipe(&mut self, at: usize) {
         self.stop(at).await;
         self.folders[at] = Some(TempFolder::new());
         self.start(at, false).await;
     }
 
+    /// Returns a copy of a member's data folder as it is now, while the member
+    /// may be writing.
+    pub fn copy_disk(&self, at: usize) -> TempFolder {
+        let copy = TempFolder::new();
+        std::fs::create_dir_all(&copy.0).unwrap();
+        let folder = &self.folders[at].as_ref().unwrap().0;
+        // A member replaces its snapshot before its log, so the copy is a
+        // state that the folder had at some time.
+        for name in ["identity", "log", "snapshot", "memory"] {
+            let _ = std::fs::copy(folder.join(name), copy.0.join(name));
+        }
+        copy
+    }
+
+    /// Kills all nodes at once, and starts them with the given disks; a member
+    /// without one starts with an empty disk.
+    pub async fn kill_all(&mut self, mut disks: Vec<Option<TempFolder>>) {
+        self.nodes.fill(None);
+        let killed = self.runtime.replace(new_runtime());
+        killed.unwrap().shutdown_background();
+        disks.resize_with(self.ips.len(), || None);
+        for (at, disk) in disks.into_iter().enumerate() {
+            if self.folders[at].is_some() {
+                self.folders[at] = Some(disk.unwrap_or_else(TempFolder::new));
+            }
+            self.start(at, false).await;
+        }
+    }
+
     pub fn node(&self, at: usize) -> &node::Handle {
         self.nodes[at].as_ref().unwrap()
     }
