--- a/src/control/disk.rs
+++ b/src/control/disk.rs
@@ -185,7 +185,7 @@
     ///
     /// The new snapshot is renamed into place before the new log. After a
     /// crash between the two renames, opening the folder completes the
-    /// replacement; see [`replay`].
+    /// replacement.
     pub fn install(
         &mut self,
         snapshot: &Snapshot,
--- a/src/duty/usage.rs
+++ b/src/duty/usage.rs
@@ -114,7 +114,7 @@
     }
 }
 
-/// Returns true if the counts of a window that ended [`MIN_SETTLE_MS`] ago can
+/// Returns true if the counts of a window that ended `MIN_SETTLE_MS` ago can
 /// be summed: all nodes that may have some have sent their final ones, or the
 /// report can't wait any longer.
 pub fn is_settled(
