Say what became of each attempt of a call to control

A failed call only said how many members were silent, or what the last one answered. Its error now names each member that was asked, since when it is silent, what it answered, which leader it named, and how long the connection kept from former calls has been in use. That tells a connection that lost its other end from a leader that doesn't answer, and both from members that know no leader.

What callers get is unchanged but for the text.

--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -18,8 +18,9 @@
 use tokio::time::{sleep, timeout, timeout_at};
 use tonic::{Code, Response, Status, transport::Channel};
 
-use super::server::{
-    LEADER_HEADER, MAX_MESSAGE_BYTES, connect, transfer_time,
+use super::{
+    server::{LEADER_HEADER, MAX_MESSAGE_BYTES, connect, transfer_time},
+    trail::Trail,
 };
 use crate::{
     verdict::Verdict,
@@ -78,6 +79,14 @@
 struct Current {
     address: SocketAddr,
     client: ControlClient<Channel>,
+    opened_at: Instant,
+}
+
+impl Current {
+    fn open(address: SocketAddr) -> Current {
+        let client = open_client(address);
+        Current { address, client, opened_at: Instant::now() }
+    }
 }
 
 /// A client of the control members; calls may run concurrently.
@@ -108,10 +117,7 @@
         let address = members[0];
         Client {
             members: Mutex::new(members.to_vec()),
-            current: Mutex::new(Current {
-                address,
-                client: open_client(address),
-            }),
+            current: Mutex::new(Current::open(address)),
             preferred: Mutex::new(None),
         }
     }
@@ -143,7 +149,7 @@
             .lock()
             .unwrap_or_else(|poisoned| poisoned.into_inner());
         if current.address != address {
-            *current = Current { address, client: open_client(address) };
+            *current = Current::open(address);
         }
     }
 
@@ -183,11 +189,12 @@
         let mut asked = Vec::new();
         let mut calls = FuturesUnordered::new();
         let mut next = Some(self.current());
-        let mut last = "no member was asked".to_owned();
+        let mut trail = Trail::open(self.connected_for());
         let mut all_refused = true;
         loop {
             if let Some((address, client)) = next.take() {
                 asked.push(address);
+                trail.record_ask(address);
                 let query = query.clone();
                 calls.push(async move {
                     let reply = client.clone().read(query).await;
@@ -200,9 +207,9 @@
                     self.keep(address, client);
                     return Ok(reply.into_inner());
                 }
-                Ok(Some((_, _, Err(status)))) => {
+                Ok(Some((address, _, Err(status)))) => {
                     let (effect, text, hint) = classify_status(&status);
-                    last = text;
+                    trail.record_failure(address, text, hint);
                     all_refused &= matches!(effect, Effect::NotAppended);
                     let hint = hint.filter(|hint| {
                         self.members().contains(hint) && !asked.contains(hint)
@@ -220,16 +227,14 @@
                     next = self.other_member(&[]);
                 }
                 Err(_) => {
-                    let silent = calls.len();
                     all_refused = false;
-                    last = format!("{silent} members were silent");
                     next = self.other_member(&asked);
                 }
             }
             if Instant::now() >= deadline {
                 return Err(match all_refused {
-                    true => Error::Refused(last),
-                    false => Error::Unknown(last),
+                    true => Error::Refused(trail.to_string()),
+                    false => Error::Unknown(trail.to_string()),
                 });
             }
         }
@@ -255,7 +260,21 @@
             .current
             .lock()
             .unwrap_or_else(|poisoned| poisoned.into_inner());
-        *current = Current { address, client };
+        if current.address == address {
+            current.client = client;
+        } else {
+            let opened_at = Instant::now();
+            *current = Current { address, client, opened_at };
+        }
+    }
+
+    /// Returns the current member and how long its connection has been used.
+    fn connected_for(&self) -> (SocketAddr, Duration) {
+        let current = self
+            .current
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner());
+        (current.address, current.opened_at.elapsed())
     }
 
     /// Sends one sync to the current member, without retries.
@@ -281,19 +300,22 @@
         F: Future<Output = Result<Response<T>, Status>>,
     {
         let deadline = Instant::now() + limit;
+        let mut trail = Trail::open(self.connected_for());
         let mut maybe_appended = false;
         loop {
             let (address, client) = self.current();
+            trail.record_ask(address);
             let attempt_timeout = ATTEMPT_TIMEOUT + transfer_time(bytes);
             let result = timeout(attempt_timeout, run(client)).await;
             let (effect, text, hint) = match result {
                 Ok(Ok(response)) => return Ok(response.into_inner()),
                 Ok(Err(status)) => classify_status(&status),
                 Err(_) => {
-                    let text = format!("{address} was silent");
+                    let text = "timed out".to_owned();
                     (Effect::MaybeAppended, text, None)
                 }
             };
+            trail.record_failure(address, text, hint);
             // Only addresses in this client's own list: the address under
             // which a member knows the leader may not be reachable from this
             // process.
@@ -303,8 +325,8 @@
             let out_of_time = Instant::now() + RETRY_INTERVAL >= deadline;
             if out_of_time || (maybe_appended && !idempotent) {
                 return Err(match maybe_appended {
-                    true => Error::Unknown(text),
-                    false => Error::Refused(text),
+                    true => Error::Unknown(trail.to_string()),
+                    false => Error::Refused(trail.to_string()),
                 });
             }
             if hint.is_none() {
@@ -337,7 +359,7 @@
         let at = members.iter().position(|member| *member == from);
         let next = at.map_or(0, |at| (at + 1) % members.len());
         let address = hint.unwrap_or(members[next]);
-        *current = Current { address, client: open_client(address) };
+        *current = Current::open(address);
     }
 }
 
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -28,6 +28,7 @@
 pub mod roster;
 pub mod seat;
 pub mod server;
+mod trail;
 
 use std::{fmt, io, net::SocketAddr, time::Duration};
 
