Test calls to control beside silent connections and members

- reads_succeed_although_the_connection_to_the_leader_is_silent: with four members each read fails after 800 ms.
Its error is that of the users' record, and the other three members name the leader all the while: '127.0.0.1:41129 (connected for 46 ms): silent for 800 ms, 127.0.0.1:35765: not the leader, names 127.0.0.1:41129, ...'.
With one member it fails, too.
- a_member_that_refused_is_asked_again_while_another_is_silent: a read of 3 s fails after 3.0 s although another member leads from 400 ms on.
- changes_succeed_although_the_connection_to_the_leader_is_silent and changes_succeed_although_a_member_is_silent: a change with a limit of 800 ms times out after one attempt of 1.2 s.

The other four tests pass and keep what a repair must not change: a change that may run once is sent once, and a slow leader is not sent everything again.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -10,6 +10,7 @@
 #[allow(dead_code)]
 mod cluster;
 mod config;
+mod control_client;
 mod crashes;
 mod decide;
 mod departures;
