Ask each member of control again, and on a new connection

What callers saw: the plan could not be read back at any node but the leader's, with 503 after 800 ms each time, for as long as the leader stayed.

Cause: a read began on the connection that had answered the last one, and asked no member twice while a call was open. Once that connection had lost its other end, the other members named the leader, which counted as asked; only a success or a change sent through the same node replaced the connection. In the same way a member that refused once, in an election, was not asked again while another one was silent. A change waited 1.2 s for each silent member, longer than the limit of a settlement of usage.

Change: search.rs decides without I/O whom a call asks next. A refusal makes its member askable again after 50 ms; silence makes the call ask another member as well; the leader that a member names is asked on a new connection if it is silent on the kept one. A connection that carries answers to other calls is not silent, so a busy leader is not sent everything twice. A call that fails replaces the kept connection. Changes use the same search if they are idempotent; others are sent once, as before. Entries' syncs keep their one attempt.

--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -1,26 +1,33 @@
 //! The client through which entries and operators reach the control members.
 //!
-//! A [`Client`] knows all members and finds the leader. It follows the leader
-//! hint in a refusal, and switches to the next member when a member does not
-//! answer. Its errors state the effect of a change: [`Error::Refused`] means
-//! that no member appended the change, [`Error::Unknown`] that a member may
-//! have appended it.
+//! A [`Client`] knows all members and finds the leader: it asks members in the
+//! order of a [`Search`] until one executes the call. It sends calls first on
+//! the connection that answered the last one, and replaces that connection
+//! when a call fails: the other end may be gone without a sign.
+//!
+//! The errors state the effect of a change: [`Error::Refused`] means that no
+//! member appended the change, [`Error::Unknown`] that a member may have
+//! appended it.
 
 use std::{
     fmt,
     net::SocketAddr,
-    sync::Mutex,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use prost::Message;
-use tokio::time::{sleep, timeout, timeout_at};
+use tokio::time::{sleep_until, timeout, timeout_at};
 use tonic::{Code, Response, Status, transport::Channel};
 
 use super::{
+    search::{Connection, Search},
     server::{LEADER_HEADER, MAX_MESSAGE_BYTES, connect, transfer_time},
-    trail::Trail,
+    trail::{Failure, Trail},
 };
 use crate::{
     verdict::Verdict,
@@ -30,16 +37,21 @@
     },
 };
 
-/// Time after which a call to one member times out, plus [`transfer_time`]
-/// for the bytes sent.
+/// Time after which an attempt to change something times out, plus
+/// [`transfer_time`] for the bytes sent.
 ///
 /// Longer than the leader holds a sync.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Time after which an attempt to read times out. A member that runs answers
+/// within five seconds.
+const READ_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(5500);
 /// Time without an answer after which another member is asked to read as well.
 /// A read takes a few ms, or some tenths of a second at a busy leader.
 const READ_HEDGE_DELAY: Duration = Duration::from_millis(200);
-/// Delay before the next call when no leader is known.
-const RETRY_INTERVAL: Duration = Duration::from_millis(50);
+/// Time without an answer after which another member is sent a change as well,
+/// plus [`transfer_time`] for its bytes. The leader answers once a majority
+/// has synced the change to disk.
+const CHANGE_HEDGE_DELAY: Duration = Duration::from_millis(400);
 
 /// A call to the control members that failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -75,20 +87,60 @@
 
 impl std::error::Error for Error {}
 
-#[derive(Debug)]
+/// The connection on which calls are sent first.
+#[derive(Clone, Debug)]
 struct Current {
     address: SocketAddr,
     client: ControlClient<Channel>,
     opened_at: Instant,
+    /// Time from `opened_at` to the last answer, in ms; 0 before the first.
+    heard_after_ms: Arc<AtomicU64>,
 }
 
 impl Current {
     fn open(address: SocketAddr) -> Current {
-        let client = open_client(address);
-        Current { address, client, opened_at: Instant::now() }
+        Current::new(address, open_client(address))
+    }
+
+    fn new(address: SocketAddr, client: ControlClient<Channel>) -> Current {
+        Current {
+            address,
+            client,
+            opened_at: Instant::now(),
+            heard_after_ms: Arc::default(),
+        }
+    }
+
+    fn record_answer(&self) {
+        let after_ms = (self.opened_at.elapsed().as_millis() as u64).max(1);
+        self.heard_after_ms.fetch_max(after_ms, Ordering::Relaxed);
+    }
+
+    /// Returns when the last answer arrived on this connection.
+    fn heard_at(&self) -> Option<Instant> {
+        let after_ms = self.heard_after_ms.load(Ordering::Relaxed);
+        let after = Duration::from_millis(after_ms);
+        (after_ms > 0).then(|| self.opened_at + after)
+    }
+
+    fn is_same(&self, other: &Current) -> bool {
+        Arc::ptr_eq(&self.heard_after_ms, &other.heard_after_ms)
     }
 }
 
+/// How long a call searches for the leader, and what it may repeat.
+#[derive(Clone, Copy)]
+struct Policy {
+    /// Time after which no member is asked any more.
+    limit: Duration,
+    hedge_delay: Duration,
+    attempt_timeout: Duration,
+    /// Whether the call may be executed more than once.
+    is_idempotent: bool,
+    /// Whether attempts that are open at the limit are waited for.
+    awaits_attempts: bool,
+}
+
 /// A client of the control members; calls may run concurrently.
 #[derive(Debug)]
 pub struct Client {
@@ -97,14 +149,6 @@
     preferred: Mutex<Option<SocketAddr>>,
 }
 
-#[derive(Clone, Copy)]
-enum Effect {
-    /// No member appended the change.
-    NotAppended,
-    /// A member may have appended the change.
-    MaybeAppended,
-}
-
 impl Client {
     /// Creates a client that uses the first of `members` first.
     ///
@@ -114,10 +158,9 @@
     ///
     /// Panics when `members` is empty, or outside of a tokio runtime.
     pub fn open(members: &[SocketAddr]) -> Client {
-        let address = members[0];
         Client {
             members: Mutex::new(members.to_vec()),
-            current: Mutex::new(Current::open(address)),
+            current: Mutex::new(Current::open(members[0])),
             preferred: Mutex::new(None),
         }
     }
@@ -127,7 +170,7 @@
     /// Ignores an empty list, which would leave no member to call.
     pub fn set_members(&self, members: &[SocketAddr]) {
         if !members.is_empty() {
-            *self.members() = members.to_vec();
+            *lock(&self.members) = members.to_vec();
         }
     }
 
@@ -137,26 +180,15 @@
     /// member failed to answer, a repeated report of the same leader does not
     /// make the client return to it.
     pub fn prefer_once(&self, address: SocketAddr) {
-        let mut preferred = self
-            .preferred
-            .lock()
-            .unwrap_or_else(|poisoned| poisoned.into_inner());
-        if preferred.replace(address) == Some(address) {
+        if lock(&self.preferred).replace(address) == Some(address) {
             return;
         }
-        let mut current = self
-            .current
-            .lock()
-            .unwrap_or_else(|poisoned| poisoned.into_inner());
+        let mut current = lock(&self.current);
         if current.address != address {
             *current = Current::open(address);
         }
     }
 
-    fn members(&self) -> std::sync::MutexGuard<'_, Vec<SocketAddr>> {
-        self.members.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
-    }
-
     /// Proposes a change to the log and retries until `limit` has passed.
     ///
     /// When a member may have appended the change, the client sends it again
@@ -168,8 +200,15 @@
         limit: Duration,
         idempotent: bool,
     ) -> Result<Outcome, Error> {
-        let bytes = change.encoded_len();
-        self.call(limit, bytes, idempotent, |mut client| {
+        let sending = transfer_time(change.encoded_len());
+        let policy = Policy {
+            limit,
+            hedge_delay: CHANGE_HEDGE_DELAY + sending,
+            attempt_timeout: ATTEMPT_TIMEOUT + sending,
+            is_idempotent: idempotent,
+            awaits_attempts: true,
+        };
+        self.call(policy, |mut client| {
             let change = change.clone();
             async move { client.propose(change).await }
         })
@@ -185,96 +224,18 @@
         query: Query,
         limit: Duration,
     ) -> Result<QueryReply, Error> {
-        let deadline = Instant::now() + limit;
-        let mut asked = Vec::new();
-        let mut calls = FuturesUnordered::new();
-        let mut next = Some(self.current());
-        let mut trail = Trail::open(self.connected_for());
-        let mut all_refused = true;
-        loop {
-            if let Some((address, client)) = next.take() {
-                asked.push(address);
-                trail.record_ask(address);
-                let query = query.clone();
-                calls.push(async move {
-                    let reply = client.clone().read(query).await;
-                    (address, client, reply)
-                });
-            }
-            let until = deadline.min(Instant::now() + READ_HEDGE_DELAY);
-            match timeout_at(until.into(), calls.next()).await {
-                Ok(Some((address, client, Ok(reply)))) => {
-                    self.keep(address, client);
-                    return Ok(reply.into_inner());
-                }
-                Ok(Some((address, _, Err(status)))) => {
-                    let (effect, text, hint) = classify_status(&status);
-                    trail.record_failure(address, text, hint);
-                    all_refused &= matches!(effect, Effect::NotAppended);
-                    let hint = hint.filter(|hint| {
-                        self.members().contains(hint) && !asked.contains(hint)
-                    });
-                    if hint.is_none() {
-                        sleep(RETRY_INTERVAL).await;
-                    }
-                    next = hint
-                        .map(|hint| (hint, open_client(hint)))
-                        .or_else(|| self.other_member(&asked));
-                }
-                // All members have refused. There may be a leader soon.
-                Ok(None) => {
-                    asked.clear();
-                    next = self.other_member(&[]);
-                }
-                Err(_) => {
-                    all_refused = false;
-                    next = self.other_member(&asked);
-                }
-            }
-            if Instant::now() >= deadline {
-                return Err(match all_refused {
-                    true => Error::Refused(trail.to_string()),
-                    false => Error::Unknown(trail.to_string()),
-                });
-            }
-        }
-    }
-
-    /// Returns the first member after the current one that was not asked.
-    fn other_member(
-        &self,
-        asked: &[SocketAddr],
-    ) -> Option<(SocketAddr, ControlClient<Channel>)> {
-        let (current, _) = self.current();
-        let members = self.members();
-        let at = members.iter().position(|member| *member == current);
-        let from = at.map_or(0, |at| at + 1);
-        let mut others = members.iter().cycle().skip(from).take(members.len());
-        let address = others.find(|member| !asked.contains(member))?;
-        Some((*address, open_client(*address)))
-    }
-
-    /// Sends later calls to the member that has answered.
-    fn keep(&self, address: SocketAddr, client: ControlClient<Channel>) {
-        let mut current = self
-            .current
-            .lock()
-            .unwrap_or_else(|poisoned| poisoned.into_inner());
-        if current.address == address {
-            current.client = client;
-        } else {
-            let opened_at = Instant::now();
-            *current = Current { address, client, opened_at };
-        }
-    }
-
-    /// Returns the current member and how long its connection has been used.
-    fn connected_for(&self) -> (SocketAddr, Duration) {
-        let current = self
-            .current
-            .lock()
-            .unwrap_or_else(|poisoned| poisoned.into_inner());
-        (current.address, current.opened_at.elapsed())
+        let policy = Policy {
+            limit,
+            hedge_delay: READ_HEDGE_DELAY,
+            attempt_timeout: READ_ATTEMPT_TIMEOUT,
+            is_idempotent: true,
+            awaits_attempts: false,
+        };
+        self.call(policy, |mut client| {
+            let query = query.clone();
+            async move { client.read(query).await }
+        })
+        .await
     }
 
     /// Sends one sync to the current member, without retries.
@@ -282,85 +243,238 @@
         &self,
         request: SyncRequest,
     ) -> Result<SyncReply, Error> {
-        self.call(Duration::ZERO, 0, true, |mut client| {
-            let request = request.clone();
-            async move { client.sync(request).await }
+        let current = lock(&self.current).clone();
+        let mut client = current.client.clone();
+        let answer = timeout(ATTEMPT_TIMEOUT, client.sync(request)).await;
+        let failure = match answer {
+            Ok(Ok(reply)) => {
+                current.record_answer();
+                return Ok(reply.into_inner());
+            }
+            Ok(Err(status)) => classify_status(&status),
+            Err(_) => Failure::timed_out(),
+        };
+        self.replace(&current, failure.leader);
+        let text = format!("{}: {}", current.address, failure.text);
+        Err(match failure.maybe_appended {
+            true => Error::Unknown(text),
+            false => Error::Refused(text),
         })
-        .await
     }
 
+    /// Asks members until one of them executes the call.
     async fn call<T, F>(
         &self,
-        limit: Duration,
-        bytes: usize,
-        idempotent: bool,
+        policy: Policy,
         run: impl Fn(ControlClient<Channel>) -> F,
     ) -> Result<T, Error>
     where
         F: Future<Output = Result<Response<T>, Status>>,
     {
-        let deadline = Instant::now() + limit;
-        let mut trail = Trail::open(self.connected_for());
-        let mut maybe_appended = false;
+        let kept = lock(&self.current).clone();
+        let mut attempts = Attempts::open(&kept, policy);
+        let mut calls = FuturesUnordered::new();
         loop {
-            let (address, client) = self.current();
-            trail.record_ask(address);
-            let attempt_timeout = ATTEMPT_TIMEOUT + transfer_time(bytes);
-            let result = timeout(attempt_timeout, run(client)).await;
-            let (effect, text, hint) = match result {
-                Ok(Ok(response)) => return Ok(response.into_inner()),
-                Ok(Err(status)) => classify_status(&status),
-                Err(_) => {
-                    let text = "timed out".to_owned();
-                    (Effect::MaybeAppended, text, None)
-                }
-            };
-            trail.record_failure(address, text, hint);
-            // Only addresses in this client's own list: the address under
-            // which a member knows the leader may not be reachable from this
-            // process.
-            let hint = hint.filter(|hint| self.members().contains(hint));
-            self.switch_member(address, hint);
-            maybe_appended |= matches!(effect, Effect::MaybeAppended);
-            let out_of_time = Instant::now() + RETRY_INTERVAL >= deadline;
-            if out_of_time || (maybe_appended && !idempotent) {
-                return Err(match maybe_appended {
-                    true => Error::Unknown(trail.to_string()),
-                    false => Error::Refused(trail.to_string()),
+            attempts.search.add_members(&lock(&self.members));
+            if let Some((address, connection)) = attempts.next(calls.len()) {
+                let client = attempts.client(address, connection);
+                let answer =
+                    timeout(policy.attempt_timeout, run(client.clone()));
+                calls.push(async move {
+                    (address, connection, client, answer.await)
                 });
             }
-            if hint.is_none() {
-                sleep(RETRY_INTERVAL).await;
+            if attempts.are_over(calls.len()) {
+                break;
             }
+            let until = attempts.wait_until(calls.len());
+            if calls.is_empty() {
+                sleep_until(until.into()).await;
+                continue;
+            }
+            let ended = timeout_at(until.into(), calls.next()).await;
+            let Ok(Some((address, connection, client, answer))) = ended else {
+                continue;
+            };
+            let failure = match answer {
+                Ok(Ok(response)) => {
+                    self.keep(&kept, address, connection, client);
+                    return Ok(response.into_inner());
+                }
+                Ok(Err(status)) => classify_status(&status),
+                Err(_) => Failure::timed_out(),
+            };
+            attempts.record(address, connection, client, failure);
         }
+        self.replace(&kept, attempts.search.leader());
+        Err(attempts.into_error(calls.len()))
     }
 
-    fn current(&self) -> (SocketAddr, ControlClient<Channel>) {
-        let current = self
-            .current
-            .lock()
-            .unwrap_or_else(|poisoned| poisoned.into_inner());
-        (current.address, current.client.clone())
+    /// Sends later calls on the connection that has answered.
+    fn keep(
+        &self,
+        kept: &Current,
+        address: SocketAddr,
+        connection: Connection,
+        client: ControlClient<Channel>,
+    ) {
+        let answered = match connection {
+            Connection::Kept => kept.clone(),
+            Connection::New => Current::new(address, client),
+        };
+        answered.record_answer();
+        *lock(&self.current) = answered;
     }
 
-    /// Switches to another member after a failed call.
+    /// Replaces the connection `failed` by a new one: to `leader` if it is a
+    /// known member, otherwise to the member after the one that failed.
     ///
-    /// Always opens a new connection, as the old one may stay silent for
-    /// good.
-    fn switch_member(&self, from: SocketAddr, hint: Option<SocketAddr>) {
-        let mut current = self
-            .current
-            .lock()
-            .unwrap_or_else(|poisoned| poisoned.into_inner());
-        if current.address != from && hint.is_none() {
+    /// Has no effect if another call has replaced the connection meanwhile.
+    fn replace(&self, failed: &Current, leader: Option<SocketAddr>) {
+        let mut current = lock(&self.current);
+        if !current.is_same(failed) {
             return;
         }
-        let members = self.members();
-        let at = members.iter().position(|member| *member == from);
+        let members = lock(&self.members);
+        let at = members.iter().position(|member| *member == failed.address);
         let next = at.map_or(0, |at| (at + 1) % members.len());
-        let address = hint.unwrap_or(members[next]);
-        *current = Current::open(address);
+        // Only addresses in this client's own list: the address under which a
+        // member knows the leader may not be reachable from this process.
+        let leader = leader.filter(|leader| members.contains(leader));
+        *current = Current::open(leader.unwrap_or(members[next]));
+    }
+}
+
+/// The attempts of one call.
+struct Attempts<'a> {
+    kept: &'a Current,
+    policy: Policy,
+    started_at: Instant,
+    search: Search,
+    trail: Trail,
+    /// Connections without an open attempt that this call may use, by member.
+    idle: Vec<(SocketAddr, ControlClient<Channel>)>,
+    is_first: bool,
+    maybe_appended: bool,
+}
+
+impl Attempts<'_> {
+    fn open(kept: &Current, policy: Policy) -> Attempts<'_> {
+        let has_answered = kept.heard_at().is_some();
+        let hedge_delay_ms = policy.hedge_delay.as_millis() as u64;
+        let unused = (kept.address, kept.client.clone());
+        Attempts {
+            kept,
+            policy,
+            started_at: Instant::now(),
+            search: Search::open(kept.address, has_answered, hedge_delay_ms),
+            trail: Trail::open(kept.opened_at.elapsed()),
+            idle: if has_answered { Vec::new() } else { vec![unused] },
+            is_first: true,
+            maybe_appended: false,
+        }
+    }
+
+    fn now(&self) -> u64 {
+        self.started_at.elapsed().as_millis() as u64
+    }
+
+    fn is_past_limit(&self) -> bool {
+        self.started_at.elapsed() >= self.policy.limit
+    }
+
+    fn may_repeat(&self) -> bool {
+        self.policy.is_idempotent || !self.maybe_appended
+    }
+
+    fn may_ask(&self, open: usize) -> bool {
+        let is_in_time = self.is_first || !self.is_past_limit();
+        let is_alone = self.policy.is_idempotent || open == 0;
+        is_in_time && is_alone && self.may_repeat()
+    }
+
+    /// Returns the member to ask now, if any, while `open` attempts are open.
+    fn next(&mut self, open: usize) -> Option<(SocketAddr, Connection)> {
+        if !self.may_ask(open) {
+            return None;
+        }
+        if let Some(heard_at) = self.kept.heard_at() {
+            let after = heard_at.saturating_duration_since(self.started_at);
+            self.search.record_heard(after.as_millis() as u64);
+        }
+        let (address, connection) = self.search.ask(self.now())?;
+        self.is_first = false;
+        self.trail.record_ask(address, connection);
+        Some((address, connection))
+    }
+
+    fn client(
+        &mut self,
+        address: SocketAddr,
+        connection: Connection,
+    ) -> ControlClient<Channel> {
+        if connection == Connection::Kept {
+            return self.kept.client.clone();
+        }
+        match self.idle.iter().position(|(idle, _)| *idle == address) {
+            Some(at) => self.idle.swap_remove(at).1,
+            None => open_client(address),
+        }
     }
+
+    /// Returns true if the call fails unless an attempt has answered by now.
+    fn are_over(&self, open: usize) -> bool {
+        let is_past_limit = !self.is_first && self.is_past_limit();
+        match open {
+            0 => is_past_limit || !self.may_repeat(),
+            _ => is_past_limit && !self.policy.awaits_attempts,
+        }
+    }
+
+    /// Returns the time until which to wait for an answer.
+    fn wait_until(&self, open: usize) -> Instant {
+        if self.is_past_limit() {
+            return Instant::now() + self.policy.attempt_timeout;
+        }
+        let limit = self.started_at + self.policy.limit;
+        if !self.may_ask(open) {
+            return limit;
+        }
+        let ask_at = Duration::from_millis(self.search.next_ask_at());
+        limit.min(self.started_at + ask_at)
+    }
+
+    /// Records that an attempt has failed.
+    fn record(
+        &mut self,
+        address: SocketAddr,
+        connection: Connection,
+        client: ControlClient<Channel>,
+        failure: Failure,
+    ) {
+        if failure.is_answer {
+            match connection {
+                Connection::Kept => self.kept.record_answer(),
+                Connection::New => self.idle.push((address, client)),
+            }
+        }
+        self.maybe_appended |= failure.maybe_appended;
+        let now = self.now();
+        self.search.record_end(now, address, connection, failure.leader);
+        self.trail.record_end(address, connection, failure);
+    }
+
+    fn into_error(self, open: usize) -> Error {
+        let text = self.trail.to_string();
+        match self.maybe_appended || open > 0 {
+            true => Error::Unknown(text),
+            false => Error::Refused(text),
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
 }
 
 fn open_client(address: SocketAddr) -> ControlClient<Channel> {
@@ -369,20 +483,24 @@
         .max_encoding_message_size(MAX_MESSAGE_BYTES)
 }
 
-fn classify_status(status: &Status) -> (Effect, String, Option<SocketAddr>) {
-    let hint = status
+fn classify_status(status: &Status) -> Failure {
+    let leader = status
         .metadata()
         .get(LEADER_HEADER)
         .and_then(|value| value.to_str().ok())
         .and_then(|text| text.parse().ok());
-    let effect = match status.code() {
-        Code::FailedPrecondition => Effect::NotAppended,
-        Code::Unavailable if is_connection_refused(status) => {
-            Effect::NotAppended
-        }
-        _ => Effect::MaybeAppended,
+    let maybe_appended = match status.code() {
+        Code::FailedPrecondition => false,
+        Code::Unavailable => !is_connection_refused(status),
+        _ => true,
     };
-    (effect, status.message().to_owned(), hint)
+    Failure {
+        // Errors of the connection have a source, answers have none.
+        is_answer: std::error::Error::source(status).is_none(),
+        maybe_appended,
+        text: status.message().to_owned(),
+        leader,
+    }
 }
 
 /// Returns true when the connection was refused, so nothing was sent.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -26,6 +26,7 @@
 pub mod member;
 pub mod raft;
 pub mod roster;
+pub mod search;
 pub mod seat;
 pub mod server;
 mod trail;
--- a/src/control/trail.rs
+++ b/src/control/trail.rs
@@ -10,46 +10,70 @@
     time::{Duration, Instant},
 };
 
-/// The members that a call has asked, with the outcome of the last attempt at
-/// each.
+use super::search::Connection;
+
+/// Why an attempt failed.
+#[derive(Debug)]
+pub struct Failure {
+    /// Whether the member answered.
+    pub is_answer: bool,
+    /// Whether the member may have appended the change.
+    pub maybe_appended: bool,
+    /// What the member or the connection reported.
+    pub text: String,
+    /// The leader that the member named.
+    pub leader: Option<SocketAddr>,
+}
+
+impl Failure {
+    /// Returns the failure of an attempt that was not answered in time.
+    pub fn timed_out() -> Failure {
+        Failure {
+            is_answer: false,
+            maybe_appended: true,
+            text: "timed out".to_owned(),
+            leader: None,
+        }
+    }
+}
+
+/// The connections on which a call has asked members, with the outcome of the
+/// last attempt on each.
 #[derive(Debug)]
 pub struct Trail {
-    kept: (SocketAddr, Duration),
+    kept_age: Duration,
     attempts: Vec<Attempt>,
 }
 
 #[derive(Debug)]
 struct Attempt {
     address: SocketAddr,
+    connection: Connection,
     asked_at: Instant,
     count: u32,
     failure: Option<Failure>,
 }
 
-#[derive(Debug)]
-struct Failure {
-    text: String,
-    leader: Option<SocketAddr>,
-}
-
 impl Trail {
-    /// Creates an empty trail. `kept` is the member whose connection is kept
-    /// from former calls, and the age of that connection.
-    pub fn open(kept: (SocketAddr, Duration)) -> Trail {
-        Trail { kept, attempts: Vec::new() }
+    /// Creates an empty trail. `kept_age` is the age of the connection that is
+    /// kept from former calls.
+    pub fn open(kept_age: Duration) -> Trail {
+        Trail { kept_age, attempts: Vec::new() }
     }
 
     /// Records that a member is asked.
-    pub fn record_ask(&mut self, address: SocketAddr) {
+    pub fn record_ask(&mut self, address: SocketAddr, connection: Connection) {
         let asked_at = Instant::now();
-        match self.attempts.iter_mut().find(|old| old.address == address) {
-            Some(attempt) => {
+        match self.position(address, connection) {
+            Some(at) => {
+                let attempt = &mut self.attempts[at];
                 attempt.asked_at = asked_at;
                 attempt.count += 1;
                 attempt.failure = None;
             }
             None => self.attempts.push(Attempt {
                 address,
+                connection,
                 asked_at,
                 count: 1,
                 failure: None,
@@ -57,20 +81,27 @@
         }
     }
 
-    /// Records that the last attempt at a member failed, and which leader it
-    /// named.
-    pub fn record_failure(
+    /// Records that the last attempt at a member has failed.
+    pub fn record_end(
         &mut self,
         address: SocketAddr,
-        text: String,
-        leader: Option<SocketAddr>,
+        connection: Connection,
+        failure: Failure,
     ) {
-        let attempt =
-            self.attempts.iter_mut().find(|old| old.address == address);
-        if let Some(attempt) = attempt {
-            attempt.failure = Some(Failure { text, leader });
+        if let Some(at) = self.position(address, connection) {
+            self.attempts[at].failure = Some(failure);
         }
     }
+
+    fn position(
+        &self,
+        address: SocketAddr,
+        connection: Connection,
+    ) -> Option<usize> {
+        self.attempts.iter().position(|attempt| {
+            (attempt.address, attempt.connection) == (address, connection)
+        })
+    }
 }
 
 impl fmt::Display for Trail {
@@ -78,12 +109,12 @@
         if self.attempts.is_empty() {
             return out.write_str("no member was asked");
         }
-        let (kept, age) = self.kept;
         for (at, attempt) in self.attempts.iter().enumerate() {
             let separator = if at == 0 { "" } else { ", " };
             write!(out, "{separator}{}", attempt.address)?;
-            if attempt.address == kept {
-                write!(out, " (connected for {} ms)", age.as_millis())?;
+            if attempt.connection == Connection::Kept {
+                let age_ms = self.kept_age.as_millis();
+                write!(out, " (connected for {age_ms} ms)")?;
             }
             match &attempt.failure {
                 Some(failure) => {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -53,6 +53,7 @@
 mod rollout_judge;
 mod rollouts;
 mod scenario;
+mod search;
 mod silence;
 mod steps;
 mod stream_records;
