--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -23,6 +23,7 @@
 mod large_plan;
 mod ledger;
 mod limits;
+mod member_links;
 mod mesh;
 mod mesh_scale;
 mod nodes;
