Send a batch on a new connection once the old one is silent

What callers saw: after all open connections had fallen silent, the plan could not be read for 2.0 to 2.8 s, and the leader changed.

Cause: a link between members waited 500 ms for an acknowledgement before it opened a new connection, and dropped the batch. A leader's message and the answer to it use two links, which noticed the silence one after the other, so that no answer arrived within the election timeout of 1 s.

Change: a batch that is not acknowledged within 200 ms, or whose connection breaks, is sent on a new connection as well, and the link keeps the one that acknowledges it. Raft's messages may arrive twice.

--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -1,7 +1,8 @@
 //! The gRPC services of a control member and its links to peers.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, pin::pin, time::Duration};
 
+use futures_util::future::{Either, select};
 use prost::Message;
 use tokio::{
     net::TcpListener,
@@ -30,9 +31,16 @@
 /// Time after which the outcome of an undecided change or read is reported as
 /// unknown.
 const PROPOSE_TIMEOUT: Duration = Duration::from_secs(5);
-/// Time after which a batch sent to a peer times out, plus [`transfer_time`]
-/// for its bytes; the link then opens a new connection.
+/// Time after which a batch sent on a new connection times out, plus
+/// [`transfer_time`] for its bytes; the batch is then dropped.
 const SEND_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time without an acknowledgement after which a batch is sent on a new
+/// connection as well, plus [`transfer_time`] for its bytes.
+///
+/// A leader's message and its answer use links of their own, which may both
+/// have to notice that their connection is silent, one after the other, within
+/// an election timeout.
+const SEND_HEDGE_DELAY: Duration = Duration::from_millis(200);
 /// Throughput assumed for a link, in bytes per second.
 ///
 /// Nearly half of the narrowest link, 10 Mbit/s, because answers to callers
@@ -251,21 +259,54 @@
 }
 
 async fn run_link(address: SocketAddr, mut queue: mpsc::Receiver<Envelope>) {
-    let open_client = || {
-        MembersClient::new(connect(address))
-            .max_encoding_message_size(MAX_MESSAGE_BYTES)
-    };
-    let mut client = open_client();
+    let mut client = open_members_client(address);
     let mut envelopes = Vec::new();
     while queue.recv_many(&mut envelopes, 64).await > 0 {
         let batch = Envelopes { envelopes: std::mem::take(&mut envelopes) };
-        let batch_timeout = SEND_TIMEOUT + transfer_time(batch.encoded_len());
-        let sent = timeout(batch_timeout, client.deliver(batch)).await;
-        if !matches!(sent, Ok(Ok(_))) {
-            // A connection whose state a middlebox has lost stays silent
-            // forever, while new connections work. Kept in use, it would make
-            // the peer appear to have crashed; a new connection is cheap.
-            client = open_client();
+        client = deliver(address, client, batch).await;
+    }
+}
+
+fn open_members_client(address: SocketAddr) -> MembersClient<Channel> {
+    MembersClient::new(connect(address))
+        .max_encoding_message_size(MAX_MESSAGE_BYTES)
+}
+
+/// Sends a batch, on a new connection as well if `client` fails or does not
+/// acknowledge it soon. Returns the client for the next batch.
+///
+/// A connection whose state a middlebox has lost stays silent forever, while
+/// new connections work. Kept in use, it would make the peer appear to have
+/// crashed. A batch that arrives twice is harmless: Raft's messages are
+/// idempotent.
+async fn deliver(
+    address: SocketAddr,
+    client: MembersClient<Channel>,
+    batch: Envelopes,
+) -> MembersClient<Channel> {
+    let sending = transfer_time(batch.encoded_len());
+    let mut kept = client.clone();
+    let mut on_kept = pin!(kept.deliver(batch.clone()));
+    let first = timeout(SEND_HEDGE_DELAY + sending, &mut on_kept).await;
+    if matches!(first, Ok(Ok(_))) {
+        return client;
+    }
+    let new = open_members_client(address);
+    let mut renewed = new.clone();
+    let on_new = pin!(renewed.deliver(batch));
+    let acknowledged = async {
+        if first.is_ok() {
+            return on_new.await.map(|_| new.clone());
+        }
+        match select(on_kept, on_new).await {
+            Either::Left((Ok(_), _)) => Ok(client),
+            Either::Left((Err(_), on_new)) => on_new.await.map(|_| new),
+            Either::Right((Ok(_), _)) => Ok(new),
+            Either::Right((Err(_), on_kept)) => on_kept.await.map(|_| client),
         }
+    };
+    match timeout(SEND_TIMEOUT + sending, acknowledged).await {
+        Ok(Ok(client)) => client,
+        Ok(Err(_)) | Err(_) => open_members_client(address),
     }
 }
