--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -26,8 +26,10 @@
 pub mod member;
 pub mod raft;
 pub mod roster;
+pub mod search;
 pub mod seat;
 pub mod server;
+mod trail;
 
 use std::{fmt, io, net::SocketAddr, time::Duration};
 
