Log why reads are not confirmed and why there is no leader

Cause: when no node could read the plan back, the members' logs did not tell a leader that can't confirm reads from a cluster without a leader or from a client that does not reach a leader that serves.

A member that knows no leader for a second more than the election timeout logs `No leader known.` with its term, lists, last index and votes. Both come once a second at most. Two metrics: late reads, and whether the member hears a leader.

--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -21,6 +21,7 @@
 use tracing::{info, warn};
 
 use super::{
+    availability::Monitor,
     disk::{self, Disk},
     ledger::{Ledger, Source},
     raft::{Identity, Node, Output, Refusal},
@@ -106,6 +107,9 @@
     pub leads: bool,
     /// Whether a leader was heard within the last election timeout.
     pub hears_leader: bool,
+    /// Number of reads that this process's member could not confirm in time
+    /// while it led.
+    pub late_reads: u64,
     /// The newest gateway plan that is known to be committed.
     pub plan: Option<Arc<PutPlan>>,
     /// The newest state of the roll-outs that is known to be committed.
@@ -204,6 +208,7 @@
     /// answer in ms. The last list before a loss of leadership shows its
     /// cause.
     unheard: Vec<(String, u64)>,
+    monitor: Monitor,
     /// Number of times that this member became leader since its thread
     /// started.
     times_led: u32,
@@ -244,6 +249,7 @@
             dynamic: None,
             leader_since: 0,
             unheard: Vec::new(),
+            monitor: Monitor::default(),
             times_led: 0,
             persisted_commit: 0,
             last_commit: (0, 0),
@@ -508,6 +514,7 @@
             self.unheard = self.node.silent_members(now, UNHEARD_THRESHOLD_MS);
         }
         self.node.tick(now);
+        self.monitor.check(now, &self.node);
         if !self.node.is_leader() {
             return;
         }
@@ -572,10 +579,11 @@
     }
 
     /// Updates the view, and notifies its receivers only if it changed.
-    fn publish_view(&self) {
+    fn publish_view(&mut self) {
         let Some(dynamic) = &self.dynamic else { return };
         let version = self.ledger.plan_version();
         let hears_leader = self.node.hears_leader(self.now);
+        let late_reads = self.monitor.take_late_reads();
         dynamic.view.send_if_modified(|view| {
             let published_version =
                 view.plan.as_ref().map_or(0, |plan| plan.version);
@@ -583,12 +591,14 @@
                 || view.leader != self.node.leader()
                 || view.leads != self.node.is_leader()
                 || view.hears_leader != hears_leader
+                || late_reads > 0
                 || published_version != version
                 || view.rollouts.version != self.ledger.rollouts().version;
             view.term = self.node.term();
             view.leader = self.node.leader();
             view.leads = self.node.is_leader();
             view.hears_leader = hears_leader;
+            view.late_reads += late_reads;
             if published_version != version {
                 view.plan = self.ledger.plan().cloned().map(Arc::new);
             }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -6,6 +6,7 @@
 //! | [`disk`] | the data folder |
 //! | [`ledger`] | the replicated state machine, without I/O |
 //! | [`roster`] | the leader's state that is not replicated, without I/O |
+//! | `availability` | reports of reads and leaders that are missing |
 //! | [`member`] | the thread that drives these modules |
 //! | [`server`] | the gRPC services and the links between members |
 //! | [`seat`] | a dynamic member, whose peers are not in its settings |
@@ -20,6 +21,7 @@
 //! already, the empty member waits until the leader adds it as a learner. A
 //! VM that lost its disk can therefore not start a second cluster.
 
+mod availability;
 pub mod client;
 pub mod disk;
 pub mod ledger;
--- a/src/control/raft/mod.rs
+++ b/src/control/raft/mod.rs
@@ -29,10 +29,12 @@
 mod follower;
 mod leader;
 mod log;
+mod report;
 
 use rand::{SeedableRng, rngs::StdRng};
 
 use self::log::encode_membership;
+pub use self::report::{Candidacy, MissingVoter, UnconfirmedReads};
 use crate::{
     util::common,
     wire::{Envelope, HardState, LogEntry, Member, Snapshot, envelope::Body},
@@ -148,6 +150,7 @@
 struct PendingRead {
     token: u64,
     round: u64,
+    started_at: u64,
 }
 
 #[derive(Debug)]
@@ -613,7 +616,7 @@
             return Err(Refusal::ChangePending);
         }
         let round = leader_state.round + 1;
-        leader_state.reads.push(PendingRead { token, round });
+        leader_state.reads.push(PendingRead { token, round, started_at: now });
         self.broadcast(now);
         self.confirm_reads();
         Ok(())
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -141,6 +141,10 @@
     pub term: Gauge,
     /// 1 while that member is the leader, otherwise 0.
     pub leads: Gauge,
+    /// 1 while that member leads or hears a leader, otherwise 0.
+    pub hears_leader: Gauge,
+    /// Reads that the member could not confirm in time while it led.
+    pub late_reads: Counter,
     /// Heartbeats and answer headers of replicas that can't be parsed.
     pub unreadable: Counter,
     /// Replicas that crashed with requests of this node in flight.
@@ -247,6 +251,8 @@
             plan_delay: Histogram::new(exponential_buckets(0.001, 2.0, 17)),
             term: Gauge::default(),
             leads: Gauge::default(),
+            hears_leader: Gauge::default(),
+            late_reads: Counter::default(),
             unreadable: Counter::default(),
             ended_replicas: Counter::default(),
             suspects: Counter::default(),
@@ -298,6 +304,16 @@
             "1 while this node's member of the log leads",
             metrics.leads.clone(),
         );
+        registry.register(
+            "control_hears_leader",
+            "1 while this node's member of the log leads or hears a leader",
+            metrics.hears_leader.clone(),
+        );
+        registry.register(
+            "control_late_reads",
+            "Reads that this node's member led and could not confirm in time",
+            metrics.late_reads.clone(),
+        );
         registry.register(
             "plan_reads",
             "Reads of the plan through the quorum, by outcome",
--- a/src/node/member.rs
+++ b/src/node/member.rs
@@ -22,6 +22,9 @@
         let metrics = &node.gateway.metrics;
         metrics.term.set(current.term as i64);
         metrics.leads.set(current.leads.into());
+        metrics.hears_leader.set(current.hears_leader.into());
+        let counted = metrics.late_reads.get();
+        metrics.late_reads.inc_by(current.late_reads.saturating_sub(counted));
         if let (Some(mesh), Some(leader)) = (node.mesh.get(), current.leader) {
             let mut table = mesh.table();
             let me = table.own_peer_mut();
