Show clusters that confirm no reads after disks were lost

Cause: after all members stop and as many disks are lost as may be, each of the others is needed for every vote and read.

--- a/tests/all/raft.rs
+++ b/tests/all/raft.rs
@@ -16,11 +16,14 @@
 use azuremount::{
     control::raft::{Identity, Node, Output, Refusal, SavedState, Timing},
     wire::{
-        AppendReply, Envelope, LogEntry, Member, VoteReply, envelope::Body,
+        AppendReply, AppendRequest, Envelope, LogEntry, Member, VoteReply,
+        VoteRequest, envelope::Body,
     },
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
+mod availability;
+mod leaders;
 mod losses;
 
 const TIMING: Timing = Timing { heartbeat_ms: 50, election_timeout_ms: 250 };
