Skip the entries of a conflicting term at once

Cause: a follower whose entry conflicts with the leader's answered with the index before it, so the leader stepped back by one entry a round trip, and each step carried all entries from there on. A member that had led without a majority before all stopped, with 85 entries that no other member had, took 11 s to accept the new leader's log. Where that member is needed, nothing is committed and every read is refused for that time, while the leader keeps its majority.

Change: the follower answers with the last index before its entries of the conflicting term, and not below what it knows to be committed.

--- a/src/control/raft/follower.rs
+++ b/src/control/raft/follower.rs
@@ -44,10 +44,9 @@
         let log_matches = previous < self.base.0
             || self.term_at(previous) == Some(request.previous_term);
         if !log_matches {
-            let hint = previous.saturating_sub(1).min(self.last_index());
             let reply = AppendReply {
                 success: false,
-                match_index: hint,
+                match_index: self.last_possible_match(previous),
                 round: request.round,
             };
             self.send(from, self.term, Body::AppendReply(reply));
@@ -67,6 +66,23 @@
         self.send(from, self.term, Body::AppendReply(reply));
     }
 
+    /// Returns the last index below `previous` at which the log may match that
+    /// of a leader whose entry at `previous` differs.
+    ///
+    /// Skips the entries of the conflicting term. By one entry a round trip, a
+    /// leader whose predecessor had many uncommitted entries would commit
+    /// nothing for seconds.
+    fn last_possible_match(&self, previous: u64) -> u64 {
+        let last = previous.saturating_sub(1).min(self.last_index());
+        let Some(conflicting) = self.term_at(previous) else { return last };
+        // Committed entries match those of any leader.
+        let first = self.commit_index.min(last);
+        (first + 1..=last)
+            .rev()
+            .find(|index| self.term_at(*index) != Some(conflicting))
+            .unwrap_or(first)
+    }
+
     pub(super) fn store_entry(&mut self, entry: LogEntry) {
         if entry.index <= self.base.0 {
             return;
