--- a/src/control/raft/leader.rs
+++ b/src/control/raft/leader.rs
@@ -3,7 +3,7 @@
 
 use super::{
     Identity, MAX_BYTES_PER_APPEND, MAX_ENTRIES_PER_APPEND, Node, Progress,
-    Role,
+    Role, SNAPSHOT_BYTES_PER_MS,
 };
 use crate::wire::{
     AppendReply, AppendRequest, LogEntry, Member, SnapshotRequest,
@@ -67,11 +67,27 @@
         let progress = &mut leader_state.progress[pos];
         let member = progress.member;
         if progress.next_index <= base.0 {
-            let snapshot_in_flight =
-                progress.snapshot_sent_at.is_some_and(|sent_at| {
-                    now < sent_at + 2 * election_timeout_ms
-                });
+            let bytes = self
+                .snapshot
+                .as_ref()
+                .map_or(0, |snapshot| snapshot.state.len());
+            let timeout_ms =
+                2 * election_timeout_ms + bytes as u64 / SNAPSHOT_BYTES_PER_MS;
+            let snapshot_in_flight = progress
+                .snapshot_sent_at
+                .is_some_and(|sent_at| now < sent_at + timeout_ms);
             if snapshot_in_flight {
+                // Without the round, the member would confirm nothing until
+                // the snapshot is installed: the leader could confirm no read
+                // that needs this member, and would step down.
+                let request = AppendRequest {
+                    previous_index: base.0,
+                    previous_term: base.1,
+                    commit,
+                    round,
+                    entries: Vec::new(),
+                };
+                self.send(member, self.term, Body::AppendRequest(request));
                 return;
             }
             progress.snapshot_sent_at = Some(now);
--- a/src/control/raft/mod.rs
+++ b/src/control/raft/mod.rs
@@ -46,6 +46,11 @@
 ///
 /// The first entry is sent even if it is larger.
 const MAX_BYTES_PER_APPEND: usize = 512 * 1024;
+/// Throughput assumed for the transfer of a snapshot, in bytes per ms.
+///
+/// Nearly half of the narrowest link, 10 Mbit/s, which the snapshot shares. A
+/// snapshot is sent again only once the first one should have arrived.
+const SNAPSHOT_BYTES_PER_MS: u64 = 500;
 /// A member has caught up when it lacks fewer committed entries than this.
 ///
 /// Only such a learner is made a voter, and only such a voter is healthy.
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -21,6 +21,7 @@
     Change, Empty, Envelope, Envelopes, Outcome, ProbeReply, Query,
     QueryReply, SyncReply, SyncRequest,
     control_server::{Control, ControlServer},
+    envelope::Body,
     members_client::MembersClient,
     members_server::{Members, MembersServer},
 };
@@ -40,6 +41,9 @@
 const MIN_LINK_BYTES_PER_S: f64 = 500_000.0;
 /// Capacity of the message queue of one peer; Raft resends dropped messages.
 const MAX_QUEUED_MESSAGES: usize = 256;
+/// Capacity of the queue of snapshots to one peer; the leader resends a
+/// snapshot that is not acknowledged.
+const MAX_QUEUED_SNAPSHOTS: usize = 1;
 /// Maximum size of a message, in bytes; large enough for a snapshot.
 pub const MAX_MESSAGE_BYTES: usize = 256 * 1024 * 1024;
 
@@ -229,24 +233,36 @@
     reply.ok()?.ok().map(Response::into_inner)
 }
 
-/// The message queue of one peer.
+/// The message queues of one peer.
+///
+/// Snapshots have a queue and a connection of their own. Behind a snapshot
+/// whose transfer takes longer than the election timeout, heartbeats would
+/// arrive too late, and the term of the next leader would make the snapshot
+/// outdated before it arrives.
 #[derive(Debug)]
 pub struct Link {
     queue: mpsc::Sender<Envelope>,
+    snapshots: mpsc::Sender<Envelope>,
 }
 
 impl Link {
-    /// Starts the task that sends messages to `address` in order and in
-    /// batches.
+    /// Starts the tasks that send messages to `address` in batches, in order
+    /// but for snapshots.
     pub fn spawn(address: SocketAddr) -> Link {
         let (queue, waiting) = mpsc::channel(MAX_QUEUED_MESSAGES);
         tokio::spawn(run_link(address, waiting));
-        Link { queue }
+        let (snapshots, waiting) = mpsc::channel(MAX_QUEUED_SNAPSHOTS);
+        tokio::spawn(run_link(address, waiting));
+        Link { queue, snapshots }
     }
 
     /// Queues a message, or drops it when the queue is full.
     pub fn send(&self, message: Envelope) {
-        let _ = self.queue.try_send(message);
+        let queue = match &message.body {
+            Some(Body::SnapshotRequest(_)) => &self.snapshots,
+            _ => &self.queue,
+        };
+        let _ = queue.try_send(message);
     }
 }
 
--- a/tests/all/raft/availability.rs
+++ b/tests/all/raft/availability.rs
@@ -185,7 +185,7 @@
             impaired: rng.random_range(0..size),
             phase_ms: rng.random_range(0..3000),
             vms,
-            links: (0..size * size).map(|_| Link::default()).collect(),
+            links: (0..2 * size * size).map(|_| Link::default()).collect(),
             snapshot_bytes,
             min_voters,
             next_token: 1,
@@ -297,7 +297,7 @@
 
     fn advance_link(&mut self, link: usize) {
         let size = self.vms.len();
-        let (from, to) = (link / size, link % size);
+        let (from, to) = (link / 2 / size, link / 2 % size);
         if !self.is_running(from) {
             return;
         }
@@ -479,8 +479,13 @@
         let size = self.vms.len();
         for message in output.messages {
             let to = message.to as usize - 1;
-            let queue = &mut self.links[slot * size + to].queue;
-            if queue.len() < MAX_QUEUED {
+            // Snapshots have a queue of their own, as in the product.
+            let is_snapshot =
+                matches!(message.body, Some(Body::SnapshotRequest(_)));
+            let link = 2 * (slot * size + to) + usize::from(is_snapshot);
+            let max_queued = if is_snapshot { 1 } else { MAX_QUEUED };
+            let queue = &mut self.links[link].queue;
+            if queue.len() < max_queued {
                 queue.push_back(message);
             }
         }
