Elect a leader again once a needed voter answers

Cause: a leader that lost its majority for a moment waited for a new election timeout, and then its followers refused their votes for another, as they had just read its last messages. Votes were requested once, so a lost request cost one to two seconds. A voter grants its pre-vote to all candidates; where each voter is needed, two candidates went on to an election that neither could win, again and again.

Change: a leader that steps down requests pre-votes at once. A vote request for a later term shows its followers that it no longer leads. A candidate requests the votes that it lacks again at each heartbeat interval. A candidate for pre-votes gives way to one with a newer log or, among equals, a higher id.

The other tests of `raft` pass.

--- a/src/control/raft/election.rs
+++ b/src/control/raft/election.rs
@@ -14,31 +14,44 @@
             return;
         }
         self.leader = None;
-        let term = if pre_vote {
-            self.term + 1
-        } else {
+        if !pre_vote {
             self.term += 1;
             self.voted_for = Some(self.me);
             self.hard_state_changed = true;
-            self.term
-        };
-        self.role = Role::Candidate { pre_vote, votes: vec![self.me] };
-        let request = VoteRequest {
-            pre: pre_vote,
-            last_index: self.last_index(),
-            last_term: self.last_term(),
-        };
-        let voters: Vec<Identity> = self.voters().collect();
-        for voter in voters {
-            if voter != self.me {
-                self.send(voter, term, Body::VoteRequest(request));
-            }
         }
+        let votes = vec![self.me];
+        self.role = Role::Candidate { pre_vote, votes, requested_at: now };
+        self.request_votes(now);
         self.count_votes(now);
     }
 
+    /// Requests the votes that this candidate lacks.
+    ///
+    /// A request or its answer may be lost, and a voter that has refused may
+    /// grant its vote once it no longer hears a leader.
+    pub(super) fn request_votes(&mut self, now: u64) {
+        let last_index = self.last_index();
+        let last_term = self.last_term();
+        let all: Vec<Identity> = self.voters().collect();
+        let Role::Candidate { pre_vote, votes, requested_at } = &mut self.role
+        else {
+            return;
+        };
+        *requested_at = now;
+        let pre = *pre_vote;
+        let missing: Vec<Identity> =
+            all.into_iter().filter(|voter| !votes.contains(voter)).collect();
+        let term = self.term + u64::from(pre);
+        let request = VoteRequest { pre, last_index, last_term };
+        for voter in missing {
+            self.send(voter, term, Body::VoteRequest(request));
+        }
+    }
+
     pub(super) fn count_votes(&mut self, now: u64) {
-        let Role::Candidate { pre_vote, votes } = &self.role else { return };
+        let Role::Candidate { pre_vote, votes, .. } = &self.role else {
+            return;
+        };
         let pre_vote = *pre_vote;
         if !self.is_quorum(|member| votes.contains(&member)) {
             return;
@@ -57,6 +70,11 @@
         term: u64,
         request: VoteRequest,
     ) {
+        if term > self.term && self.leader == Some(from.id) {
+            // Only a leader that has stepped down requests votes for a later
+            // term.
+            self.leader = None;
+        }
         // Without this check, a member that returns from a network partition
         // with a higher term would depose a leader that the other members
         // still hear.
@@ -76,6 +94,9 @@
             >= (self.last_term(), self.last_index());
         if request.pre {
             let granted = term > self.term && is_up_to_date;
+            if granted {
+                self.yield_pre_vote(now, from, request);
+            }
             let reply = VoteReply { pre: true, granted };
             let reply_term = if granted { term } else { self.term };
             self.send(from, reply_term, Body::VoteReply(reply));
@@ -95,6 +116,28 @@
         self.send(from, self.term, Body::VoteReply(reply));
     }
 
+    /// Gives up this member's pre-vote round for that of a candidate with a
+    /// newer log or, if the logs are equally new, a higher id.
+    ///
+    /// A voter grants its pre-vote to every candidate. If each voter is
+    /// needed, two candidates at the same time would both go on to an
+    /// election in which each votes for itself, and both would fail.
+    fn yield_pre_vote(
+        &mut self,
+        now: u64,
+        from: Identity,
+        request: VoteRequest,
+    ) {
+        let other = (request.last_term, request.last_index, from.id);
+        let own = (self.last_term(), self.last_index(), self.me.id);
+        let is_pre_candidate =
+            matches!(self.role, Role::Candidate { pre_vote: true, .. });
+        if is_pre_candidate && other > own {
+            self.role = Role::Follower;
+            self.reset_election_timer(now);
+        }
+    }
+
     pub(super) fn on_vote_reply(
         &mut self,
         now: u64,
@@ -113,7 +156,7 @@
             Role::Candidate { pre_vote: false, .. } => self.term,
             Role::Follower | Role::Leader(_) => return,
         };
-        if let Role::Candidate { pre_vote, votes } = &mut self.role
+        if let Role::Candidate { pre_vote, votes, .. } = &mut self.role
             && term == expected_term
             && reply.pre == *pre_vote
             && !votes.contains(&from)
--- a/src/control/raft/mod.rs
+++ b/src/control/raft/mod.rs
@@ -177,7 +177,12 @@
 #[derive(Debug)]
 enum Role {
     Follower,
-    Candidate { pre_vote: bool, votes: Vec<Identity> },
+    Candidate {
+        pre_vote: bool,
+        votes: Vec<Identity>,
+        /// Time at which votes were last requested.
+        requested_at: u64,
+    },
     Leader(Box<LeaderState>),
 }
 
@@ -561,13 +566,24 @@
                 // down it refuses them.
                 if !self.has_recent_quorum(now) {
                     self.become_follower(now, self.term, None);
+                    // Its followers would otherwise refuse their votes for an
+                    // election timeout after its last message.
+                    self.start_election(now, true);
                 } else if due {
                     self.broadcast(now);
                 }
             }
-            Role::Follower | Role::Candidate { .. } => {
+            Role::Follower => {
+                if now >= self.election_due_at {
+                    self.start_election(now, true);
+                }
+            }
+            Role::Candidate { requested_at, .. } => {
+                let again_at = requested_at + self.timing.heartbeat_ms;
                 if now >= self.election_due_at {
                     self.start_election(now, true);
+                } else if now >= again_at {
+                    self.request_votes(now);
                 }
             }
         }
--- a/src/control/raft/report.rs
+++ b/src/control/raft/report.rs
@@ -74,7 +74,7 @@
 
     /// The election that this node has started and neither won nor lost.
     pub fn candidacy(&self) -> Option<Candidacy> {
-        let Role::Candidate { pre_vote, votes } = &self.role else {
+        let Role::Candidate { pre_vote, votes, .. } = &self.role else {
             return None;
         };
         let voted = self
