--- a/src/control/raft/mod.rs
+++ b/src/control/raft/mod.rs
@@ -29,10 +29,12 @@
 mod follower;
 mod leader;
 mod log;
+mod report;
 
 use rand::{SeedableRng, rngs::StdRng};
 
 use self::log::encode_membership;
+pub use self::report::{Candidacy, MissingVoter, UnconfirmedReads};
 use crate::{
     util::common,
     wire::{Envelope, HardState, LogEntry, Member, Snapshot, envelope::Body},
@@ -44,6 +46,11 @@
 ///
 /// The first entry is sent even if it is larger.
 const MAX_BYTES_PER_APPEND: usize = 512 * 1024;
+/// Throughput assumed for the transfer of a snapshot, in bytes per ms.
+///
+/// Nearly half of the narrowest link, 10 Mbit/s, which the snapshot shares. A
+/// snapshot is sent again only once the first one should have arrived.
+const SNAPSHOT_BYTES_PER_MS: u64 = 500;
 /// A member has caught up when it lacks fewer committed entries than this.
 ///
 /// Only such a learner is made a voter, and only such a voter is healthy.
@@ -148,6 +155,7 @@
 struct PendingRead {
     token: u64,
     round: u64,
+    started_at: u64,
 }
 
 #[derive(Debug)]
@@ -169,7 +177,12 @@
 #[derive(Debug)]
 enum Role {
     Follower,
-    Candidate { pre_vote: bool, votes: Vec<Identity> },
+    Candidate {
+        pre_vote: bool,
+        votes: Vec<Identity>,
+        /// Time at which votes were last requested.
+        requested_at: u64,
+    },
     Leader(Box<LeaderState>),
 }
 
@@ -553,13 +566,24 @@
                 // down it refuses them.
                 if !self.has_recent_quorum(now) {
                     self.become_follower(now, self.term, None);
+                    // Its followers would otherwise refuse their votes for an
+                    // election timeout after its last message.
+                    self.start_election(now, true);
                 } else if due {
                     self.broadcast(now);
                 }
             }
-            Role::Follower | Role::Candidate { .. } => {
+            Role::Follower => {
+                if now >= self.election_due_at {
+                    self.start_election(now, true);
+                }
+            }
+            Role::Candidate { requested_at, .. } => {
+                let again_at = requested_at + self.timing.heartbeat_ms;
                 if now >= self.election_due_at {
                     self.start_election(now, true);
+                } else if now >= again_at {
+                    self.request_votes(now);
                 }
             }
         }
@@ -613,7 +637,7 @@
             return Err(Refusal::ChangePending);
         }
         let round = leader_state.round + 1;
-        leader_state.reads.push(PendingRead { token, round });
+        leader_state.reads.push(PendingRead { token, round, started_at: now });
         self.broadcast(now);
         self.confirm_reads();
         Ok(())
