List the leader that the mesh names among the members to ask

Cause: a node told its client to ask the live nodes with a disk, and the client follows hints to listed members only. A leader whose datagrams don't arrive was not listed, so once the client had left it, each refusal named it in vain. A node with a disk always lists itself, so with no other live member it asked nobody else, and had dropped its seeds.

Change: the leader that the mesh names is always listed. Without another live member, the remembered ones and the seeds are.

A leader that is gone stays listed until the mesh names the next one; it costs a read one more hedge of 200 ms in that time.

--- a/src/mesh/mod.rs
+++ b/src/mesh/mod.rs
@@ -229,6 +229,11 @@
         }
     }
 
+    /// Returns the seeds.
+    pub fn seeds(&self) -> Vec<Ipv4Addr> {
+        self.shared.seeds()
+    }
+
     /// Replaces the seeds, for example after a change of settings.
     pub fn set_seeds(&self, seeds: Vec<Ipv4Addr>) {
         *self
--- a/src/node/member.rs
+++ b/src/node/member.rs
@@ -1,15 +1,60 @@
-//! Connects a node to its own member of the replicated log.
+//! Connects a node to its own member of the replicated log, and lists the
+//! members that the node can ask.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::Arc,
+    time::Duration,
+};
 
 use tokio::time::sleep;
 
 use super::Node;
-use crate::control::seat;
+use crate::{
+    control::seat,
+    mesh::table::{Node as Peer, Table},
+};
 
 /// Interval between a member's requests to join while it has no leader.
 const JOIN_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Returns the addresses of the members that this node can ask, without
+/// repeats.
+///
+/// The mesh may not have heard the leader lately although calls reach it, so
+/// the leader that other nodes name is always among them. If no other member
+/// is live, those that are remembered and the seeds are: a node with a disk
+/// would otherwise ask its own member only.
+pub(super) fn list(
+    table: &Table,
+    now: u64,
+    port: u16,
+    seeds: &[Ipv4Addr],
+) -> Vec<SocketAddrV4> {
+    let own = table.own_peer();
+    let own_address = SocketAddrV4::new(own.ip.into(), port);
+    let address = |ip| SocketAddrV4::new(ip, port);
+    let has_disk = |node: &&Peer| node.peer.has_disk;
+    let live = table.live(now).filter(has_disk).map(Peer::ip);
+    let mut members: Vec<SocketAddrV4> = live.map(address).collect();
+    if members.is_empty() {
+        let known = table.nodes().iter().filter(has_disk).map(Peer::ip);
+        members.extend(known.chain(seeds.iter().copied()).map(address));
+    }
+    if own.leader != 0 {
+        members.push(seat::member_address(own.leader));
+    }
+    members.push(own_address);
+    let mut listed = Vec::with_capacity(members.len());
+    for member in members {
+        let is_member = own.has_disk || member != own_address;
+        if is_member && !listed.contains(&member) {
+            listed.push(member);
+        }
+    }
+    listed
+}
+
 /// Applies the term, leader and committed plan that this node's member reports
 /// to the gateway, the mesh table and the metrics.
 pub(super) async fn apply_updates(node: Arc<Node>, seat: seat::Handle) {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -560,31 +560,27 @@
     fn apply_mesh_reports(self: &Arc<Node>) {
         let Some(mesh) = self.mesh.get() else { return };
         let now = self.gateway.timer.now();
-        let mut members = Vec::new();
+        let seeds = mesh.seeds();
         let mut newest = (0, Ipv4Addr::UNSPECIFIED);
-        let leader = {
+        let (leader, members) = {
             let mut table = mesh.table();
             let mut leadership =
                 (table.own_peer().leader_term, table.own_peer().leader);
             for node in table.live(now) {
                 let says = &node.peer;
-                if says.has_disk {
-                    members.push((node.ip(), self.peer_port).into());
-                }
                 if says.leader != 0 {
                     leadership =
                         leadership.max((says.leader_term, says.leader));
                 }
                 newest = newest.max((says.plan_version, node.ip()));
             }
-            if table.own_peer().has_disk {
-                let ip = Ipv4Addr::from(table.own_peer().ip);
-                members.push((ip, self.peer_port).into());
-            }
             (table.own_peer_mut().leader_term, table.own_peer_mut().leader) =
                 leadership;
-            leadership.1
+            let members = member::list(&table, now, self.peer_port, &seeds);
+            (leadership.1, members)
         };
+        let members: Vec<SocketAddr> =
+            members.into_iter().map(SocketAddr::V4).collect();
         self.control.set_members(&members);
         if leader != 0 {
             self.control.prefer_once(seat::member_address(leader).into());
