Ask all members in turn to be added to the log

Cause: a member without a leader asked the leader that the mesh reports, and nobody else. Where that leader is gone, is the member itself before it lost its disk, or isn't known, no request reached any member.

Only a leader acts on the request.

--- a/src/node/member.rs
+++ b/src/node/member.rs
@@ -84,16 +84,36 @@
 }
 
 /// Asks the leader that the mesh reports, at regular intervals, to add this
-/// member to the log. The member drops the request while a leader contacts it.
+/// member to the log, until a leader contacts it.
+///
+/// That leader may be gone, or may be this member before it lost its disk. So
+/// the other members are asked as well, in turn; only a leader acts on it.
 pub(super) async fn request_join(node: Arc<Node>, seat: seat::Handle) {
+    let view = seat.view();
+    let mut turn = 0;
     while !node.has_stopped() {
         sleep(JOIN_INTERVAL).await;
-        let leader = match node.mesh.get() {
-            Some(mesh) => mesh.table().own_peer().leader,
-            None => 0,
+        let Some(mesh) = node.mesh.get() else { continue };
+        if view.borrow().hears_leader {
+            continue;
+        }
+        let now = node.gateway.timer.now();
+        let seeds = mesh.seeds();
+        let (own, leader, mut others) = {
+            let table = mesh.table();
+            let own =
+                SocketAddrV4::new(table.own_peer().ip.into(), node.peer_port);
+            let others = list(&table, now, node.peer_port, &seeds);
+            (seat::member_id(own), table.own_peer().leader, others)
         };
         if leader != 0 {
             seat.join(leader);
         }
+        others
+            .retain(|other| ![own, leader].contains(&seat::member_id(*other)));
+        if !others.is_empty() {
+            seat.join(seat::member_id(others[turn % others.len()]));
+            turn += 1;
+        }
     }
 }
