Refuse calls to a member whose command queue stays full

Cause: a call waited for a place in the queue without a limit; the limit of 5 s began afterwards. The queue of a member whose disk hangs fills up, and its callers learnt only from their own timeouts, as unknown, that nothing was run.

Change: after 0.3 s without a place the call is refused as not run. That is shorter than the timeouts of links (0.5 s) and of the client (1.2 s).

--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -5,7 +5,10 @@
 use prost::Message;
 use tokio::{
     net::TcpListener,
-    sync::{mpsc, oneshot},
+    sync::{
+        mpsc::{self, error::SendTimeoutError},
+        oneshot,
+    },
     time::timeout,
 };
 use tonic::{
@@ -33,6 +36,10 @@
 /// Time after which a batch sent to a peer times out, plus [`transfer_time`]
 /// for its bytes; the link then opens a new connection.
 const SEND_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time to wait for a place in the member's command queue, which is full only
+/// if its disk hangs. Shorter than the timeouts of the callers, so that they
+/// learn that the command was not run.
+const QUEUE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Throughput assumed for a link, in bytes per second.
 ///
 /// Nearly half of the narrowest link, 10 Mbit/s, because answers to callers
@@ -89,8 +96,15 @@
                 Status::failed_precondition("the member's disk is away")
             })?,
         };
-        let sent = commands.send(command).await;
-        sent.map_err(|_| Status::unavailable("the member is stopping"))
+        let sent = commands.send_timeout(command, QUEUE_TIMEOUT).await;
+        sent.map_err(|error| match error {
+            SendTimeoutError::Timeout(_) => Status::failed_precondition(
+                "the member's command queue is full",
+            ),
+            SendTimeoutError::Closed(_) => {
+                Status::unavailable("the member is stopping")
+            }
+        })
     }
 
     /// Serves both services until `stop` completes.
