Test what operators and callers rely on while plans change

Some sentences of the users' rules on configurations had no test at nodes: that an acknowledged plan keeps its content (the same version with other content, an older one, an invalid one, and the plan itself are sent to each of four nodes with a disk and two without), that routes and keys of the older plan end everywhere within 2 s, and that requests are answered within 0.5 s of their route's timeout when no replica answers.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -36,6 +36,7 @@
 mod parts;
 mod peer_silence;
 mod plan_fetch;
+mod plans;
 mod product;
 mod proof;
 mod quarantine;
