--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -6,7 +6,10 @@
 use prost::Message;
 use tokio::{
     net::TcpListener,
-    sync::{mpsc, oneshot},
+    sync::{
+        mpsc::{self, error::SendTimeoutError},
+        oneshot,
+    },
     time::timeout,
 };
 use tonic::{
@@ -42,6 +45,10 @@
 /// have to notice that their connection is silent, one after the other, within
 /// an election timeout.
 const SEND_HEDGE_DELAY: Duration = Duration::from_millis(200);
+/// Time to wait for a place in the member's command queue, which is full only
+/// if its disk hangs. Shorter than the timeouts of the callers, so that they
+/// learn that the command was not run.
+const QUEUE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Throughput assumed for a link, in bytes per second.
 ///
 /// Nearly half of the narrowest link, 10 Mbit/s, because answers to callers
@@ -101,8 +108,15 @@
                 Status::failed_precondition("the member's disk is away")
             })?,
         };
-        let sent = commands.send(command).await;
-        sent.map_err(|_| Status::unavailable("the member is stopping"))
+        let sent = commands.send_timeout(command, QUEUE_TIMEOUT).await;
+        sent.map_err(|error| match error {
+            SendTimeoutError::Timeout(_) => Status::failed_precondition(
+                "the member's command queue is full",
+            ),
+            SendTimeoutError::Closed(_) => {
+                Status::unavailable("the member is stopping")
+            }
+        })
     }
 
     /// Serves both services until `stop` completes.
