Share connections on which calls search for the leader

And with the first member silent on the kept connection, three more silent members left no time to ask the first one on a new connection.

If another member is silent as well, the first one is asked on a new connection next. The log of a call's attempts has a plainer name.

--- a/src/control/trail.rs
+++ b/src/control/attempt_log.rs
@@ -1,8 +1,8 @@
-//! What became of the attempts of one call to the control members.
+//! The outcomes of one call's attempts, for the text of its error.
 //!
-//! The text of a failed call has to tell three cases apart: a connection that
-//! stays silent although its member is well, a leader that doesn't answer,
-//! and members that know no leader.
+//! The text has to tell three cases apart: a connection that stays silent
+//! although its member runs, a leader that doesn't answer, and members that
+//! know no leader.
 
 use std::{
     fmt,
@@ -40,7 +40,7 @@
 /// The connections on which a call has asked members, with the outcome of the
 /// last attempt on each.
 #[derive(Debug)]
-pub struct Trail {
+pub struct AttemptLog {
     kept_age: Duration,
     attempts: Vec<Attempt>,
 }
@@ -54,11 +54,16 @@
     failure: Option<Failure>,
 }
 
-impl Trail {
-    /// Creates an empty trail. `kept_age` is the age of the connection that is
+impl AttemptLog {
+    /// Creates an empty log. `kept_age` is the age of the connection that is
     /// kept from former calls.
-    pub fn open(kept_age: Duration) -> Trail {
-        Trail { kept_age, attempts: Vec::new() }
+    pub fn open(kept_age: Duration) -> AttemptLog {
+        AttemptLog { kept_age, attempts: Vec::new() }
+    }
+
+    /// Returns the number of connections on which members were asked.
+    pub fn len(&self) -> usize {
+        self.attempts.len()
     }
 
     /// Records that a member is asked.
@@ -104,7 +109,7 @@
     }
 }
 
-impl fmt::Display for Trail {
+impl fmt::Display for AttemptLog {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         if self.attempts.is_empty() {
             return out.write_str("no member was asked");
--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -25,11 +25,12 @@
 use tonic::{Code, Response, Status, transport::Channel};
 
 use super::{
+    attempt_log::{AttemptLog, Failure},
     search::{Connection, Search},
     server::{LEADER_HEADER, MAX_MESSAGE_BYTES, connect, transfer_time},
-    trail::{Failure, Trail},
 };
 use crate::{
+    util::{position, upsert},
     verdict::Verdict,
     wire::{
         Change, Outcome, Query, QueryReply, SyncReply, SyncRequest,
@@ -53,6 +54,11 @@
 /// has synced the change to disk.
 const CHANGE_HEDGE_DELAY: Duration = Duration::from_millis(400);
 
+/// Time since the last answer within which calls share a connection on which
+/// they search for the leader. A connection that has lost its other end is left
+/// after this time.
+const MAX_SHARED_IDLE: Duration = READ_HEDGE_DELAY;
+
 /// A call to the control members that failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Error {
@@ -141,11 +147,24 @@
     awaits_attempts: bool,
 }
 
+/// A connection that concurrent calls share.
+#[derive(Debug)]
+struct Shared {
+    address: SocketAddr,
+    client: ControlClient<Channel>,
+    /// When it was opened, or when a member last answered on it.
+    heard_at: Instant,
+}
+
 /// A client of the control members; calls may run concurrently.
 #[derive(Debug)]
 pub struct Client {
     members: Mutex<Vec<SocketAddr>>,
     current: Mutex<Current>,
+    /// Connections on which calls search for the leader, sorted by address.
+    /// Without them, members that elect a leader would get a connection from
+    /// each call.
+    shared: Mutex<Vec<Shared>>,
     preferred: Mutex<Option<SocketAddr>>,
 }
 
@@ -161,6 +180,7 @@
         Client {
             members: Mutex::new(members.to_vec()),
             current: Mutex::new(Current::open(members[0])),
+            shared: Mutex::default(),
             preferred: Mutex::new(None),
         }
     }
@@ -193,7 +213,11 @@
     ///
     /// When a member may have appended the change, the client sends it again
     /// only if `idempotent` is set. Claims, settlements and configurations
-    /// are idempotent, because they carry an id.
+    /// are idempotent, because they carry an id; an order that is repeated
+    /// replaces the first one.
+    ///
+    /// An attempt that is open when `limit` has passed is waited for until it
+    /// times out.
     pub async fn propose(
         &self,
         change: Change,
@@ -277,7 +301,10 @@
         loop {
             attempts.search.add_members(&lock(&self.members));
             if let Some((address, connection)) = attempts.next(calls.len()) {
-                let client = attempts.client(address, connection);
+                let client = match attempts.client_to(address, connection) {
+                    Some(client) => client,
+                    None => self.share(address),
+                };
                 let answer =
                     timeout(policy.attempt_timeout, run(client.clone()));
                 calls.push(async move {
@@ -304,7 +331,10 @@
                 Ok(Err(status)) => classify_status(&status),
                 Err(_) => Failure::timed_out(),
             };
-            attempts.record(address, connection, client, failure);
+            if connection == Connection::New {
+                self.record_failure(address, client, &failure);
+            }
+            attempts.record(address, connection, failure);
         }
         self.replace(&kept, attempts.search.leader());
         Err(attempts.into_error(calls.len()))
@@ -326,6 +356,38 @@
         *lock(&self.current) = answered;
     }
 
+    /// Returns a connection that concurrent calls share, or opens one.
+    fn share(&self, address: SocketAddr) -> ControlClient<Channel> {
+        let mut shared = lock(&self.shared);
+        if let Ok(at) = position(&shared, &address, |shared| &shared.address)
+            && shared[at].heard_at.elapsed() < MAX_SHARED_IDLE
+        {
+            return shared[at].client.clone();
+        }
+        let client = open_client(address);
+        let heard_at = Instant::now();
+        let opened = Shared { address, client: client.clone(), heard_at };
+        upsert(&mut shared, opened, |shared| &shared.address);
+        client
+    }
+
+    /// Records that an attempt on a shared connection has failed.
+    fn record_failure(
+        &self,
+        address: SocketAddr,
+        client: ControlClient<Channel>,
+        failure: &Failure,
+    ) {
+        let mut shared = lock(&self.shared);
+        if failure.is_answer {
+            let heard_at = Instant::now();
+            let answered = Shared { address, client, heard_at };
+            upsert(&mut shared, answered, |shared| &shared.address);
+        } else {
+            shared.retain(|shared| shared.address != address);
+        }
+    }
+
     /// Replaces the connection `failed` by a new one: to `leader` if it is a
     /// known member, otherwise to the member after the one that failed.
     ///
@@ -351,9 +413,7 @@
     policy: Policy,
     started_at: Instant,
     search: Search,
-    trail: Trail,
-    /// Connections without an open attempt that this call may use, by member.
-    idle: Vec<(SocketAddr, ControlClient<Channel>)>,
+    log: AttemptLog,
     is_first: bool,
     maybe_appended: bool,
 }
@@ -362,14 +422,12 @@
     fn open(kept: &Current, policy: Policy) -> Attempts<'_> {
         let has_answered = kept.heard_at().is_some();
         let hedge_delay_ms = policy.hedge_delay.as_millis() as u64;
-        let unused = (kept.address, kept.client.clone());
         Attempts {
             kept,
             policy,
             started_at: Instant::now(),
             search: Search::open(kept.address, has_answered, hedge_delay_ms),
-            trail: Trail::open(kept.opened_at.elapsed()),
-            idle: if has_answered { Vec::new() } else { vec![unused] },
+            log: AttemptLog::open(kept.opened_at.elapsed()),
             is_first: true,
             maybe_appended: false,
         }
@@ -404,22 +462,23 @@
         }
         let (address, connection) = self.search.ask(self.now())?;
         self.is_first = false;
-        self.trail.record_ask(address, connection);
+        self.log.record_ask(address, connection);
         Some((address, connection))
     }
 
-    fn client(
-        &mut self,
+    /// Returns the connection kept from former calls if the member is to be
+    /// asked on it.
+    fn client_to(
+        &self,
         address: SocketAddr,
         connection: Connection,
-    ) -> ControlClient<Channel> {
-        if connection == Connection::Kept {
-            return self.kept.client.clone();
-        }
-        match self.idle.iter().position(|(idle, _)| *idle == address) {
-            Some(at) => self.idle.swap_remove(at).1,
-            None => open_client(address),
-        }
+    ) -> Option<ControlClient<Channel>> {
+        // The first attempt of a client that has had no answer yet.
+        let is_unused = self.log.len() == 1
+            && self.kept.heard_at().is_none()
+            && address == self.kept.address;
+        let is_kept = connection == Connection::Kept || is_unused;
+        is_kept.then(|| self.kept.client.clone())
     }
 
     /// Returns true if the call fails unless an attempt has answered by now.
@@ -449,23 +508,19 @@
         &mut self,
         address: SocketAddr,
         connection: Connection,
-        client: ControlClient<Channel>,
         failure: Failure,
     ) {
-        if failure.is_answer {
-            match connection {
-                Connection::Kept => self.kept.record_answer(),
-                Connection::New => self.idle.push((address, client)),
-            }
+        if failure.is_answer && connection == Connection::Kept {
+            self.kept.record_answer();
         }
         self.maybe_appended |= failure.maybe_appended;
         let now = self.now();
         self.search.record_end(now, address, connection, failure.leader);
-        self.trail.record_end(address, connection, failure);
+        self.log.record_end(address, connection, failure);
     }
 
     fn into_error(self, open: usize) -> Error {
-        let text = self.trail.to_string();
+        let text = self.log.to_string();
         match self.maybe_appended || open > 0 {
             true => Error::Unknown(text),
             false => Error::Refused(text),
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -21,6 +21,7 @@
 //! already, the empty member waits until the leader adds it as a learner. A
 //! VM that lost its disk can therefore not start a second cluster.
 
+mod attempt_log;
 mod availability;
 pub mod client;
 pub mod disk;
@@ -31,7 +32,6 @@
 pub mod search;
 pub mod seat;
 pub mod server;
-mod trail;
 
 use std::{fmt, io, net::SocketAddr, time::Duration};
 
--- a/src/control/search.rs
+++ b/src/control/search.rs
@@ -180,11 +180,22 @@
         })
     }
 
-    /// Returns the member that was asked longest ago.
+    /// Returns the member that was asked longest ago, or the one that is
+    /// silent on the kept connection if another member is silent too.
     fn next(&self, now: u64) -> Option<usize> {
         if self.kept.is_open && !self.is_kept_silent(now) {
             return None;
         }
+        // If another member is silent as well, the kept connection is as
+        // likely to be at fault as the member.
+        let is_retry = |candidate: &Candidate| {
+            self.is_open_on_kept(candidate) && self.may_ask(now, candidate)
+        };
+        if self.candidates.iter().any(|candidate| candidate.is_open_on_new)
+            && let Some(at) = self.candidates.iter().position(is_retry)
+        {
+            return Some(at);
+        }
         let candidates = self.candidates.iter().enumerate();
         candidates
             .filter(|(_, candidate)| self.may_ask(now, candidate))
--- a/tests/all/control_client.rs
+++ b/tests/all/control_client.rs
@@ -19,6 +19,7 @@
         outcome, query, query_reply,
     },
 };
+use futures_util::future::join_all;
 use tokio::{net::TcpListener, runtime::Runtime, time::sleep};
 use tonic::{Request, Response, Status, transport::server::TcpIncoming};
 
@@ -283,6 +284,26 @@
     assert_eq!(sent, 1, "sent again");
 }
 
+/// Guards against members that get a connection from each call while they elect
+/// a leader.
+#[test]
+fn concurrent_calls_share_connections_while_no_member_leads() {
+    const CALLS: usize = 100;
+    let cluster = Cluster::open(4);
+    for member in &cluster.members {
+        member.set(Conduct::Refuse(None));
+    }
+    cluster.runtime.block_on(async {
+        let calls = (0..CALLS).map(|_| {
+            let plan = query::Kind::Plan(PlanQuery { held: 0 });
+            cluster.client.read(Query { kind: Some(plan) }, READ_TIMEOUT)
+        });
+        join_all(calls).await
+    });
+    let opened: u64 = cluster.relays.iter().map(Relay::opened).sum();
+    assert!(opened < CALLS as u64, "{opened} connections");
+}
+
 /// Guards against a busy leader that gets each change twice because it takes
 /// long to commit it.
 #[test]
--- a/tests/all/relay.rs
+++ b/tests/all/relay.rs
@@ -66,6 +66,11 @@
         self.mode.carried.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of connections opened so far.
+    pub fn opened(&self) -> u64 {
+        self.mode.opened.load(Ordering::Relaxed)
+    }
+
     /// Silences all open connections for good. New connections work.
     pub fn forget_open(&self) {
         let opened = self.mode.opened.load(Ordering::Relaxed);
--- a/tests/all/search.rs
+++ b/tests/all/search.rs
@@ -103,3 +103,17 @@
     assert!(asked.len() <= most, "{} attempts", asked.len());
     assert!(asked.len() >= most / 2, "{} attempts", asked.len());
 }
+
+/// Guards against a leader that is asked too late on a new connection because
+/// several other members are silent as well.
+#[test]
+fn the_first_member_is_asked_anew_before_all_others_were_silent() {
+    let members: Vec<SocketAddr> = (1..=7).map(member).collect();
+    let mut search = Search::open(member(1), true, HEDGE_DELAY_MS);
+    search.add_members(&members);
+    let asked = run(&mut search, 800, None, |_, _| true);
+    let anew = asked
+        .iter()
+        .find(|(_, to, on)| (*to, *on) == (member(1), Connection::New));
+    assert!(anew.is_some(), "{asked:?}");
+}
