Limit the time in which a member may confirm its right to act

Cause: a node asked its member whether it may act for the whole system and waited without a limit. While the member's disk hung, the node's duties stood still, and a node that judges versions on trial judged none. The answer holds for the time of the question: a leader whose process stood still acted on it after another one could have been elected. A stop waited for a place in the queue in the same way.

Change: an answer that is read more than 0.4 s after the question is none. A stop waits 0.2 s for a place.

--- a/src/control/seat.rs
+++ b/src/control/seat.rs
@@ -24,7 +24,7 @@
 use tokio::{
     sync::{mpsc, oneshot, watch},
     task::JoinHandle,
-    time::sleep,
+    time::{Instant, sleep, timeout},
 };
 use tracing::{error, info};
 
@@ -55,6 +55,16 @@
 const ENTRIES_PER_SNAPSHOT: usize = 100;
 /// Delay before a failed data folder is opened again.
 const REOPEN_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after which a member's answer on its leadership is discarded.
+///
+/// A member whose disk hangs handles the question late, as of the time when it
+/// was asked. Together with the time for which a leader acts after a majority
+/// confirmed it, this is less than [`MIN_ELECTION_TIMEOUT_MS`], so no other
+/// leader has been elected yet.
+const LEADERSHIP_ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time to wait for a place in a full command queue before the thread is left
+/// to the end of the process.
+const STOP_TIMEOUT: Duration = Duration::from_millis(200);
 /// Capacity of the command queue of the member's thread.
 const MAX_QUEUED_COMMANDS: usize = 1024;
 /// Interval between ticks of the thread; a third of a heartbeat interval.
@@ -123,11 +133,20 @@
             .clone()
     }
 
-    /// Returns the leadership if this member may act for the whole system now.
+    /// Returns the leadership if this member may act for the whole system now,
+    /// or `None` if it does not say so at once.
     pub async fn leadership(&self) -> Option<Leadership> {
+        let asked_at = Instant::now();
+        let commands = self.commands()?;
         let (answer, answered) = oneshot::channel();
-        self.commands()?.send(Command::Leadership(answer)).await.ok()?;
-        answered.await.ok()?
+        let ask = async {
+            commands.send(Command::Leadership(answer)).await.ok()?;
+            answered.await.ok()?
+        };
+        let leadership = timeout(LEADERSHIP_ANSWER_TIMEOUT, ask).await.ok()?;
+        // The timeout is checked after the answer, which may have arrived
+        // while the process stood still.
+        leadership.filter(|_| asked_at.elapsed() < LEADERSHIP_ANSWER_TIMEOUT)
     }
 
     /// Asks `leader` to add this member, unless a leader already contacts it.
@@ -142,7 +161,7 @@
     /// Stops the thread after it has handled the queued commands.
     pub async fn stop(&self) {
         if let Some(commands) = self.commands() {
-            let _ = commands.send(Command::Stop).await;
+            let _ = timeout(STOP_TIMEOUT, commands.send(Command::Stop)).await;
         }
         self.task.0.abort();
     }
