Test a roll-out that most nodes report and don't send

A node asks the sender of the first datagram that names a newer state, one at a time, for 0.5 s each.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -53,6 +53,7 @@
 mod requests;
 mod retry_budget;
 mod roles;
+mod rollout_fetch;
 mod rollout_judge;
 mod rollouts;
 mod scenario;
