Say which nodes of a test don't serve

recovery::a_plan_is_read_back_in_time_after_all_are_killed_in_a_join failed once with "some nodes do not serve" after 30 s, before its first kill, beside a build at load 18; it passed in 3 of 3 runs alone and in 2 of 2 runs of its group. The message now has each node's state and list of entries.

--- a/tests/all/nodes.rs
+++ b/tests/all/nodes.rs
@@ -279,7 +279,13 @@
                 sleep(Duration::from_millis(20)).await;
             }
         };
-        timeout(STEP_TIMEOUT, serve).await.expect("some nodes do not serve");
+        if timeout(STEP_TIMEOUT, serve).await.is_err() {
+            let running = self.nodes.iter().flatten();
+            let states: Vec<_> = running
+                .map(|node| (node.is_ready(), node.entries(None)))
+                .collect();
+            panic!("some nodes do not serve: {states:?}");
+        }
     }
 }
 
