Ask several nodes at once for the state of the roll-outs

Cause: a node that heard of a newer state asked the sender of that datagram, waited 0.5 s for it, and then asked the sender of the next datagram, which may be the same one. Nodes that report often and don't answer calls kept it from asking the others.

Change: after 150 ms without an answer the next node that reports the state is asked as well. A node that did not send it is asked again after 0.5 s for each node asked since, so alone as soon as before, and beside others after them.

--- a/src/node/rollouts.rs
+++ b/src/node/rollouts.rs
@@ -7,17 +7,14 @@
 use std::{
     fmt,
     net::{Ipv4Addr, SocketAddr},
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
 use tokio::time::{Instant, sleep, timeout};
 use tracing::{info, warn};
 
-use super::Node;
+use super::{Node, lock};
 use crate::{
     control::{ledger::RolloutAction, seat, server::connect},
     mesh::table::State,
@@ -45,6 +42,12 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Timeout of a fetch of the state, which is a few hundred bytes.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time without an answer after which another node is asked as well. Busy VMs
+/// with an eighth of a core pause for up to a tenth of a second.
+const FETCH_HEDGE_DELAY: Duration = Duration::from_millis(150);
+/// Maximum time for which a node that did not send a newer state is not asked
+/// again, so that others that report it are.
+const MAX_FETCH_BACKOFF: Duration = Duration::from_secs(10);
 /// Time over which the fetches of a new state are spread, for each other node.
 const FETCH_SPREAD_PER_NODE: Duration = Duration::from_millis(1);
 /// Interval between two checks of this node's roll-outs.
@@ -96,9 +99,37 @@
 
 impl std::error::Error for RolloutError {}
 
-/// State of the fetches of a node.
+/// The nodes that were asked for a newer state since this node learnt one, and
+/// when each of them is asked.
 #[derive(Debug, Default)]
-pub(super) struct Fetching(AtomicBool);
+pub(super) struct Fetching(Mutex<Vec<(Ipv4Addr, Instant)>>);
+
+impl Fetching {
+    /// Returns whether a node may be asked after `delay`, and notes that it
+    /// is.
+    ///
+    /// It is not asked again until the others that report the state have had
+    /// their turn: the first datagram after a timeout may be its own.
+    fn begin(&self, ip: Ipv4Addr, delay: Duration) -> bool {
+        let mut asked = lock(&self.0);
+        let now = Instant::now();
+        asked.retain(|(_, at)| now < *at + MAX_FETCH_BACKOFF);
+        let backoff = FETCH_TIMEOUT * asked.len() as u32;
+        let is_due = asked.iter().all(|(known, at)| {
+            now >= *at + FETCH_HEDGE_DELAY
+                && (*known != ip || now >= *at + backoff)
+        });
+        if is_due {
+            asked.retain(|(known, _)| *known != ip);
+            asked.push((ip, now + delay));
+        }
+        is_due
+    }
+
+    fn end(&self) {
+        lock(&self.0).clear();
+    }
+}
 
 impl Node {
     pub(super) async fn start_rollout(
@@ -309,27 +340,39 @@
             let now = self.gateway.timer.now();
             self.confirm_rollouts(held - 1, now);
         }
-        let fetching = &self.rollout_fetch.0;
-        if known > held && !fetching.swap(true, Ordering::Relaxed) {
+        if known <= held {
+            return;
+        }
+        let delay = self.random_rollout_delay();
+        if self.rollout_fetch.begin(from, delay) {
             let node = self.clone();
             tokio::spawn(async move {
+                sleep(delay).await;
                 node.fetch_rollouts(from).await;
-                node.rollout_fetch.0.store(false, Ordering::Relaxed);
             });
         }
     }
 
+    fn random_rollout_delay(&self) -> Duration {
+        let Some(mesh) = self.mesh.get() else { return Duration::ZERO };
+        let now = self.gateway.timer.now();
+        let others = mesh.table().live(now).count() as u32;
+        (FETCH_SPREAD_PER_NODE * others).mul_f64(rand::random())
+    }
+
     async fn fetch_rollouts(&self, from: Ipv4Addr) {
-        if let Some(mesh) = self.mesh.get() {
-            let others =
-                mesh.table().live(self.gateway.timer.now()).count() as u32;
-            let spread = FETCH_SPREAD_PER_NODE * others;
-            sleep(spread.mul_f64(rand::random())).await;
-        }
         let address = SocketAddr::from((from, self.peer_port));
         let mut client = NodesClient::new(connect(address));
         match timeout(FETCH_TIMEOUT, client.rollouts(Empty {})).await {
-            Ok(Ok(state)) => self.adopt_rollouts(Arc::new(state.into_inner())),
+            Ok(Ok(state)) => {
+                let state = Arc::new(state.into_inner());
+                let is_newer =
+                    state.version > self.gateway.rollout_state().version;
+                self.adopt_rollouts(state);
+                if is_newer {
+                    self.rollout_fetch.end();
+                }
+            }
             Ok(Err(status)) => warn!(
                 target: "rollout",
                 "State not fetched from {from}: {}.", status.message()
