Ask for the right to act before the process stands still

a_leader_that_stood_still_may_not_act failed in 1 of 5 runs: the question of a spawned task may be answered, or not yet sent, when the test blocks the process, and then the answer is a recent one. The test now polls the question itself and blocks only while it is open. What it requires is unchanged.

--- a/tests/all/hung_disk.rs
+++ b/tests/all/hung_disk.rs
@@ -107,13 +107,17 @@
 async fn a_leader_that_stood_still_may_not_act() {
     let folder = TempFolder::new();
     let seat = lead_alone(&folder).await;
-    let asking = seat.clone();
-    let asked = tokio::spawn(async move { asking.leadership().await });
-    // The question is sent, and the answer is read after the election timeout.
-    tokio::task::yield_now().await;
+    // The member may answer at once; the question has to be open.
+    let asked = loop {
+        let mut asked = Box::pin(seat.leadership());
+        if timeout(Duration::ZERO, asked.as_mut()).await.is_err() {
+            break asked;
+        }
+    };
+    // The answer is read after the election timeout.
     std::thread::sleep(Duration::from_millis(1200));
-    let asked = timeout(ANSWER_TIMEOUT, asked).await.expect("no answer");
-    assert_eq!(asked.unwrap(), None, "an outdated answer");
+    let asked = timeout(ANSWER_TIMEOUT, asked).await;
+    assert_eq!(asked, Ok(None), "an outdated answer");
 }
 
 /// Guards against a node that doesn't stop in its grace period because its
