Send batches to a peer without waiting for the one before

Cause: a link had one batch in flight. Each message waited for the answer to the batch before it, so that a member 50 to 400 ms away each way confirmed a round after up to 1.8 s. A leader that needs it stepped down after one second, and votes came too late as well: no read was confirmed at all.

Change: up to four batches are in flight, one a heartbeat interval for the time after which a batch times out. Batches may overtake each other, which Raft allows and the schedules of `raft` do at random. A connection is replaced once for all batches that time out on it.

--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use prost::Message;
 use tokio::{
     net::TcpListener,
@@ -41,6 +42,12 @@
 const MIN_LINK_BYTES_PER_S: f64 = 500_000.0;
 /// Capacity of the message queue of one peer; Raft resends dropped messages.
 const MAX_QUEUED_MESSAGES: usize = 256;
+/// Maximum number of batches in flight to one peer.
+///
+/// A batch a heartbeat interval for the time after which one times out. With
+/// a single one, each message waited for the answer to the batch before it,
+/// and a peer 0.25 s away confirmed rounds after more than a second.
+const MAX_BATCHES_IN_FLIGHT: usize = 4;
 /// Capacity of the queue of snapshots to one peer; the leader resends a
 /// snapshot that is not acknowledged.
 const MAX_QUEUED_SNAPSHOTS: usize = 1;
@@ -246,13 +253,14 @@
 }
 
 impl Link {
-    /// Starts the tasks that send messages to `address` in batches, in order
-    /// but for snapshots.
+    /// Starts the tasks that send messages to `address` in batches.
+    ///
+    /// Batches that are in flight at the same time may arrive in any order.
     pub fn spawn(address: SocketAddr) -> Link {
         let (queue, waiting) = mpsc::channel(MAX_QUEUED_MESSAGES);
-        tokio::spawn(run_link(address, waiting));
+        tokio::spawn(run_link(address, waiting, MAX_BATCHES_IN_FLIGHT));
         let (snapshots, waiting) = mpsc::channel(MAX_QUEUED_SNAPSHOTS);
-        tokio::spawn(run_link(address, waiting));
+        tokio::spawn(run_link(address, waiting, 1));
         Link { queue, snapshots }
     }
 
@@ -266,22 +274,47 @@
     }
 }
 
-async fn run_link(address: SocketAddr, mut queue: mpsc::Receiver<Envelope>) {
+async fn run_link(
+    address: SocketAddr,
+    mut queue: mpsc::Receiver<Envelope>,
+    max_in_flight: usize,
+) {
     let open_client = || {
         MembersClient::new(connect(address))
             .max_encoding_message_size(MAX_MESSAGE_BYTES)
     };
     let mut client = open_client();
+    let mut connection = 0_u64;
+    let mut sending = FuturesUnordered::new();
     let mut envelopes = Vec::new();
-    while queue.recv_many(&mut envelopes, 64).await > 0 {
-        let batch = Envelopes { envelopes: std::mem::take(&mut envelopes) };
-        let batch_timeout = SEND_TIMEOUT + transfer_time(batch.encoded_len());
-        let sent = timeout(batch_timeout, client.deliver(batch)).await;
-        if !matches!(sent, Ok(Ok(_))) {
-            // A connection whose state a middlebox has lost stays silent
-            // forever, while new connections work. Kept in use, it would make
-            // the peer appear to have crashed; a new connection is cheap.
-            client = open_client();
+    loop {
+        tokio::select! {
+            count = queue.recv_many(&mut envelopes, 64),
+                if sending.len() < max_in_flight =>
+            {
+                if count == 0 {
+                    return;
+                }
+                let envelopes = std::mem::take(&mut envelopes);
+                let batch = Envelopes { envelopes };
+                let batch_timeout =
+                    SEND_TIMEOUT + transfer_time(batch.encoded_len());
+                let mut client = client.clone();
+                sending.push(async move {
+                    let sent = timeout(batch_timeout, client.deliver(batch));
+                    (connection, matches!(sent.await, Ok(Ok(_))))
+                });
+            }
+            Some((used, arrived)) = sending.next() => {
+                // A connection whose state a middlebox has lost stays silent
+                // forever, while new connections work. Kept in use, it would
+                // make the peer appear to have crashed; a new connection is
+                // cheap.
+                if !arrived && used == connection {
+                    client = open_client();
+                    connection += 1;
+                }
+            }
         }
     }
 }
--- a/tests/all/raft/availability.rs
+++ b/tests/all/raft/availability.rs
@@ -2,9 +2,9 @@
 //! disks lost as may be and one more member impaired.
 //!
 //! A cluster runs in virtual time with the timing of a dynamic member. Links
-//! are ordered and carry one batch at a time, as `run_link` of the product
-//! does; a batch that is not received in time is lost. Reads go to the leader,
-//! so that no client's search is part of the measurement.
+//! carry a few batches at a time, as `run_link` of the product does; a batch
+//! that is not received in time is lost. Reads go to the leader, so that no
+//! client's search is part of the measurement.
 
 use super::*;
 
@@ -22,6 +22,7 @@
 const BATCH_LIMIT_MS: u64 = 500;
 const LINK_BYTES_PER_MS: u64 = 1250;
 const ASSUMED_LINK_BYTES_PER_MS: u64 = 500;
+const MAX_BATCHES_IN_FLIGHT: usize = 4;
 const MAX_QUEUED: usize = 256;
 const ENTRIES_PER_SNAPSHOT: usize = 100;
 /// Time before the stop, in which the cluster elects its first leader.
@@ -107,7 +108,7 @@
 #[derive(Default)]
 struct Link {
     queue: VecDeque<Envelope>,
-    sending: Option<Batch>,
+    sending: Vec<Batch>,
 }
 
 #[derive(Default)]
@@ -301,7 +302,7 @@
         if !self.is_running(from) {
             return;
         }
-        if let Some(mut batch) = self.links[link].sending.take() {
+        for mut batch in std::mem::take(&mut self.links[link].sending) {
             let arrives = batch.arrives_at.is_some_and(|at| self.now >= at);
             if arrives && self.is_running(to) {
                 batch.arrives_at = None;
@@ -311,10 +312,15 @@
                 self.vms[to].inbox.push(Input::Deliver(envelopes));
             }
             if self.now < batch.free_at {
-                self.links[link].sending = Some(batch);
-                return;
+                self.links[link].sending.push(batch);
             }
         }
+        let is_for_snapshots = link % 2 == 1;
+        let max_in_flight =
+            if is_for_snapshots { 1 } else { MAX_BATCHES_IN_FLIGHT };
+        if self.links[link].sending.len() >= max_in_flight {
+            return;
+        }
         let queue = &mut self.links[link].queue;
         let count = queue.len().min(64);
         if count == 0 {
@@ -330,7 +336,7 @@
             || self.is_cut_off(from)
             || self.is_cut_off(to);
         let duration = self.latency(from, to) + bytes / LINK_BYTES_PER_MS;
-        self.links[link].sending = Some(Batch {
+        self.links[link].sending.push(Batch {
             envelopes,
             arrives_at: (!is_lost).then_some(self.now + duration),
             free_at: self.now + limit_ms,
