--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -22,6 +22,7 @@
 mod large_plan;
 mod ledger;
 mod limits;
+mod links;
 mod mesh;
 mod mesh_scale;
 mod nodes;
