--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -24,6 +24,7 @@
 mod large_plan;
 mod ledger;
 mod limits;
+mod links;
 mod member_links;
 mod member_lists;
 mod mesh;
