Read the configuration back after the soak's faults

Cause: the soak checks that no read is older than what was acknowledged, but not that reads succeed. An incident in which no node could read the configuration back for 20 s would have passed.

Change: a last stage, `readback`, in rounds of its own with its own random numbers, so a seed gives the same faults as before. A change is acknowledged; within 40 ms all nodes, those with a disk, the leader or none are killed; up to as many nodes with a disk as may be lost lose their data, stay away, are replaced by a listener that never answers, return while connections to that listener stay open, or are suspended; two may take turns in standing still. From 5 s after the start on, reads at all nodes and at each sound node by itself must succeed at least every 4 s, for 8 s. Rounds with more harm than may be lost are only checked for stale reads. The number of disks is an option (4 unless said), and the number of losses in the settings follows from it.

--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -14,11 +14,11 @@
     Shared,
     proxy::{Mode, Proxy},
     replica::{Replica, send_malformed_heartbeat},
-    site::{DISKS, Site},
+    site::Site,
 };
 
 /// Minimum time between the losses of two disks.
-const MIN_DISK_LOSS_INTERVAL: Duration = Duration::from_secs(6);
+pub const MIN_DISK_LOSS_INTERVAL: Duration = Duration::from_secs(6);
 /// Time between SIGTERM and SIGKILL.
 const TERM_GRACE_PERIOD: Duration = Duration::from_secs(8);
 /// Share of the faults after which an extra fault is injected.
@@ -39,7 +39,8 @@
 /// Injects faults into the nodes, replicas and links of one run.
 pub struct Faults {
     shared: Arc<Shared>,
-    site: Site,
+    /// The nodes.
+    pub site: Site,
     replicas: Vec<Replica>,
     cloud: Proxy,
     rng: StdRng,
@@ -183,15 +184,15 @@
                 "hup"
             }
             4 if self.can_lose_disk() => {
-                let at = at % DISKS;
+                let at = at % self.site.disks;
                 self.disk_lost_at = Some(Instant::now());
                 self.site.wipe(at)?;
                 self.schedule(ms / 2, Repair::Start(at));
                 "wipe"
             }
             5 if self.can_lose_disk() => {
-                self.break_disk(at % DISKS)?;
-                self.schedule(ms, Repair::RestoreDisk(at % DISKS));
+                self.break_disk(at % self.site.disks)?;
+                self.schedule(ms, Repair::RestoreDisk(at % self.site.disks));
                 "no disk"
             }
             6 if self.rng.random_bool(0.3) => {
@@ -250,7 +251,7 @@
                 "nonsense"
             }
             _ if self.can_lose_disk() => {
-                let lost = self.extra_rng.random_range(0..DISKS);
+                let lost = self.extra_rng.random_range(0..self.site.disks);
                 self.disk_lost_at = Some(Instant::now());
                 for at in 0..self.site.nodes.len() {
                     self.site.kill(at);
@@ -271,7 +272,7 @@
     fn can_lose_disk(&self) -> bool {
         self.disk_lost_at
             .is_none_or(|at| at.elapsed() > MIN_DISK_LOSS_INTERVAL)
-            && (0..DISKS).all(|at| {
+            && (0..self.site.disks).all(|at| {
                 self.site.is_up(at) && !self.site.nodes[at].is_frozen
             })
     }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -12,6 +12,7 @@
 mod operator;
 mod promise;
 mod proxy;
+mod readback;
 mod replica;
 mod silence;
 mod site;
@@ -78,6 +79,19 @@
     /// number of nodes (6)
     #[argh(option, default = "6")]
     nodes: usize,
+    /// number of nodes with a disk: 4, of which one may be lost, or 5 or 6, of
+    /// which two may be (4)
+    #[argh(option, default = "4")]
+    disks: usize,
+    /// rounds in which the configuration is read back after a fault (1)
+    #[argh(option, default = "1")]
+    readbacks: u64,
+    /// run nothing but these rounds
+    #[argh(switch)]
+    only_readbacks: bool,
+    /// keep settings, disks and logs of all seeds, not only of those that fail
+    #[argh(switch)]
+    keep: bool,
     /// path of the node program (azuremount-node in this program's folder)
     #[argh(option)]
     program: Option<PathBuf>,
@@ -122,6 +136,10 @@
         self.final_check.load(Ordering::Relaxed)
     }
 
+    fn stop(&self) {
+        self.running.store(false, Ordering::Relaxed);
+    }
+
     fn any(&self, port: u16) -> SocketAddrV4 {
         let ip = self.ips.choose(&mut rand::rng());
         SocketAddrV4::new(*ip.expect("there are nodes"), port)
@@ -162,6 +180,10 @@
     ended: u32,
     p50_ms: u64,
     p99_ms: u64,
+    reads: usize,
+    unread: usize,
+    gap_ms: u64,
+    node_gap_ms: u64,
     breaches: usize,
 }
 
@@ -210,8 +232,10 @@
     let net = 100 + (seed % 100) as u8;
     let api = SocketAddrV4::new(Ipv4Addr::new(127, net, 250, 1), 8225);
     let cloud = Proxy::spawn(api).await?;
-    let count = arguments.nodes.max(site::DISKS);
-    let site = Site::open(&program, &folder, net, count, cloud.address)?;
+    let count = arguments.nodes.max(arguments.disks);
+    let disks = arguments.disks;
+    let site =
+        Site::open(&program, &folder, net, count, disks, cloud.address)?;
     let shared = Arc::new(Shared {
         seed,
         ledger: Ledger::open(),
@@ -227,7 +251,7 @@
     });
     cloud::spawn(api, shared.clone()).await?;
     let row = run_site(arguments, shared.clone(), site, cloud).await?;
-    if row.breaches == 0 {
+    if row.breaches == 0 && !arguments.keep {
         std::fs::remove_dir_all(&folder)?;
     } else {
         eprintln!("seed {seed}: logs are kept in {}", folder.display());
@@ -255,6 +279,45 @@
         replicas.push(Replica::spawn(shared.clone(), number).await?);
     }
     apply_first_config(&shared).await;
+    let mut faults = Faults::new(shared.clone(), site, replicas, cloud);
+    if !arguments.only_readbacks {
+        let seconds = Duration::from_secs(arguments.seconds);
+        inject_faults(&shared, &mut faults, seconds).await?;
+        // Replicas that announce no limits and don't leave.
+        faults.refill().await?;
+        shared.running.store(true, Ordering::Relaxed);
+    }
+    let rounds = arguments.readbacks;
+    let reads = readback::run(&shared, &mut faults.site, rounds).await?;
+    let breaches = shared.ledger.close().len();
+    let (counts, p50_ms, p99_ms) = shared.ledger.summary();
+    Ok(Row {
+        seed: shared.seed,
+        faults: faults.injected.len(),
+        served: counts.served,
+        refused: counts.refused,
+        failed: counts.failed,
+        ended: Fatal::ALL
+            .into_iter()
+            .map(|fatal| shared.ledger.fatal_crashes(fatal))
+            .sum(),
+        p50_ms,
+        p99_ms,
+        reads: reads.good,
+        unread: reads.failed,
+        gap_ms: reads.gap_ms,
+        node_gap_ms: reads.node_gap_ms,
+        breaches,
+    })
+}
+
+/// Injects faults beside callers and operators, and checks what has to hold
+/// after the last one.
+async fn inject_faults(
+    shared: &Arc<Shared>,
+    faults: &mut Faults,
+    duration: Duration,
+) -> std::io::Result<()> {
     let mut tasks = Vec::new();
     for number in 1..=CALLERS {
         tasks.push(tokio::spawn(Caller::new(shared.clone(), number).run()));
@@ -269,17 +332,16 @@
     tasks.push(tokio::spawn(limit::vary_rate_limits(shared.clone())));
     tasks.push(tokio::spawn(notice::vary(shared.clone())));
     tasks.push(tokio::spawn(silence::vary(shared.clone())));
-    let mut faults = Faults::new(shared.clone(), site, replicas, cloud);
-    let until = Instant::now() + Duration::from_secs(arguments.seconds);
+    let until = Instant::now() + duration;
     faults.inject_until(until).await?;
     faults.refill().await?;
     // Callers keep sending requests while the nodes recover.
-    recover(&shared, &mut faults).await;
-    fatal::check_quarantine(&shared, &mut faults).await?;
-    silence::check(&shared).await;
+    recover(shared, faults).await;
+    fatal::check_quarantine(shared, faults).await?;
+    silence::check(shared).await;
     shared.final_check.store(true, Ordering::Relaxed);
-    tokio::join!(limit::check_compliance(&shared), notice::check(&shared));
-    shared.running.store(false, Ordering::Relaxed);
+    tokio::join!(limit::check_compliance(shared), notice::check(shared));
+    shared.stop();
     for task in tasks {
         if let Err(error) = task.await {
             shared
@@ -288,22 +350,7 @@
         }
     }
     shared.streams.check(&shared.ledger);
-    let breaches = shared.ledger.close().len();
-    let (counts, p50_ms, p99_ms) = shared.ledger.summary();
-    Ok(Row {
-        seed: shared.seed,
-        faults: faults.injected.len(),
-        served: counts.served,
-        refused: counts.refused,
-        failed: counts.failed,
-        ended: Fatal::ALL
-            .into_iter()
-            .map(|fatal| shared.ledger.fatal_crashes(fatal))
-            .sum(),
-        p50_ms,
-        p99_ms,
-        breaches,
-    })
+    Ok(())
 }
 
 /// Applies the first configuration and waits until all nodes serve.
