Let half of the read-back rounds go without changes

Cause: a change that is sent through a node makes its client replace a silent connection, so the two operators of the soak shortened what they were to show.

Change: in half of the rounds, operators change nothing between the acknowledgement and the last read.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -121,6 +121,7 @@
     /// When the run started.
     started: Instant,
     running: AtomicBool,
+    changes_paused: AtomicBool,
     final_check: AtomicBool,
 }
 
@@ -136,6 +137,15 @@
         self.final_check.load(Ordering::Relaxed)
     }
 
+    /// Returns true while operators change nothing.
+    pub fn are_changes_paused(&self) -> bool {
+        self.changes_paused.load(Ordering::Relaxed)
+    }
+
+    fn pause_changes(&self, paused: bool) {
+        self.changes_paused.store(paused, Ordering::Relaxed);
+    }
+
     fn stop(&self) {
         self.running.store(false, Ordering::Relaxed);
     }
@@ -247,6 +257,7 @@
         silences: silence::Silences::default(),
         started: Instant::now(),
         running: AtomicBool::new(true),
+        changes_paused: AtomicBool::new(false),
         final_check: AtomicBool::new(false),
     });
     cloud::spawn(api, shared.clone()).await?;
--- a/soak/src/readback.rs
+++ b/soak/src/readback.rs
@@ -106,6 +106,9 @@
     actions: Vec<(u64, usize, Action)>,
     /// Nodes that take turns in standing still.
     turns: Vec<usize>,
+    /// Whether operators change nothing after the acknowledgement. A change
+    /// makes the node that it is sent to replace a connection that is silent.
+    is_quiet: bool,
     /// Whether no more nodes with a disk are harmed at the same time than may
     /// be lost. Otherwise, reads may fail.
     is_served: bool,
@@ -160,6 +163,7 @@
             harms,
             actions,
             turns,
+            is_quiet: rng.random_bool(0.5),
             is_served,
         }
     }
@@ -309,6 +313,7 @@
     let leader = site.leader();
     let version = (shared.ledger.newest_sent() / 2 + 1) * 2;
     let is_acknowledged = operator::put(shared, version).await;
+    shared.pause_changes(plan.is_quiet);
     sleep(Duration::from_millis(plan.kill_after_ms)).await;
     let mut listeners = kill_and_harm(site, plan, leader).await?;
     sleep(Duration::from_millis(plan.down_ms)).await;
@@ -339,6 +344,7 @@
     let until = from + JUDGED_TIME;
     sleep_until(until.into()).await;
     reads.is_open.store(false, Ordering::Relaxed);
+    shared.pause_changes(false);
     for reader in readers {
         if let Err(error) = reader.await {
             let text = format!("a reader failed: {error}");
@@ -347,8 +353,14 @@
     }
     println!(
         "seed {}: version {version} acknowledged: {is_acknowledged}, leader \
-         {leader:?}, killed {:?} after {} ms, harmed {:?}, turns {:?}",
-        shared.seed, plan.killed, plan.kill_after_ms, plan.harms, plan.turns
+         {leader:?}, killed {:?} after {} ms, harmed {:?}, turns {:?}, \
+         changes: {}",
+        shared.seed,
+        plan.killed,
+        plan.kill_after_ms,
+        plan.harms,
+        plan.turns,
+        !plan.is_quiet
     );
     let summary = judge(shared, plan, &reads.finished(), from, until);
     for listener in listeners.values_mut() {
