Leave connections to the likely leader open and silent

Cause: connections that stay open and silent harm a read only if they lead to the leader.

Change: their node is the leader, unless that has another part in the round. Nodes without a disk start first and meet the silent listener; the node starts 0.2 to 0.7 s later, and the others with a disk 0.3 s after it, so it is likely to lead again. All are back 4 s before reads are judged.

--- a/soak/src/readback.rs
+++ b/soak/src/readback.rs
@@ -36,6 +36,9 @@
 /// Time from the start of the nodes until reads are judged: harmed nodes that
 /// return have four seconds.
 const SETTLING_TIME: Duration = Duration::from_secs(5);
+/// Time by which a node with half-open connections starts before the others
+/// with a disk, in ms.
+const HEAD_START_MS: u64 = 300;
 /// Time for which reads are judged.
 const JUDGED_TIME: Duration = Duration::from_secs(8);
 /// Time without a successful read, at one node or at all of them, from which on
@@ -78,7 +81,8 @@
     /// The node stays away, and a listener at its address for other nodes
     /// accepts connections and never answers.
     SilentListener,
-    /// The node starts this many ms after the others. Until then a listener at
+    /// The node starts this many ms after those without a disk, and before the
+    /// others with one, so that it is likely to lead. Until then a listener at
     /// its address for other nodes accepts connections, which stay open and
     /// silent afterwards, as those to a machine that lost its power do.
     HalfOpen(u64),
@@ -142,10 +146,26 @@
             }
         }
         let mut actions = draw_turns(rng, &turns);
+        let is_half_open = |harm: &Harm| matches!(harm, Harm::HalfOpen(_));
+        // Silent connections to a node that does not lead harm no read.
+        if let Some(leader) = site.leader()
+            && !turns.contains(&leader)
+            && !harms.iter().any(|(at, _)| *at == leader)
+            && let Some(harm) =
+                harms.iter_mut().find(|(_, harm)| is_half_open(harm))
+        {
+            harm.0 = leader;
+        }
+        let returns = harms.iter().filter_map(|(_, harm)| match harm {
+            Harm::HalfOpen(after_ms) => Some(after_ms + HEAD_START_MS),
+            _ => None,
+        });
+        let disk_delay_ms = returns.max().unwrap_or(0);
         for (at, harm) in &harms {
             match harm {
                 Harm::Suspended(after_ms) => {
-                    actions.push((*after_ms, *at, Action::Suspend));
+                    let due_ms = disk_delay_ms + after_ms;
+                    actions.push((due_ms, *at, Action::Suspend));
                 }
                 Harm::HalfOpen(after_ms) => {
                     actions.push((*after_ms, *at, Action::Start));
@@ -153,6 +173,16 @@
                 _ => {}
             }
         }
+        let stays_away = |at: usize| {
+            harms.iter().any(|(one, harm)| {
+                let starts =
+                    matches!(harm, Harm::EmptyDisk | Harm::Suspended(_));
+                *one == at && !starts
+            })
+        };
+        for at in (0..site.disks).filter(|at| !stays_away(*at)) {
+            actions.push((disk_delay_ms, at, Action::Start));
+        }
         actions.sort_by_key(|(after_ms, ..)| *after_ms);
         let harmed = harms.len() + usize::from(!turns.is_empty());
         let is_served = harmed <= losses;
@@ -173,7 +203,7 @@
         found.map(|(_, harm)| *harm)
     }
 
-    /// Returns true if the node does not start together with the others.
+    /// Returns true if the node stays away, at least at first.
     fn is_away(&self, at: usize) -> bool {
         matches!(
             self.harm(at),
@@ -196,7 +226,7 @@
         0 => Harm::EmptyDisk,
         1 => Harm::Absent,
         2 => Harm::SilentListener,
-        3 => Harm::HalfOpen(rng.random_range(200..1000)),
+        3 => Harm::HalfOpen(rng.random_range(200..700)),
         4 => Harm::Suspended(rng.random_range(300..2500)),
         _ => Harm::Suspended(3000),
     }
@@ -317,10 +347,9 @@
     sleep(Duration::from_millis(plan.kill_after_ms)).await;
     let mut listeners = kill_and_harm(site, plan, leader).await?;
     sleep(Duration::from_millis(plan.down_ms)).await;
-    for at in 0..site.nodes.len() {
-        if !plan.is_away(at) {
-            site.start(at, false)?;
-        }
+    // Actions start the nodes with a disk.
+    for at in site.disks..site.nodes.len() {
+        site.start(at, false)?;
     }
     let started = Instant::now();
     for (after_ms, at, action) in &plan.actions {
