--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -2,7 +2,11 @@
 
 use std::{net::SocketAddr, pin::pin, time::Duration};
 
-use futures_util::future::{Either, select};
+use futures_util::{
+    StreamExt,
+    future::{Either, select},
+    stream::FuturesUnordered,
+};
 use prost::Message;
 use tokio::{
     net::TcpListener,
@@ -56,6 +60,15 @@
 const MIN_LINK_BYTES_PER_S: f64 = 500_000.0;
 /// Capacity of the message queue of one peer; Raft resends dropped messages.
 const MAX_QUEUED_MESSAGES: usize = 256;
+/// Maximum number of batches in flight to one peer.
+///
+/// A batch a heartbeat interval for the time after which one times out. With
+/// a single one, each message waited for the answer to the batch before it,
+/// and a peer 0.25 s away confirmed rounds after more than a second.
+const MAX_BATCHES_IN_FLIGHT: usize = 4;
+/// Bytes in flight to one peer from which on no other batch is sent. Batches
+/// that shared a narrow link with a large one would time out.
+const MAX_BYTES_IN_FLIGHT: usize = 16 * 1024;
 /// Capacity of the queue of snapshots to one peer; the leader resends a
 /// snapshot that is not acknowledged.
 const MAX_QUEUED_SNAPSHOTS: usize = 1;
@@ -268,13 +281,14 @@
 }
 
 impl Link {
-    /// Starts the tasks that send messages to `address` in batches, in order
-    /// but for snapshots.
+    /// Starts the tasks that send messages to `address` in batches.
+    ///
+    /// Batches that are in flight at the same time may arrive in any order.
     pub fn spawn(address: SocketAddr) -> Link {
         let (queue, waiting) = mpsc::channel(MAX_QUEUED_MESSAGES);
-        tokio::spawn(run_link(address, waiting));
+        tokio::spawn(run_link(address, waiting, MAX_BATCHES_IN_FLIGHT));
         let (snapshots, waiting) = mpsc::channel(MAX_QUEUED_SNAPSHOTS);
-        tokio::spawn(run_link(address, waiting));
+        tokio::spawn(run_link(address, waiting, 1));
         Link { queue, snapshots }
     }
 
@@ -288,12 +302,44 @@
     }
 }
 
-async fn run_link(address: SocketAddr, mut queue: mpsc::Receiver<Envelope>) {
+async fn run_link(
+    address: SocketAddr,
+    mut queue: mpsc::Receiver<Envelope>,
+    max_in_flight: usize,
+) {
     let mut client = open_members_client(address);
+    let mut connection = 0_u64;
+    let mut deliveries = FuturesUnordered::new();
+    let mut bytes_in_flight = 0;
     let mut envelopes = Vec::new();
-    while queue.recv_many(&mut envelopes, 64).await > 0 {
-        let batch = Envelopes { envelopes: std::mem::take(&mut envelopes) };
-        client = deliver(address, client, batch).await;
+    loop {
+        let may_send = deliveries.len() < max_in_flight
+            && bytes_in_flight < MAX_BYTES_IN_FLIGHT;
+        tokio::select! {
+            count = queue.recv_many(&mut envelopes, 64), if may_send => {
+                if count == 0 {
+                    return;
+                }
+                let envelopes = std::mem::take(&mut envelopes);
+                let batch = Envelopes { envelopes };
+                let bytes = batch.encoded_len();
+                bytes_in_flight += bytes;
+                let client = client.clone();
+                deliveries.push(async move {
+                    let new = deliver(address, client, batch).await;
+                    (connection, bytes, new)
+                });
+            }
+            Some((used, bytes, new)) = deliveries.next() => {
+                bytes_in_flight -= bytes;
+                if let Some(new) = new
+                    && used == connection
+                {
+                    client = new;
+                    connection += 1;
+                }
+            }
+        }
     }
 }
 
@@ -303,7 +349,7 @@
 }
 
 /// Sends a batch, on a new connection as well if `client` fails or does not
-/// acknowledge it soon. Returns the client for the next batch.
+/// acknowledge it soon. Returns the new connection if it replaces `client`.
 ///
 /// A connection whose state a middlebox has lost stays silent forever, while
 /// new connections work. Kept in use, it would make the peer appear to have
@@ -311,32 +357,32 @@
 /// idempotent.
 async fn deliver(
     address: SocketAddr,
-    client: MembersClient<Channel>,
+    mut client: MembersClient<Channel>,
     batch: Envelopes,
-) -> MembersClient<Channel> {
+) -> Option<MembersClient<Channel>> {
     let sending = transfer_time(batch.encoded_len());
-    let mut kept = client.clone();
-    let mut on_kept = pin!(kept.deliver(batch.clone()));
+    let mut on_kept = pin!(client.deliver(batch.clone()));
     let first = timeout(SEND_HEDGE_DELAY + sending, &mut on_kept).await;
     if matches!(first, Ok(Ok(_))) {
-        return client;
+        return None;
     }
     let new = open_members_client(address);
     let mut renewed = new.clone();
     let on_new = pin!(renewed.deliver(batch));
-    let acknowledged = async {
+    let is_kept = async {
         if first.is_ok() {
-            return on_new.await.map(|_| new.clone());
+            return on_new.await.map(|_| false);
         }
         match select(on_kept, on_new).await {
-            Either::Left((Ok(_), _)) => Ok(client),
-            Either::Left((Err(_), on_new)) => on_new.await.map(|_| new),
-            Either::Right((Ok(_), _)) => Ok(new),
-            Either::Right((Err(_), on_kept)) => on_kept.await.map(|_| client),
+            Either::Left((Ok(_), _)) => Ok(true),
+            Either::Left((Err(_), on_new)) => on_new.await.map(|_| false),
+            Either::Right((Ok(_), _)) => Ok(false),
+            Either::Right((Err(_), on_kept)) => on_kept.await.map(|_| true),
         }
     };
-    match timeout(SEND_TIMEOUT + sending, acknowledged).await {
-        Ok(Ok(client)) => client,
-        Ok(Err(_)) | Err(_) => open_members_client(address),
+    match timeout(SEND_TIMEOUT + sending, is_kept).await {
+        Ok(Ok(true)) => None,
+        Ok(Ok(false)) => Some(new),
+        Ok(Err(_)) | Err(_) => Some(open_members_client(address)),
     }
 }
