--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -44,7 +44,7 @@
 /// Longer than the leader holds a sync.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Time after which an attempt to read times out. A member that runs answers
-/// within five seconds.
+/// within five seconds, if only that the read is not decided.
 const READ_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(5500);
 /// Time without an answer after which another member is asked to read as well.
 /// A read takes a few ms, or some tenths of a second at a busy leader.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -6,11 +6,13 @@
 //! | [`disk`] | the data folder |
 //! | [`ledger`] | the replicated state machine, without I/O |
 //! | [`roster`] | the leader's state that is not replicated, without I/O |
-//! | `availability` | reports of reads and leaders that are missing |
+//! | `availability` | log lines on reads that are not confirmed and on a missing leader |
 //! | [`member`] | the thread that drives these modules |
 //! | [`server`] | the gRPC services and the links between members |
 //! | [`seat`] | a dynamic member, whose peers are not in its settings |
 //! | [`client`] | the client that entries and operators use |
+//! | [`search`] | the order in which a call asks the members, without I/O |
+//! | `attempt_log` | the outcomes of a call's attempts, for its error |
 //!
 //! # Starting a cluster
 //!
--- a/src/control/search.rs
+++ b/src/control/search.rs
@@ -17,6 +17,8 @@
 use crate::util::common;
 
 /// Time after which a member that has refused is asked again, in ms.
+///
+/// An election takes a second or more, and a refusal costs a member little.
 pub const RETRY_INTERVAL_MS: u64 = 50;
 
 common! {
--- a/tests/all/raft/availability.rs
+++ b/tests/all/raft/availability.rs
@@ -2,8 +2,9 @@
 //! disks lost as may be and one more member impaired.
 //!
 //! A cluster runs in virtual time with the timing of a dynamic member. Links
-//! carry a few batches at a time, as `run_link` of the product does; a batch
-//! that is not received in time is lost. Reads go to the leader, so that no
+//! carry a few batches at a time, like those in `control::server`; a batch that
+//! is not received in time is lost. Unlike there, no batch is sent twice, and
+//! large ones don't hold up others. Reads go to the leader, so that no
 //! client's search is part of the measurement.
 
 use super::*;
@@ -18,7 +19,7 @@
 /// Time that an operator waits for a read.
 const READ_LIMIT_MS: u64 = 800;
 const RETRY_MS: u64 = 50;
-/// Time for which a batch may be silent, as in `run_link`.
+/// Time after which a batch that is not received is lost.
 const BATCH_LIMIT_MS: u64 = 500;
 const LINK_BYTES_PER_MS: u64 = 1250;
 const ASSUMED_LINK_BYTES_PER_MS: u64 = 500;
