--- a/review/standin-2/src/bin/resume.rs
+++ b/review/standin-2/src/bin/resume.rs
@@ -62,10 +62,7 @@
     for at in 0..NODES {
         site.start(at, true)?;
     }
-    let attempts = std::env::var("ATTEMPTS")
-        .ok()
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(1);
+    let attempts = 1;
     let routes = [RouteText {
         prefix: "/pufi791/",
         kind: "stream",
