--- a/review/4/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/usr/bin/env bash
-cd "$(dirname "$0")" && exec bash ../case-2.sh "$PWD" versions
