--- a/review/standin-2/src/bin/restart.rs
+++ b/review/standin-2/src/bin/resume.rs
@@ -1,11 +1,11 @@
-//! All nodes are killed at once and are back a second later. Callers take
-//! their streams up again once the nodes are in touch. Do they go on?
+//! A replica crashes for good less than a heartbeat interval after streams
+//! have begun there. Callers take these streams up again. Do they go on?
 
 use std::{
     io,
     net::{Ipv4Addr, SocketAddrV4},
     path::Path,
-    sync::{Arc, atomic::{AtomicBool, Ordering}},
+    sync::{Arc, atomic::Ordering},
     thread,
     time::{Duration, Instant},
 };
@@ -16,19 +16,14 @@
 };
 
 const NODES: usize = 4;
-const STREAMS: usize = 24;
+const STREAMS: usize = 54;
 const NEW_STREAMS: usize = 24;
-const EVENTS: u64 = 100;
+const EVENTS: u64 = 40;
 const GAP_MS: u64 = 50;
 /// The deadline of the route's requests.
-const DEADLINE: Duration = Duration::from_millis(15_000);
-/// From the first stream to the kill.
-const KILL_AFTER_MS: u64 = 1000;
-/// How long the nodes are down.
-const DOWN_MS: u64 = 1000;
-/// From the return of the nodes to the tries that count: twice `ContactMs`, as
-/// after a final fault, and a bit more.
-const IN_TOUCH_AFTER_MS: u64 = 6300;
+const DEADLINE: Duration = Duration::from_millis(12_000);
+/// Time from the replica's last heartbeat to its crash.
+const CRASH_AFTER_MS: u64 = 700;
 /// Times that a caller takes its stream up again.
 const MAX_RESUMPTIONS: usize = 4;
 
@@ -67,12 +62,13 @@
     for at in 0..NODES {
         site.start(at, true)?;
     }
+    let attempts = 1;
     let routes = [RouteText {
         prefix: "/pufi791/",
         kind: "stream",
-        timeout_ms: 15_000,
-        target_ms: 600,
-        attempts: 2,
+        timeout_ms: 12_000,
+        target_ms: 1000,
+        attempts,
         resumable: true,
     }];
     site.put(&config(7, &routes), Duration::from_secs(20))?;
@@ -99,35 +95,35 @@
             handler.clone(),
         )
     };
-    let _replicas =
+    let replicas =
         [start("i-7f3a91c2")?, start("i-10000001")?, start("i-10000002")?];
     sleep_ms(6000);
+    let one = &replicas[0];
+    let before = one.last_beat.load(Ordering::SeqCst);
+    while one.last_beat.load(Ordering::SeqCst) == before {
+        sleep_ms(1);
+    }
+    let beat_at = one.last_beat.load(Ordering::SeqCst);
+    sleep_ms(50);
     let fronts: Vec<SocketAddrV4> =
         (0..NODES).map(|at| site.front(at)).collect();
-    let is_in_touch = Arc::new(AtomicBool::new(false));
     let call_for = |number: usize, kind: &'static str| {
         let fronts = fronts.clone();
         let record = record.clone();
-        let in_touch = is_in_touch.clone();
-        thread::spawn(move || take(&fronts, number, kind, &record, &in_touch))
+        thread::spawn(move || take(&fronts, number, kind, &record))
     };
     let callers: Vec<_> =
         (0..STREAMS).map(|number| call_for(number, "a")).collect();
-    sleep_ms(KILL_AFTER_MS);
+    let passed = record.ms() - beat_at;
+    sleep_ms(CRASH_AFTER_MS.saturating_sub(passed));
     if has_trouble {
-        for at in 0..NODES {
-            site.kill(at);
-        }
-        record.log("all nodes are killed");
-        sleep_ms(DOWN_MS);
-        for at in 0..NODES {
-            site.start(at, false)?;
-        }
-        record.log("all nodes start again");
+        record.log(format!(
+            "replica i-7f3a91c2 crashes for good with {} requests",
+            one.running.load(Ordering::SeqCst)
+        ));
+        one.kill();
     }
-    sleep_ms(IN_TOUCH_AFTER_MS);
-    is_in_touch.store(true, Ordering::SeqCst);
-    record.log("the nodes are in touch");
+    sleep_ms(300);
     let others: Vec<_> =
         (0..NEW_STREAMS).map(|number| call_for(number, "b")).collect();
     let mut streams = Vec::new();
@@ -156,7 +152,6 @@
     number: usize,
     kind: &str,
     record: &Record,
-    is_in_touch: &AtomicBool,
 ) -> Stream {
     let until = Instant::now() + DEADLINE;
     let mut stream = Stream { tries: Vec::new() };
@@ -192,9 +187,6 @@
         if is_over {
             break;
         }
-        while !is_in_touch.load(Ordering::SeqCst) {
-            sleep_ms(20);
-        }
         thread::sleep(Duration::from_secs_f64(pause));
     }
     stream
