--- a/review/standin-2/src/bin/term.rs
+++ b/review/standin-2/src/bin/term.rs
@@ -57,9 +57,8 @@
     let peeked = stream.peek(&mut byte);
     let _ = stream.set_nonblocking(false);
     !matches!(peeked, Ok(0))
-        && !peeked.is_err_and(|error| {
-            error.kind() != io::ErrorKind::WouldBlock
-        })
+        && !peeked
+            .is_err_and(|error| error.kind() != io::ErrorKind::WouldBlock)
 }
 
 /// Runs a request when a slot is free, unless its connection closes before.
@@ -234,7 +233,8 @@
     let mut lost = 0;
     for answer in &answers {
         let Err(_) = &answer.result else { continue };
-        let work = lock(&all).iter().find(|work| work.id == answer.id).cloned();
+        let work =
+            lock(&all).iter().find(|work| work.id == answer.id).cloned();
         let Some(work) = work else { continue };
         // Not counted: the deadline or the route's timeout was reached, or the
         // replica was at work in the last sixth of the grace period.
@@ -252,8 +252,7 @@
             ));
         }
     }
-    let served =
-        answers.iter().filter(|one| one.result == Ok(200)).count();
+    let served = answers.iter().filter(|one| one.result == Ok(200)).count();
     let cut = answers.iter().filter(|one| one.result.is_err()).count();
     record.log(format!(
         "{REQUESTS} requests: {served} served, {cut} cut, {lost} of these without a replica at work"
--- a/review/standin-2/src/lib.rs
+++ b/review/standin-2/src/lib.rs
@@ -151,7 +151,10 @@
 }
 
 /// Reads a whole body.
-pub fn read_body(reader: &mut impl BufRead, head: &Head) -> io::Result<Vec<u8>> {
+pub fn read_body(
+    reader: &mut impl BufRead,
+    head: &Head,
+) -> io::Result<Vec<u8>> {
     if head.is_chunked() {
         let mut body = Vec::new();
         loop {
@@ -233,7 +236,10 @@
 impl Server {
     pub fn spawn(
         address: SocketAddrV4,
-        handler: impl Fn(&mut BufReader<TcpStream>, &mut TcpStream) + Send + Sync + 'static,
+        handler: impl Fn(&mut BufReader<TcpStream>, &mut TcpStream)
+        + Send
+        + Sync
+        + 'static,
     ) -> io::Result<Server> {
         let listener = TcpListener::bind(address)?;
         listener.set_nonblocking(true)?;
@@ -364,7 +370,8 @@
                     if read_body(reader, &head).is_err() {
                         return;
                     }
-                    let answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+                    let answer =
+                        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
                     if stream.write_all(answer.as_bytes()).is_err() {
                         return;
                     }
@@ -394,8 +401,10 @@
         let seeds: Vec<String> = (0..3)
             .map(|seed| format!("\"{}:{CONTROL}\"", self.ips[seed]))
             .collect();
-        let zones: Vec<String> =
-            ZONES.iter().map(|zone| format!("\"{zone}\":\"bengal-east\"")).collect();
+        let zones: Vec<String> = ZONES
+            .iter()
+            .map(|zone| format!("\"{zone}\":\"bengal-east\""))
+            .collect();
         let disk = match at < self.disks {
             true => format!(
                 "\"DataDir\":\"{}\",",
@@ -459,7 +468,9 @@
     pub fn wipe(&mut self, at: usize) -> io::Result<()> {
         self.kill(at);
         match fs::remove_dir_all(self.folder.join(format!("disk-{at}"))) {
-            Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
+            Err(error) if error.kind() != io::ErrorKind::NotFound => {
+                Err(error)
+            }
             _ => Ok(()),
         }
     }
@@ -727,10 +738,12 @@
                 thread::spawn(move || {
                     thread::sleep(late);
                     send_heartbeat(
-                        &says, address, "ready", sequence, &controls, &record, &beat,
+                        &says, address, "ready", sequence, &controls, &record,
+                        &beat,
                     );
                 });
-                while at.elapsed() < HEARTBEAT && !down.load(Ordering::SeqCst) {
+                while at.elapsed() < HEARTBEAT && !down.load(Ordering::SeqCst)
+                {
                     sleep_ms(5);
                 }
             }
@@ -783,7 +796,9 @@
             return;
         }
     }
-    record.log(format!("heartbeat {sequence} of {id} ({version}) not acknowledged"));
+    record.log(format!(
+        "heartbeat {sequence} of {id} ({version}) not acknowledged"
+    ));
 }
 
 /// Answers with a stream of `count` events from `last` + 1 on, one each
@@ -839,7 +854,10 @@
 }
 
 /// The headers of a request to the system.
-pub fn caller_headers(id: &str, deadline_ms: u64) -> Vec<(&'static str, String)> {
+pub fn caller_headers(
+    id: &str,
+    deadline_ms: u64,
+) -> Vec<(&'static str, String)> {
     vec![
         ("Host", HOST.to_owned()),
         ("X-Request-Id", id.to_owned()),
@@ -859,7 +877,8 @@
 ) -> Seen {
     let began = Instant::now();
     let mut seen = Seen { id: id.to_owned(), ..Seen::default() };
-    if let Err(error) = try_read_stream(front, path, id, extra, limit, &mut seen)
+    if let Err(error) =
+        try_read_stream(front, path, id, extra, limit, &mut seen)
     {
         seen.error = error.to_string();
     }
@@ -930,7 +949,9 @@
 /// Runs a case: `PROGRAM FOLDER RECORD`, with `TROUBLE=0` for no disruption.
 /// Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could
 /// not run.
-pub fn run(case: impl FnOnce(&Path, &Path, Record, bool) -> io::Result<bool>) -> ! {
+pub fn run(
+    case: impl FnOnce(&Path, &Path, Record, bool) -> io::Result<bool>,
+) -> ! {
     let words: Vec<String> = std::env::args().collect();
     let [_, program, folder, path] = words.as_slice() else {
         eprintln!("usage: PROGRAM-OF-THE-NODE FOLDER RECORD");
