--- a/review/standin-2/src/bin/replaced.rs
+++ b/review/standin-2/src/bin/replaced.rs
@@ -13,7 +13,7 @@
 /// The machines that lose their disks.
 const WIPED: [usize; 2] = [2, 3];
 /// How long they are away.
-const AWAY_MS: u64 = 3000;
+const AWAY_MS: u64 = 1200;
 /// From the end of the replaced machine to the last change: `SyncS`, and a bit
 /// more.
 const PAUSE_MS: u64 = SYNC_MS + 200;
