Demote voters that stop or are silent before the next losses

Cause: the successor makes the list even, six voters with a quorum of four. The replaced VM counted until 8 s of silence had passed, so the log bore one loss instead of two from its end on. The shorter time for such lists asked for more healthy voters than such a site has.

Change: a member's answers say that its process is stopping. The leader makes a voter that stops, or is silent for two election timeouts, a learner, if the others suffice and the quorum is too large for the permitted losses. A learner that answers again is promoted.

Ruled out: a successor that votes too late (it votes after 0.8 s), and VMs that are not taken in again (they are, once a leader is elected).

--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -164,6 +164,8 @@
     Leadership(oneshot::Sender<Option<Leadership>>),
     /// Ask the member with this id to add this member to the cluster.
     Join(u64),
+    /// Announce to the leader that this process is stopping.
+    AnnounceStop,
     /// Stop the thread.
     Stop,
 }
@@ -317,6 +319,7 @@
                 let _ = answer.send(self.leadership());
             }
             Command::Join(leader) => self.join(leader),
+            Command::AnnounceStop => self.node.announce_stop(),
             Command::Stop => {}
         }
     }
--- a/src/control/raft/follower.rs
+++ b/src/control/raft/follower.rs
@@ -21,6 +21,7 @@
                 success: false,
                 match_index: self.last_index(),
                 round: 0,
+                stopping: self.stopping,
             };
             self.send(from, self.term, Body::AppendReply(reply));
             return false;
@@ -48,6 +49,7 @@
                 success: false,
                 match_index: self.last_possible_match(previous),
                 round: request.round,
+                stopping: self.stopping,
             };
             self.send(from, self.term, Body::AppendReply(reply));
             return;
@@ -62,6 +64,7 @@
             success: true,
             match_index: matched_index,
             round: request.round,
+            stopping: self.stopping,
         };
         self.send(from, self.term, Body::AppendReply(reply));
     }
@@ -135,6 +138,7 @@
             success: true,
             match_index: index,
             round: request.round,
+            stopping: self.stopping,
         };
         self.send(from, self.term, Body::AppendReply(reply));
     }
--- a/src/control/raft/leader.rs
+++ b/src/control/raft/leader.rs
@@ -37,6 +37,7 @@
                 // Gives the member one election timeout to answer before it
                 // counts against the leader's quorum.
                 confirmed_at: now,
+                stopping: false,
                 snapshot_sent_at: None,
             });
         }
@@ -150,6 +151,7 @@
         {
             progress.acked_round = reply.round;
             progress.confirmed_at = sent_at;
+            progress.stopping = reply.stopping;
         }
         if reply.success {
             progress.matched_index =
--- a/src/control/raft/mod.rs
+++ b/src/control/raft/mod.rs
@@ -58,7 +58,8 @@
 /// Time without a reply after which a member may be removed, in ms.
 ///
 /// Longer than a VM is usually unavailable when it freezes or restarts (a few
-/// seconds), so that mostly VMs that are permanently lost are removed.
+/// seconds), so that mostly VMs that are permanently lost are removed. A voter
+/// is demoted earlier, see [`Node::due_membership`].
 const REMOVAL_TIMEOUT_MS: u64 = 8000;
 
 common! {
@@ -147,6 +148,8 @@
     /// Until the first acknowledgement, the time at which this node began to
     /// track the member.
     confirmed_at: u64,
+    /// Whether the member's process has announced that it is stopping.
+    stopping: bool,
     /// Time at which a snapshot was sent that is not acknowledged yet.
     snapshot_sent_at: Option<u64>,
 }
@@ -213,6 +216,8 @@
     hard_state_changed: bool,
     /// See [`Node::set_min_healthy_voters`].
     min_healthy_voters: Option<usize>,
+    /// See [`Node::announce_stop`].
+    stopping: bool,
 }
 
 impl Node {
@@ -252,6 +257,7 @@
             output: Output::default(),
             hard_state_changed: false,
             min_healthy_voters: None,
+            stopping: false,
         };
         node.persisted_index = node.last_index();
         // Entries known to be committed can be applied before a leader is
@@ -281,16 +287,26 @@
         self.append_entry(1, encode_membership(members));
     }
 
-    /// Lets the leader remove members that have long been silent.
+    /// Lets the leader demote voters that stop or are silent, and remove
+    /// members that have long been silent.
     ///
-    /// A voter is removed only while there are at least `min_voters` healthy
-    /// voters. Without removal, a permanently lost VM counts towards the
-    /// quorum for ever: after two VMs were replaced one after the other, the
-    /// loss of one more stops the cluster although most of its VMs run.
+    /// A voter is demoted or removed only while there are at least
+    /// `min_voters` other healthy voters, so that each change is on enough
+    /// disks. Without this, a permanently lost VM counts towards the quorum
+    /// for ever: after two VMs were replaced one after the other, the loss of
+    /// one more stops the cluster although most of its VMs run.
     pub fn set_min_healthy_voters(&mut self, min_voters: usize) {
         self.min_healthy_voters = Some(min_voters);
     }
 
+    /// Announces to the leader that this process is stopping.
+    ///
+    /// The leader demotes it if the other voters suffice without it. It may be
+    /// gone for good or back in a second, and is promoted again if it returns.
+    pub fn announce_stop(&mut self) {
+        self.stopping = true;
+    }
+
     /// Asks the leader to add this process, under `address`, as a member.
     ///
     /// For a process that hears no leader because it was never a member or
@@ -458,8 +474,9 @@
     ///
     /// At most one change is made at a time. In this order: a member that
     /// came back with an empty disk is replaced by a learner, a process that
-    /// asked to join is added as a learner, a silent member is removed, and a
-    /// learner that has caught up becomes a voter.
+    /// asked to join is added as a learner, a member that has long been silent
+    /// is removed, a voter that stops or is silent is demoted, and a learner
+    /// that has caught up becomes a voter.
     pub fn due_membership(&self, now: u64) -> Option<Vec<Member>> {
         let Role::Leader(leader_state) = &self.role else { return None };
         if !self.can_change_members() {
@@ -489,11 +506,15 @@
         if let Some(changed) = self.without_silent_member(now, leader_state) {
             return Some(changed);
         }
+        if let Some(changed) = self.with_demoted_voter(now, leader_state) {
+            return Some(changed);
+        }
         let position = members.iter().position(|member| {
             !member.voter
                 && leader_state.progress.iter().any(|progress| {
                     progress.member == Identity::from(member)
                         && progress.acked_round > 0
+                        && !progress.stopping
                         && now
                             < progress.confirmed_at
                                 + self.timing.election_timeout_ms
@@ -506,15 +527,77 @@
         Some(changed)
     }
 
+    /// Returns the number of healthy voters apart from `member`.
+    fn count_other_healthy(
+        &self,
+        now: u64,
+        leader_state: &LeaderState,
+        member: Identity,
+    ) -> usize {
+        self.voters()
+            .filter(|voter| {
+                *voter != member && self.is_healthy(now, leader_state, *voter)
+            })
+            .count()
+    }
+
+    /// Whether a member is stopping or has been silent for twice the election
+    /// timeout.
+    fn is_departing(
+        &self,
+        now: u64,
+        leader_state: &LeaderState,
+        member: Identity,
+    ) -> bool {
+        let silence_ms = 2 * self.timing.election_timeout_ms;
+        let mut progress = leader_state.progress.iter();
+        match progress.find(|progress| progress.member == member) {
+            Some(progress) => {
+                progress.stopping || now >= progress.confirmed_at + silence_ms
+            }
+            None => member == self.me && self.stopping,
+        }
+    }
+
+    /// Returns the member list in which the first departing voter is a
+    /// learner.
+    ///
+    /// A voter is demoted only if there are enough other healthy voters to
+    /// tolerate the permitted losses, but the quorum is too large for those
+    /// that stay. So the quorum no longer counts on a VM that was replaced by
+    /// the time the next losses are permitted. Demotion is easily undone: a
+    /// learner that answers again is promoted.
+    fn with_demoted_voter(
+        &self,
+        now: u64,
+        leader_state: &LeaderState,
+    ) -> Option<Vec<Member>> {
+        let min_voters = self.min_healthy_voters?;
+        let tolerated_losses = min_voters / 2;
+        let quorum = self.voters().count() / 2 + 1;
+        let staying = self.voters().filter(|voter| {
+            self.is_healthy(now, leader_state, *voter)
+                && !self.is_departing(now, leader_state, *voter)
+        });
+        if staying.count() >= quorum + tolerated_losses {
+            return None;
+        }
+        let members = self.members();
+        let position = members.iter().position(|member| {
+            let identity = Identity::from(member);
+            member.voter
+                && self.is_departing(now, leader_state, identity)
+                && self.count_other_healthy(now, leader_state, identity)
+                    >= min_voters
+        })?;
+        let mut changed = members.to_vec();
+        changed[position].voter = false;
+        Some(changed)
+    }
+
     /// Returns the member list without the first member that has been silent
     /// for [`REMOVAL_TIMEOUT_MS`].
     ///
-    /// A silent voter is removed once it is unhealthy if there are more
-    /// healthy voters than needed, but not enough for the quorum once as many
-    /// are lost as may be. This is so after several VMs were replaced at the
-    /// same time: the new ones have raised the quorum, and the next losses are
-    /// allowed seconds after they have started.
-    ///
     /// Returns `None` if no member has, or if it may not be removed.
     fn without_silent_member(
         &self,
@@ -523,29 +606,16 @@
     ) -> Option<Vec<Member>> {
         let min_voters = self.min_healthy_voters?;
         let members = self.members();
-        let voters = members.iter().filter(|member| member.voter);
-        let healthy = voters
-            .clone()
-            .filter(|voter| {
-                self.is_healthy(now, leader_state, Identity::from(*voter))
-            })
-            .count();
-        let quorum = voters.count() / 2 + 1;
-        let tolerated_losses = min_voters / 2;
-        let is_quorum_too_large =
-            healthy > min_voters && healthy < quorum + tolerated_losses;
         let silent = members.iter().position(|member| {
-            let timeout_ms = match member.voter && is_quorum_too_large {
-                true => 2 * self.timing.election_timeout_ms,
-                false => REMOVAL_TIMEOUT_MS,
-            };
             let identity = Identity::from(member);
             leader_state.progress.iter().any(|progress| {
                 progress.member == identity
-                    && now >= progress.confirmed_at + timeout_ms
+                    && now >= progress.confirmed_at + REMOVAL_TIMEOUT_MS
             })
         })?;
-        if members[silent].voter && healthy < min_voters {
+        let identity = Identity::from(&members[silent]);
+        let others = self.count_other_healthy(now, leader_state, identity);
+        if members[silent].voter && others < min_voters {
             return None;
         }
         let mut changed = members.to_vec();
--- a/src/control/seat.rs
+++ b/src/control/seat.rs
@@ -158,6 +158,17 @@
         }
     }
 
+    /// Announces to the leader that this process is stopping, so that the
+    /// member stops counting towards the quorum where the others suffice.
+    ///
+    /// The member goes on until [`Handle::stop`].
+    pub async fn announce_stop(&self) {
+        if let Some(commands) = self.commands() {
+            let announced = commands.send(Command::AnnounceStop);
+            let _ = timeout(STOP_TIMEOUT, announced).await;
+        }
+    }
+
     /// Stops the thread after it has handled the queued commands.
     pub async fn stop(&self) {
         if let Some(commands) = self.commands() {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -506,6 +506,9 @@
         // Duties stop first, because a successor only waits until this node's
         // lease has expired.
         *lock(&node.duties) = None;
+        if let Some(seat) = &node.seat {
+            seat.announce_stop().await;
+        }
         sleep(accept_duration(grace)).await;
         let left = end.saturating_duration_since(Instant::now());
         let stopping = servers.into_iter().map(|server| server.shutdown(left));
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -662,6 +662,9 @@
     pub match_index: u64,
     #[prost(uint64, tag = "3")]
     pub round: u64,
+    /// Whether the member's process is stopping.
+    #[prost(bool, tag = "4")]
+    pub stopping: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct SnapshotRequest {
--- a/tests/all/raft.rs
+++ b/tests/all/raft.rs
@@ -25,6 +25,7 @@
 mod availability;
 mod leaders;
 mod losses;
+mod replacements;
 
 const TIMING: Timing = Timing { heartbeat_ms: 50, election_timeout_ms: 250 };
 
@@ -685,7 +686,12 @@
 }
 
 fn append_success(index: u64) -> Body {
-    let reply = AppendReply { success: true, match_index: index, round: 1 };
+    let reply = AppendReply {
+        success: true,
+        match_index: index,
+        round: 1,
+        ..AppendReply::default()
+    };
     Body::AppendReply(reply)
 }
 
@@ -815,6 +821,7 @@
                     success: true,
                     match_index: 2,
                     round: append.round,
+                    ..AppendReply::default()
                 };
                 let body = Body::AppendReply(reply);
                 node.receive(now, from_member_2(node.term(), body));
--- a/tests/all/raft/leaders.rs
+++ b/tests/all/raft/leaders.rs
@@ -9,7 +9,12 @@
     let (mut node, now) = leader_with_committed_entry();
     node.take_committed();
     node.compact(2, vec![0; 100]).expect("committed");
-    let reply = AppendReply { success: false, match_index: 0, round: 1 };
+    let reply = AppendReply {
+        success: false,
+        match_index: 0,
+        round: 1,
+        ..AppendReply::default()
+    };
     let message = Envelope {
         from: 3,
         from_incarnation: 103,
@@ -39,8 +44,12 @@
         panic!("no round sent: {sent:?}");
     };
     assert!(append.entries.is_empty());
-    let reply =
-        AppendReply { success: false, match_index: 0, round: append.round };
+    let reply = AppendReply {
+        success: false,
+        match_index: 0,
+        round: append.round,
+        ..AppendReply::default()
+    };
     let message = Envelope {
         from: 3,
         from_incarnation: 103,
--- a/tests/all/raft/losses.rs
+++ b/tests/all/raft/losses.rs
@@ -295,6 +295,7 @@
             success: true,
             match_index: request.previous_index + request.entries.len() as u64,
             round: request.round,
+            ..AppendReply::default()
         }),
         _ => return None,
     };
