Answer requests in flight before a stopping node ends

Cause: nothing but its deadline or the end of the process ended a request that its replica did not answer. The grace period bounded the process only.

Change: a stopping gateway sets a time, a sixteenth of the grace period before the end. Requests without an answer end then with 504, or with 503 if none of them can have arrived at a replica or another node. A call to another node counts as a pending attempt while it lasts. Requests that come after the SIGTERM, but for streams, get no later deadline.

Ruled out: late answers of replicas (none in the last 1.2 s), and requests held back by the node (all arrive at a replica within 0.2 s).

--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -68,7 +68,11 @@
     let limit = Duration::from_millis(
         request_info.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms),
     );
-    let deadline = began + limit;
+    let mut deadline = began + limit;
+    if !route.retry_policy.is_stream() {
+        // The replica is told how long its answer is waited for.
+        deadline = gateway.stop.bound(deadline);
+    }
     let origin =
         gateway.origin_of(route, team, &request_info, deadline).await?;
     let (service, version) = match origin {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -188,7 +188,12 @@
     let began = Instant::now();
     let request_info = gateway.dialect.parse_request(request.headers());
     let id = request_info.id.clone();
-    match accept(&gateway, request, request_info, began).await {
+    let accepted = tokio::select! {
+        biased;
+        accepted = accept(&gateway, request, request_info, began) => accepted,
+        () = gateway.stop.wait() => Err(Refusal::stopping(Verdict::NotRun)),
+    };
+    match accepted {
         Ok(accepted) => {
             gateway.accepted_count.fetch_add(1, Ordering::Relaxed);
             run(accepted).await.unwrap_or_else(Refusal::into_response)
@@ -208,8 +213,12 @@
     let began = Instant::now();
     let request_info = gateway.dialect.parse_request(request.headers());
     let id = request_info.id.clone();
-    let accepted =
-        accept_forwarded(&gateway, request, request_info, began).await;
+    let accepting = accept_forwarded(&gateway, request, request_info, began);
+    let accepted = tokio::select! {
+        biased;
+        accepted = accepting => accepted,
+        () = gateway.stop.wait() => Err(Refusal::stopping(Verdict::NotRun)),
+    };
     let result = match accepted {
         Ok(accepted) => run(accepted).await,
         Err(refusal) => {
@@ -257,8 +266,18 @@
     let route = accepted.route.name.clone();
     let began = accepted.began;
     let last_event = accepted.request_info.last_event;
-    let result = accepted.ask(last_event).await;
-    let result = match result.map_err(|exhausted| exhausted.refusal) {
+    let result = tokio::select! {
+        biased;
+        result = accepted.ask(last_event) => {
+            result.map_err(|exhausted| exhausted.refusal)
+        }
+        () = gateway.stop.wait() => {
+            // The attempts in flight end here.
+            accepted.note_pending();
+            Err(Refusal::stopping(accepted.attempts.verdict()))
+        }
+    };
+    let result = match result {
         Ok(reply) if reply.promises_not_run() => Err(Refusal::unproven()),
         Ok(Reply::Streaming(source, head)) if accepted.forwarded.is_some() => {
             // The other node is told the version in the head.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 //! | [`rollouts`] | sends a new software version its share of the requests |
 //! | `overload` | refuses requests that replicas can't start in time |
 //! | `suspects` | tracks requests that may have crashed replicas |
+//! | `stop` | ends requests that a stopping node can no longer answer |
 //! | `speeds` | exchanges evidence about the speed of replicas, and logs it |
 //! | `survival` | tells whether replicas survived what they answered |
 //! | [`parts`] | maps the parts of a prompt to cache blocks |
@@ -69,6 +70,7 @@
 mod route_changes;
 pub mod server;
 mod speeds;
+mod stop;
 mod survival;
 mod suspects;
 pub mod upstream;
@@ -101,6 +103,7 @@
     quotas::Quotas,
     rollouts::Rollouts,
     route_changes::RouteChanges,
+    stop::Stop,
     survival::UnprovenAnswers,
     upstream::Pool,
 };
@@ -227,6 +230,7 @@
     opened: Instant,
     /// Number of callers' requests accepted since the start.
     accepted_count: AtomicU64,
+    stop: Stop,
 }
 
 impl std::fmt::Debug for Gateway {
@@ -287,6 +291,7 @@
             changed: watch::Sender::new(()),
             opened: Instant::now(),
             accepted_count: AtomicU64::new(0),
+            stop: Stop::default(),
         }
     }
 
@@ -297,6 +302,19 @@
         let _ = self.mesh.set(mesh);
     }
 
+    /// Ends all requests without an answer at a time, those in flight too.
+    ///
+    /// Their callers are told whether they may have run. Answers that have
+    /// begun go on.
+    pub fn end_requests_at(&self, ends_at: Instant) {
+        self.stop.set(ends_at);
+    }
+
+    /// Waits until the time that [`Gateway::end_requests_at`] has set.
+    pub async fn wait_for_stop(&self) {
+        self.stop.wait().await;
+    }
+
     /// Applies a plan if it is newer than the current one.
     pub fn set_plan(&self, plan: Plan) {
         let version = plan.version();
--- a/src/gateway/peer_call.rs
+++ b/src/gateway/peer_call.rs
@@ -378,7 +378,11 @@
                 "Forwarding to another node."
             );
             let mut call = self.begin_call(peer, last_event);
-            let Some(answered) = self.wait_for_call(&mut call).await else {
+            // Replicas may have run it there if this wait is given up.
+            self.pending = Some(String::new());
+            let answered = self.wait_for_call(&mut call).await;
+            self.pending = None;
+            let Some(answered) = answered else {
                 return self.ask_beside(call, last_event).await;
             };
             match self.read_call(call.peer, answered).await {
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -206,6 +206,20 @@
         }
     }
 
+    /// Reports that the node stops before the request has an answer. Another
+    /// node may accept the request.
+    pub fn stopping(verdict: Verdict) -> Refusal {
+        let text = "the node stops before there is an answer";
+        let refusal = match verdict {
+            Verdict::NotRun => Refusal::retryable(text, MIN_RETRY_AFTER_MS),
+            _ => Refusal {
+                status: StatusCode::GATEWAY_TIMEOUT,
+                ..Refusal::may_have_run(text)
+            },
+        };
+        Refusal { close: true, ..refusal }.try_elsewhere()
+    }
+
     /// Counts the refusal and logs it with its cause.
     pub(super) fn record(
         &self,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -19,7 +19,9 @@
 //! [`Handle::shutdown`] makes the node unready and withdraws its address from
 //! callers at once. Answers then ask their clients to connect to another node.
 //! Clients keep addresses for some seconds, so the node goes on accepting
-//! requests for a limited time. Then it finishes the requests in flight.
+//! requests for a limited time. Then it finishes the requests in flight. Those
+//! that have no answer shortly before the end of the process are refused, or
+//! answered with "may have run".
 
 mod member;
 mod peers;
@@ -87,7 +89,11 @@
 /// requests.
 const MAX_ACCEPT_SHARE: f64 = 0.35;
 /// Part of the grace period that is reserved for the exit of the process.
-const PROCESS_EXIT_RESERVE: Duration = Duration::from_millis(400);
+pub const PROCESS_EXIT_RESERVE: Duration = Duration::from_millis(400);
+/// Share of the grace period in which callers are told that a stopping node
+/// has no answer for them, before the process exits: half a second of eight,
+/// in which such answers cross a slow link.
+const LAST_ANSWERS_SHARE: f64 = 0.0625;
 /// Time for each background task to end before it is aborted.
 const TASK_STOP_TIMEOUT: Duration = Duration::from_millis(100);
 /// Distance of the port for forwarded requests from the port for other nodes.
@@ -491,11 +497,20 @@
         self.node.gateway.metrics.encode()
     }
 
+    /// Waits until requests without an answer have to end because the node
+    /// stops; forever if it isn't stopping.
+    pub async fn wait_for_last_answers(&self) {
+        self.node.gateway.wait_for_stop().await;
+    }
+
     /// Shuts the node down within `grace`, as described at the head of the
     /// module.
     pub async fn shutdown(self, grace: Duration) {
         let node = &self.node;
         let end = Instant::now() + grace.saturating_sub(PROCESS_EXIT_RESERVE);
+        let last_answers = grace.mul_f64(LAST_ANSWERS_SHARE);
+        let ends_at = end.checked_sub(last_answers).unwrap_or(end);
+        node.gateway.end_requests_at(ends_at);
         info!(target: "node", "Stopping: address withdrawn from callers.");
         node.stopping.store(true, Ordering::Relaxed);
         node.announce_serving();
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -22,6 +22,7 @@
 mod gateway;
 mod hung_disk;
 mod large_plan;
+mod last_answers;
 mod ledger;
 mod limits;
 mod links;
--- a/tests/all/peer_silence.rs
+++ b/tests/all/peer_silence.rs
@@ -66,7 +66,7 @@
 }
 
 /// Like [`isolate`], and waits until all nodes have heard of it.
-async fn isolate_and_tell(network: &Network, nodes: usize) {
+pub async fn isolate_and_tell(network: &Network, nodes: usize) {
     isolate(network, nodes, Mode::Reset).await;
     sleep(REPORT_TIME).await;
 }
