Tell answers that end within the upload from complete ones

Seen: a replica that answers a long upload at once without a length, and ends in order before it has received the upload, gets its part of an answer passed on as a complete 200.

Cause: such an answer ends with its connection, and the library takes any end of the stream for its end. After a FIN, reads never report the reset that follows; only a write that comes before sees it, which is why some such requests got 502.

Change: connections on which requests are sent report an end of the stream as an error while a part of what was to be sent is unwritten or not acknowledged by the peer. Calls of the project's own interface with a long body no longer go on pooled connections, which lack the check.

Ruled out: refusing all answers without a length to long requests, which also refuses replicas that have read them.

--- a/src/bounded.rs
+++ b/src/bounded.rs
@@ -21,6 +21,8 @@
     net::TcpStream,
 };
 
+use crate::outgoing::Outgoing;
+
 /// Maximum size of an answer's head and of the library's read buffer, in
 /// bytes: four times the largest head that callers may send by default.
 pub(crate) const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -63,7 +65,7 @@
 /// A connection that fails once its allowance is used up.
 #[derive(Debug)]
 pub(crate) struct Bounded {
-    stream: TcpStream,
+    stream: Outgoing,
     allowance: Arc<Allowance>,
 }
 
@@ -72,6 +74,7 @@
     pub fn new(stream: TcpStream) -> (Bounded, Arc<Allowance>) {
         let allowance = Allowance(AtomicI64::new(MAX_OVERHEAD_BYTES));
         let allowance = Arc::new(allowance);
+        let stream = Outgoing::new(stream);
         (Bounded { stream, allowance: allowance.clone() }, allowance)
     }
 }
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -28,12 +28,16 @@
 };
 use tokio::{net::TcpStream, time::timeout};
 
-use crate::{backoff::Backoff, verdict::Verdict};
+use crate::{backoff::Backoff, outgoing::Outgoing, verdict::Verdict};
 
 /// Time limit for establishing a connection.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum length of a whole answer, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+/// Maximum length of the body of a call on a pooled connection, in bytes: it is
+/// sent in one write. On a new connection, an answer that ends before the
+/// endpoint has received the whole call is told from a complete one.
+const MAX_POOLED_BODY_BYTES: usize = 16 * 1024;
 /// Response header by which an endpoint says that it did not run the request.
 pub const VERDICT_HEADER: &str = "azuremount-verdict";
 /// Response header with the number of requests running and waiting at the
@@ -177,7 +181,7 @@
         silence_timeout: Duration,
         new_connection: bool,
     ) -> Result<Response<Incoming>, CallError> {
-        if new_connection {
+        if new_connection || call.body.len() > MAX_POOLED_BODY_BYTES {
             return check_verdict(
                 send_on_new_connection(&call, silence_timeout).await?,
             );
@@ -247,10 +251,11 @@
         .await
         .map_err(|error| format!("can't connect to {address}: {error}"))?;
     let _ = stream.set_nodelay(true);
-    let (sender, connection) =
-        hyper::client::conn::http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|error| error.to_string())?;
+    let (sender, connection) = hyper::client::conn::http1::handshake(
+        TokioIo::new(Outgoing::new(stream)),
+    )
+    .await
+    .map_err(|error| error.to_string())?;
     tokio::spawn(async move {
         // The request itself returns the connection's error to the caller.
         let _ = connection.await;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod mesh;
 pub mod metrics;
 pub mod node;
+mod outgoing;
 pub mod packing;
 pub mod settings;
 pub mod signal;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -17,6 +17,7 @@
 mod disk;
 mod drain;
 mod endings;
+mod endpoint_answers;
 mod explain;
 mod fleet;
 mod gateway;
