Refuse answers whose status is none of an answer

Seen: a replica's status 600, 999 or 101 was passed on as it stood, with its seal. 000 to 099 gave 502 before as well.

Cause: the library accepts every status from 100 on, and nothing else checked that it is that of an answer.

Change: an attempt whose status is outside 200 to 599 has failed and may have run; so has one through another node, and a call of the project's own interface.

--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -28,7 +28,11 @@
 };
 use tokio::{net::TcpStream, time::timeout};
 
-use crate::{backoff::Backoff, outgoing::Outgoing, verdict::Verdict};
+use crate::{
+    backoff::Backoff,
+    outgoing::{Outgoing, is_final},
+    verdict::Verdict,
+};
 
 /// Time limit for establishing a connection.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -188,7 +192,7 @@
         }
         let request = encode(&call, true).map_err(CallError::not_run)?;
         match timeout(silence_timeout, self.pool.request(request)).await {
-            Ok(Ok(response)) => check_verdict(response),
+            Ok(Ok(response)) => check_verdict(check_status(response)?),
             Ok(Err(error)) if error.is_connect() => {
                 Err(CallError::not_run(error))
             }
@@ -240,7 +244,7 @@
     let request = encode(call, false).map_err(CallError::not_run)?;
     // From here on the endpoint may have received the request.
     match timeout(silence_timeout, sender.send_request(request)).await {
-        Ok(Ok(response)) => Ok(response),
+        Ok(Ok(response)) => check_status(response),
         Ok(Err(error)) => Err(CallError::may_have_run(error)),
         Err(_) => Err(CallError::may_have_run("no answer in time")),
     }
@@ -281,6 +285,16 @@
     Ok(request)
 }
 
+/// Returns an error if the status is not that of an answer.
+fn check_status(
+    response: Response<Incoming>,
+) -> Result<Response<Incoming>, CallError> {
+    match is_final(response.status()) {
+        true => Ok(response),
+        false => Err(CallError::may_have_run("the status is invalid")),
+    }
+}
+
 /// Returns an error if the endpoint says that it did not run the request.
 fn check_verdict(
     response: Response<Incoming>,
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -26,7 +26,7 @@
     survival::Proof,
     upstream::{Connection, Error, Fault},
 };
-use crate::{mesh::table::record_key, verdict::Verdict};
+use crate::{mesh::table::record_key, outgoing::is_final, verdict::Verdict};
 
 /// Maximum size of an answer that is read to its end before any of it is
 /// forwarded, in bytes. If such an answer breaks off, the request can still be
@@ -174,6 +174,10 @@
             }
         })?;
         self.gateway.fleet().record_heard(self.now(), &self.service);
+        if !is_final(response.status()) {
+            flight.end = Outcome::Failed;
+            return Err(Error::unproven("the answer's status is invalid"));
+        }
         let answer_info = self.gateway.dialect.parse_answer(
             self.request_info.id.as_ref(),
             response.status(),
--- a/src/gateway/peer_call.rs
+++ b/src/gateway/peer_call.rs
@@ -68,6 +68,7 @@
     upstream::{Connection, Error},
 };
 use crate::{
+    outgoing::is_final,
     util::{name_hash, position},
     verdict::Verdict,
     wire::Forwarded,
@@ -682,6 +683,10 @@
                 return Err(Error::may_have_run(text));
             }
         }
+        if !is_final(head.status) {
+            let text = "the answer's status is invalid";
+            return Err(Error::unproven(text));
+        }
         // The other node has checked the replica's answer. An answer to
         // another request is told from this one's by its id here as well.
         let answer_info = self.gateway.dialect.parse_answer(
--- a/src/outgoing.rs
+++ b/src/outgoing.rs
@@ -1,4 +1,4 @@
-//! Connections on which requests are sent.
+//! Connections on which requests are sent, and what counts as an answer.
 //!
 //! An answer with neither a length nor chunks ends with its connection. If the
 //! peer ends the connection before it has received the whole request, it may
@@ -15,6 +15,7 @@
     task::{Context, Poll},
 };
 
+use http::StatusCode;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -112,6 +113,13 @@
     }
 }
 
+/// Returns true for the status of an answer, whatever it says. Callers can't
+/// interpret other numbers, and the one of a switch of protocols would make
+/// them wait for more.
+pub(crate) fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 nix::ioctl_read_bad!(
     /// Reads the number of bytes that were written to a TCP socket and that
     /// its peer has not acknowledged (`SIOCOUTQ`).
--- a/tests/all/endpoint_answers.rs
+++ b/tests/all/endpoint_answers.rs
@@ -77,3 +77,16 @@
     let address = spawn_endpoint(answer).await;
     check_no_answer(send(address, LONG_BODY_BYTES).await);
 }
+
+/// Guards against an endpoint's status that no caller can understand.
+#[tokio::test]
+async fn an_invalid_status_is_no_answer() {
+    for answer in [
+        "HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 101 Other\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 600 High\r\nContent-Length: 0\r\n\r\n",
+    ] {
+        let address = spawn_endpoint(answer).await;
+        check_no_answer(send(address, 1).await);
+    }
+}
