--- a/src/control/raft/mod.rs
+++ b/src/control/raft/mod.rs
@@ -559,8 +559,8 @@
         }
     }
 
-    /// Returns the member list in which the first departing voter is a
-    /// learner.
+    /// Returns the member list in which the first departing voter that is not
+    /// needed is a learner.
     ///
     /// A voter is demoted only if there are enough other healthy voters to
     /// tolerate the permitted losses, but the quorum is too large for those
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -190,8 +190,8 @@
     let id = request_info.id.clone();
     let accepted = tokio::select! {
         biased;
-        accepted = accept(&gateway, request, request_info, began) => accepted,
         () = gateway.stop.wait() => Err(Refusal::stopping(Verdict::NotRun)),
+        accepted = accept(&gateway, request, request_info, began) => accepted,
     };
     match accepted {
         Ok(accepted) => {
@@ -216,8 +216,8 @@
     let accepting = accept_forwarded(&gateway, request, request_info, began);
     let accepted = tokio::select! {
         biased;
-        accepted = accepting => accepted,
         () = gateway.stop.wait() => Err(Refusal::stopping(Verdict::NotRun)),
+        accepted = accepting => accepted,
     };
     let result = match accepted {
         Ok(accepted) => run(accepted).await,
