--- a/tests/all/raft/replacements.rs
+++ b/tests/all/raft/replacements.rs
@@ -376,7 +376,7 @@
 }
 
 /// Guards against a quorum so small that a permitted loss takes all copies of
-/// a change, after all members but a few stop or are cut off.
+/// a change, while all members are stopping and one is cut off.
 #[test]
 fn no_change_is_on_too_few_disks_while_members_stop() {
     check(|timeline, first, losses| {
@@ -389,7 +389,7 @@
                 return false;
             }
         }
-        // The last ones to lead are cut off instead.
+        // One of those that don't lead is cut off as well.
         let cut = timeline.pick(false);
         timeline.vms[cut].is_partitioned = true;
         timeline.run(5000);
