Never call a request not run whose answer has begun

Seen: a node that stopped while it read a replica's answer gave 503 "not run", also through another node.

Cause: the attempt stopped counting as pending when its head had arrived, and as one that has run only when its body was read.

Change: it stays pending until its answer has been read.

Evidence: last_answers::requests_whose_answers_have_begun_... fails on the parent (503) and passes now, with the other four of its file.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -151,11 +151,13 @@
                 Event::Answered(finished) => {
                     let is_noted = finished.exchange.is_noted();
                     let target = finished.exchange.target().clone();
+                    self.chosen = Some(target.clone());
+                    let reply = self.read(*finished).await;
+                    // Until here the attempt may be dropped, and has run.
                     if !is_noted {
                         self.pending = None;
                     }
-                    self.chosen = Some(target.clone());
-                    match self.read(*finished).await {
+                    match reply {
                         Ok(Reply::Complete(failure))
                             if is_failure(&failure) =>
                         {
--- a/src/gateway/peer_call.rs
+++ b/src/gateway/peer_call.rs
@@ -381,12 +381,13 @@
             let mut call = self.begin_call(peer, last_event);
             // Replicas may have run it there if this wait is given up.
             self.pending = Some(String::new());
-            let answered = self.wait_for_call(&mut call).await;
-            self.pending = None;
-            let Some(answered) = answered else {
+            let Some(answered) = self.wait_for_call(&mut call).await else {
+                self.pending = None;
                 return self.ask_beside(call, last_event).await;
             };
-            match self.read_call(call.peer, answered).await {
+            let answer = self.read_call(call.peer, answered).await;
+            self.pending = None;
+            match answer {
                 Ok(PeerAnswer::Reply(reply)) => return Outcome::Reply(reply),
                 Ok(PeerAnswer::Refused(refusal)) => {
                     self.note_tried(refusal.tried);
--- a/tests/all/last_answers.rs
+++ b/tests/all/last_answers.rs
@@ -114,3 +114,29 @@
     join_all(stopping.map(|node| node.shutdown(GRACE))).await;
     check_may_have_run(sent).await;
 }
+
+/// Guards against a false "not run" when a node stops while a replica, or the
+/// node that a request was forwarded to, is within its answer.
+#[tokio::test]
+async fn requests_whose_answers_have_begun_are_not_said_not_to_have_run() {
+    let respond = |head: &str| match head.contains("/part") {
+        true => {
+            let part = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart";
+            vec![part.to_owned(), HANG.to_owned()]
+        }
+        false => ok("fine"),
+    };
+    let network = Network::open_with(3, respond).await;
+    isolate_and_tell(&network, 1).await;
+    let mut sent = Vec::new();
+    for node in &network.shared.nodes[..2] {
+        let front = node.front().unwrap();
+        for path in ["/once/part", "/again/part"] {
+            sent.push(tokio::spawn(post(front, path, sent.len(), "x")));
+        }
+    }
+    sleep(ARRIVAL_TIME).await;
+    let stopping = network.shared.nodes[..2].iter().cloned();
+    join_all(stopping.map(|node| node.shutdown(GRACE))).await;
+    check_may_have_run(sent).await;
+}
